--- /dev/null
+++ b/limeshelf/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operator RPC: generated schema code and its service."""
--- /dev/null
+++ b/limeshelf/admin/operations.py
@@ -0,0 +1,186 @@
+"""What operators do: check, commit, put in force, tell."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from limeshelf.admission.policies import admission_policies
+from limeshelf.admission.priorities import priority_policies
+from limeshelf.config.check import check_document
+from limeshelf.config.delta import Change, diff, document_from_json
+from limeshelf.config.document import Binding, Document, PolicyKind, Split
+from limeshelf.errors import InvalidDocument, Problem, StaleRevision
+from limeshelf.placement.policies import placement_policies
+from limeshelf.revisions.store import (
+    SNAPSHOT_EVERY,
+    Applied,
+    CommitOutcome,
+    RevisionStore,
+)
+from limeshelf.routing.policies import routing_policies
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from typing import Any
+
+    from limeshelf.config.holder import ConfigHolder
+    from limeshelf.membership.upstreams import UpstreamDirectory
+    from limeshelf.registry import Registry
+    from limeshelf.revisions.sync import RevisionSync
+
+#: The registry of each kind of policy.
+REGISTRIES: Mapping[PolicyKind, Registry[Any]] = {
+    PolicyKind.PLACEMENT: placement_policies,
+    PolicyKind.ADMISSION: admission_policies,
+    PolicyKind.PRIORITY: priority_policies,
+    PolicyKind.ROUTING: routing_policies,
+}
+
+
+@attrs.frozen
+class Operation:
+    """Who makes a change, and on which revision.
+
+    :param based_on: a negative number takes the revision in force.
+    """
+
+    operation_id: str
+    operator: str
+    note: str
+    based_on: int
+
+
+@dataclass(frozen=True)
+class Rejected:
+    """The document has faults; nothing was sent to the platform."""
+
+    problems: list[Problem] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class Unchanged:
+    """The document says what is in force already."""
+
+    revision: int
+
+
+OperationOutcome = CommitOutcome | Rejected | Unchanged
+
+
+class Operations:
+    """Makes operators' changes to the configuration."""
+
+    def __init__(
+        self,
+        config: ConfigHolder,
+        store: RevisionStore,
+        sync: RevisionSync,
+        upstreams: UpstreamDirectory,
+    ) -> None:
+        self._config = config
+        self._store = store
+        self._sync = sync
+        self._upstreams = upstreams
+
+    def check(self, document: Document) -> list[Problem]:
+        """Return the faults of *document* on the engines that are listed now."""
+        engines = self._upstreams.engines()
+        capacity_bytes = sum(engine.listed.capacity_bytes for engine in engines)
+        return check_document(document, REGISTRIES, capacity_bytes if engines else None)
+
+    async def apply(self, operation: Operation, plain: bytes) -> OperationOutcome:
+        """Put the document in *plain* in force."""
+        try:
+            document = parse_document(plain)
+        except InvalidDocument as error:
+            return Rejected(error.problems)
+        return await self._commit(operation, document)
+
+    async def swap_policy(
+        self, operation: Operation, kind: str, policy: str, deployment: str
+    ) -> OperationOutcome:
+        """Bind *policy* for one deployment, or for all that name none."""
+        try:
+            policy_kind = PolicyKind(kind)
+        except ValueError:
+            return Rejected([Problem('kind', f'unknown: {kind!r}')])
+        now = self._config.catalog.document
+        if not deployment:
+            others = [b for b in now.bindings if b.name is not policy_kind]
+            bindings = [*others, Binding(policy_kind, policy)]
+            return await self._commit(operation, attrs.evolve(now, bindings=bindings))
+        if all(d.name != deployment for d in now.deployments):
+            return Rejected([Problem('deployment', f'unknown: {deployment!r}')])
+        changed = [
+            attrs.evolve(d, policies={**d.policies, policy_kind: policy})
+            if d.name == deployment
+            else d
+            for d in now.deployments
+        ]
+        return await self._commit(operation, attrs.evolve(now, deployments=changed))
+
+    async def split_traffic(
+        self, operation: Operation, kind: str, split: tuple[str, str, float] | None
+    ) -> OperationOutcome:
+        """Divide the traffic between two policies; ``None`` ends it."""
+        try:
+            policy_kind = PolicyKind(kind)
+        except ValueError:
+            return Rejected([Problem('kind', f'unknown: {kind!r}')])
+        now = self._config.catalog.document
+        splits = [s for s in now.splits if s.kind is not policy_kind]
+        if split is not None:
+            splits.append(Split(f'{kind}-split', policy_kind, *split))
+        return await self._commit(operation, attrs.evolve(now, splits=splits))
+
+    async def drain_upstream(
+        self, operation: Operation, upstream_id: str, remove: bool
+    ) -> OperationOutcome:
+        """Keep new work and replicas off an upstream, or end that."""
+        now = self._config.catalog.document
+        drained = [known for known in now.drained_upstreams if known != upstream_id]
+        if not remove:
+            if self._upstreams.get(upstream_id) is None:
+                return Rejected([Problem('upstream', f'unknown: {upstream_id!r}')])
+            drained.append(upstream_id)
+        document = attrs.evolve(now, drained_upstreams=drained)
+        return await self._commit(operation, document)
+
+    async def _commit(self, operation: Operation, document: Document) -> OperationOutcome:
+        problems = self.check(document)
+        if problems:
+            return Rejected(problems)
+        before = self._config.catalog
+        changes = diff(before.document, document)
+        if not changes:
+            return Unchanged(before.revision)
+        based_on = operation.based_on if operation.based_on >= 0 else before.revision
+        outcome = await self._store.commit(
+            changes, based_on, operation.operation_id, operation.operator, operation.note
+        )
+        if isinstance(outcome, Applied):
+            await self._put_in_force(outcome.revision, based_on, changes)
+        return outcome
+
+    async def _put_in_force(self, revision: int, based_on: int, changes: list[Change]) -> None:
+        try:
+            self._config.take_changes(based_on, revision, changes)
+        except StaleRevision:
+            # This process lags; the reader of the platform brings the rest.
+            return
+        self._sync.push(based_on)
+        if revision % SNAPSHOT_EVERY == 0:
+            await self._store.store_snapshot(revision, self._config.catalog.document)
+
+
+def parse_document(plain: bytes) -> Document:
+    """Return the document in JSON text; raises :exc:`InvalidDocument`."""
+    try:
+        parsed = msgspec.json.decode(plain)
+    except msgspec.DecodeError as error:
+        raise InvalidDocument([Problem('.', f'is not JSON: {error}')]) from None
+    return document_from_json(parsed)
--- /dev/null
+++ b/limeshelf/admin/service.py
@@ -0,0 +1,272 @@
+"""The operator RPC service: translates between the schema and operations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import grpc
+import msgspec
+from absl import logging
+
+from limeshelf.admin import admin_pb2 as pb
+from limeshelf.admin import admin_pb2_grpc
+from limeshelf.admin.comparison import Figures, difference, gather
+from limeshelf.admin.operations import Operation, Rejected, Unchanged, parse_document
+from limeshelf.config.delta import diff, document_to_json
+from limeshelf.errors import InvalidDocument, PlatformUnavailable, PlatformUnknown
+from limeshelf.membership.reach import centre_revisions
+from limeshelf.revisions.store import Applied, NotApplied, RaceLost, Undecided
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from limeshelf.admin.operations import OperationOutcome, Operations
+    from limeshelf.admin.queries import PeerQueries
+    from limeshelf.config.delta import Change
+    from limeshelf.config.holder import ConfigHolder
+    from limeshelf.errors import Problem
+    from limeshelf.membership.processes import ProcessDirectory
+    from limeshelf.membership.upstreams import Upstream, UpstreamDirectory
+    from limeshelf.peers.codec import Envelope
+    from limeshelf.peers.messages import Reach
+    from limeshelf.revisions.store import RevisionRecord, RevisionStore
+
+DEFAULT_HISTORY = 20
+MAX_HISTORY = 500
+#: A data centre unheard of for this long is shown as such.
+CENTRE_SILENT_S = 15.0
+
+
+class AdminService(admin_pb2_grpc.AdminServicer):  # type: ignore[misc]
+    """Answers operators' calls."""
+
+    def __init__(
+        self,
+        operations: Operations,
+        queries: PeerQueries,
+        config: ConfigHolder,
+        store: RevisionStore,
+        processes: ProcessDirectory,
+        upstreams: UpstreamDirectory,
+    ) -> None:
+        self._operations = operations
+        self._queries = queries
+        self._config = config
+        self._store = store
+        self._processes = processes
+        self._upstreams = upstreams
+        self._reach: dict[str, tuple[float, dict[str, int]]] = {}
+
+    def take_reach(self, envelope: Envelope) -> None:
+        """Take in the revisions of another data centre."""
+        reach: Reach = envelope.message
+        self._reach[reach.data_centre] = (boottime_s(), reach.revisions)
+
+    async def Apply(self, request: Any, context: Any) -> Any:
+        """Put a whole configuration in force."""
+        operation = _operation(request.operation)
+        outcome = await self._operations.apply(operation, request.document)
+        return _reply('apply', operation, outcome)
+
+    async def Diff(self, request: Any, context: Any) -> Any:
+        """Tell what an apply would change."""
+        catalog = self._config.catalog
+        try:
+            document = parse_document(request.document)
+        except InvalidDocument as error:
+            return pb.DiffReply(based_on=catalog.revision, problems=_problems(error.problems))
+        return pb.DiffReply(
+            based_on=catalog.revision,
+            changes=_changes(diff(catalog.document, document)),
+            problems=_problems(self._operations.check(document)),
+        )
+
+    async def GetConfiguration(self, request: Any, context: Any) -> Any:
+        """Return the configuration in force."""
+        catalog = self._config.catalog
+        plain = msgspec.json.encode(document_to_json(catalog.document))
+        return pb.ConfigurationReply(revision=catalog.revision, document=plain)
+
+    async def Status(self, request: Any, context: Any) -> Any:
+        """Tell who has which revision, and what the upstreams hold."""
+        return pb.StatusReply(
+            revision=self._config.revision,
+            processes=self._process_rows(),
+            upstreams=[
+                self._upstream_row(u)
+                for u in sorted(self._upstreams.all(), key=lambda u: u.upstream_id)
+            ],
+        )
+
+    def _process_rows(self) -> list[Any]:
+        own_centre = self._processes.own.data_centre
+        known = {**self._reach, own_centre: (boottime_s(), centre_revisions(self._processes))}
+        highest = max(
+            [self._config.revision, *(r for _, rows in known.values() for r in rows.values())]
+        )
+        rows = []
+        for data_centre, (heard_s, revisions) in sorted(known.items()):
+            heard = boottime_s() - heard_s < CENTRE_SILENT_S
+            for process, revision in sorted(revisions.items()):
+                row = pb.ProcessStatus(
+                    process=process,
+                    data_centre=data_centre,
+                    revision=revision,
+                    reached=revision == highest,
+                    heard=heard,
+                )
+                rows.append(row)
+        return rows
+
+    def _upstream_row(self, upstream: Upstream) -> Any:
+        state = 'leaving' if upstream.leaving else 'live'
+        if upstream.upstream_id in self._config.catalog.drained:
+            state = 'drained'
+        if not self._upstreams.is_fresh(upstream):
+            state += ', silent'
+        return pb.UpstreamStatus(
+            upstream=upstream.upstream_id,
+            data_centre=upstream.listed.data_centre,
+            kind=upstream.listed.kind.value,
+            state=state,
+            running=upstream.running,
+            ready_items=sorted(upstream.ready_items),
+        )
+
+    async def History(self, request: Any, context: Any) -> Any:
+        """List the latest revisions, newest first."""
+        limit = min(request.limit or DEFAULT_HISTORY, MAX_HISTORY)
+        newest = self._config.revision
+        try:
+            records = await self._store.records_after(max(0, newest - limit), newest)
+        except (PlatformUnavailable, PlatformUnknown):
+            await context.abort(grpc.StatusCode.UNAVAILABLE, 'the table service is down')
+        return pb.HistoryReply(revisions=[_revision(r) for r in reversed(records)])
+
+    async def SwapPolicy(self, request: Any, context: Any) -> Any:
+        """Bind another policy."""
+        operation = _operation(request.operation)
+        outcome = await self._operations.swap_policy(
+            operation, request.kind, request.policy, request.deployment
+        )
+        return _reply('swap-policy', operation, outcome)
+
+    async def SplitTraffic(self, request: Any, context: Any) -> Any:
+        """Divide traffic between two policies, or end that."""
+        operation = _operation(request.operation)
+        split = None
+        if not request.remove:
+            split = (request.policy_a, request.policy_b, request.share_b_ratio)
+        outcome = await self._operations.split_traffic(operation, request.kind, split)
+        return _reply('split-traffic', operation, outcome)
+
+    async def DrainUpstream(self, request: Any, context: Any) -> Any:
+        """Keep new work off an upstream, or end that."""
+        operation = _operation(request.operation)
+        outcome = await self._operations.drain_upstream(
+            operation, request.upstream, request.remove
+        )
+        return _reply('drain-upstream', operation, outcome)
+
+    async def ComparePolicies(self, request: Any, context: Any) -> Any:
+        """Set two policies side by side."""
+        replies = await self._queries.samples()
+        samples = [sample for reply in replies for sample in reply.samples]
+        by_policy = {
+            name: gather(samples, request.kind, name)
+            for name in (request.policy_a, request.policy_b)
+        }
+        a, b = by_policy[request.policy_a], by_policy[request.policy_b]
+        return pb.ComparePoliciesReply(
+            figures=[
+                _figures(name, priority_class, figures)
+                for name, rows in by_policy.items()
+                for priority_class, figures in sorted(rows.items())
+            ],
+            differences=[
+                _difference(key, a[key], b[key]) for key in sorted(a.keys() & b.keys())
+            ],
+            answered=len(replies),
+            listed=len(self._processes.listed_ids()),
+        )
+
+    async def Explain(self, request: Any, context: Any) -> Any:
+        """Tell the decisions about a request or a model."""
+        return pb.ExplainReply(lines=await self._queries.explain(request.subject))
+
+
+def _operation(message: Any) -> Operation:
+    return Operation(
+        message.operation_id, message.operator, message.note, int(message.based_on)
+    )
+
+
+def _reply(action: str, operation: Operation, outcome: OperationOutcome) -> Any:
+    logging.info(
+        'operation=%s id=%s operator=%s outcome=%s',
+        action,
+        operation.operation_id,
+        operation.operator,
+        type(outcome).__name__,
+    )
+    match outcome:
+        case Applied(revision):
+            return pb.CommitReply(result=pb.APPLIED, revision=revision)
+        case Unchanged(revision):
+            return pb.CommitReply(result=pb.UNCHANGED, revision=revision)
+        case RaceLost(revision, others):
+            rows = [_revision(record) for record in others]
+            return pb.CommitReply(result=pb.CONFLICT, revision=revision, others=rows)
+        case Rejected(problems):
+            return pb.CommitReply(result=pb.INVALID, problems=_problems(problems))
+        case Undecided():
+            return pb.CommitReply(result=pb.UNDECIDED)
+        case NotApplied():
+            return pb.CommitReply(result=pb.NOT_APPLIED)
+
+
+def _problems(problems: list[Problem]) -> list[Any]:
+    return [pb.Problem(path=problem.path, message=problem.message) for problem in problems]
+
+
+def _changes(changes: list[Change]) -> list[Any]:
+    return [
+        pb.Change(
+            section=change.section,
+            name=change.name,
+            entity=b'' if change.entity is None else msgspec.json.encode(change.entity),
+        )
+        for change in changes
+    ]
+
+
+def _revision(record: RevisionRecord) -> Any:
+    return pb.Revision(
+        revision=record.revision,
+        operation_id=record.operation_id,
+        operator=record.operator,
+        committed_unix_s=record.committed_unix_s,
+        note=record.note,
+        changes=_changes(record.changes),
+    )
+
+
+def _figures(policy: str, priority_class: str, figures: Figures) -> Any:
+    return pb.PolicyFigures(
+        policy=policy,
+        priority_class=priority_class,
+        requests=figures.requests,
+        refused=figures.refused,
+        attainment_ratio=figures.attainment_ratio,
+        first_token_s_mean=figures.mean_s,
+    )
+
+
+def _difference(priority_class: str, a: Figures, b: Figures) -> Any:
+    found = difference(a, b)
+    return pb.PolicyDifference(
+        priority_class=priority_class,
+        attainment_ratio=found.attainment_ratio,
+        attainment_ratio_half_width=found.attainment_half_width,
+        first_token_s=found.first_token_s,
+        first_token_s_half_width=found.first_token_half_width_s,
+    )
--- /dev/null
+++ b/limeshelf/admission/policies.py
@@ -0,0 +1,171 @@
+"""Admission policies: which requests are refused at once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+from limeshelf.config.document import PriorityClass
+from limeshelf.errors import NotRun, RefusalReason
+from limeshelf.registry import Registry
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from limeshelf.config.document import Policy
+
+#: Shortest pause a refused caller is told, in seconds.
+MIN_RETRY_AFTER_S = 1.0
+
+
+@attrs.frozen
+class AdmissionQuestion:
+    """What an admission policy is told of a request.
+
+    :param estimate_s: estimated time to the first token.
+    :param target_s: time to the first token that the deployment promises.
+    :param remaining_s: time to the request's deadline.
+    :param running: requests in work at the best replica.
+    :param limit: requests that this instance may have in flight there.
+    """
+
+    priority_class: PriorityClass
+    estimate_s: float
+    target_s: float
+    remaining_s: float
+    running: float
+    limit: int
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """The request goes on."""
+
+
+AdmissionOutcome = Admitted | NotRun
+
+
+class AdmissionPolicy(Protocol):
+    """Admits or refuses."""
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> AdmissionPolicy:
+        """Build the policy with the numbers of *policy*."""
+        ...
+
+    def decide(self, question: AdmissionQuestion) -> AdmissionOutcome:
+        """Return whether the request goes on, or the final answer."""
+        ...
+
+    def note_result(self, priority_class: PriorityClass, met: bool) -> None:
+        """Learn whether an admitted request met its target."""
+        ...
+
+
+admission_policies: Registry[AdmissionPolicy] = Registry('admission policy')
+
+
+def _overloaded(retry_after_s: float) -> NotRun:
+    return NotRun(
+        RefusalReason.OVERLOADED,
+        max(MIN_RETRY_AFTER_S, retry_after_s),
+        'the upstreams are too busy to meet the target',
+    )
+
+
+@admission_policies.register('always')
+@attrs.define
+class AdmitAll:
+    """Refuse nothing."""
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> AdmitAll:
+        """Build the policy; it has no numbers."""
+        return cls()
+
+    def decide(self, question: AdmissionQuestion) -> AdmissionOutcome:
+        """Admit."""
+        return Admitted()
+
+    def note_result(self, priority_class: PriorityClass, met: bool) -> None:
+        """Learn nothing."""
+
+
+@admission_policies.register('estimate')
+@attrs.define
+class AdmitByEstimate:
+    """Refuse early what cannot meet its target, the lowest class first.
+
+    A class is refused once the estimate exceeds its slack times the target.
+    Early dropping by remaining time follows Strait, section 3.3.
+
+    :param slacks: estimate allowed, in targets, by class.
+    """
+
+    slacks: dict[PriorityClass, float]
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> AdmitByEstimate:
+        """Build the policy; numbers ``low_slack``, ``normal_slack``, ``high_slack``."""
+        return cls(
+            {
+                PriorityClass.LOW: policy.number('low_slack', 0.6),
+                PriorityClass.NORMAL: policy.number('normal_slack', 1.0),
+                PriorityClass.HIGH: policy.number('high_slack', 4.0),
+            }
+        )
+
+    def decide(self, question: AdmissionQuestion) -> AdmissionOutcome:
+        """Compare the estimate with target and deadline."""
+        if question.estimate_s > question.remaining_s:
+            return NotRun(
+                RefusalReason.DEADLINE_TOO_SHORT,
+                None,
+                'the deadline is shorter than the estimated wait',
+            )
+        allowed_s = self.slacks[question.priority_class] * question.target_s
+        if question.estimate_s > allowed_s:
+            return _overloaded(question.estimate_s - allowed_s)
+        return Admitted()
+
+    def note_result(self, priority_class: PriorityClass, met: bool) -> None:
+        """Learn nothing; the estimate itself is learned elsewhere."""
+
+
+@admission_policies.register('low-class-cap')
+@attrs.define
+class CapLowClass:
+    """Cap what is not high class; raise the cap slowly, cut it on a high miss.
+
+    Additive increase and multiplicative decrease after Strait, appendix A.1:
+    the share starts at *least_ratio*, grows by *raise_ratio* a second up to 1,
+    and falls back when a high-class request misses its target.
+    """
+
+    least_ratio: float
+    raise_ratio: float
+    _share_ratio: float = 0.0
+    _raised_s: float = attrs.field(factory=boottime_s)
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> CapLowClass:
+        """Build the policy; numbers ``least_ratio`` and ``raise_ratio``."""
+        least_ratio = policy.number('least_ratio', 0.75)
+        return cls(least_ratio, policy.number('raise_ratio', 0.025), least_ratio)
+
+    def decide(self, question: AdmissionQuestion) -> AdmissionOutcome:
+        """Compare the load with the class's share of the limit."""
+        now_s = boottime_s()
+        self._share_ratio += (now_s - self._raised_s) * self.raise_ratio
+        self._share_ratio = min(1.0, self._share_ratio)
+        self._raised_s = now_s
+        share = 1.0 if question.priority_class is PriorityClass.HIGH else self._share_ratio
+        if question.running >= question.limit * share:
+            return _overloaded(question.estimate_s)
+        return Admitted()
+
+    def note_result(self, priority_class: PriorityClass, met: bool) -> None:
+        """Cut the share after a high-class miss."""
+        if priority_class is PriorityClass.HIGH and not met:
+            self._share_ratio = self.least_ratio
--- /dev/null
+++ b/limeshelf/admission/priorities.py
@@ -0,0 +1,78 @@
+"""Priority policies: the rank that an engine is told; the lower rank runs first."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+from limeshelf.config.document import PRIORITY_RANK, PriorityClass
+from limeshelf.registry import Registry
+
+if TYPE_CHECKING:
+    from limeshelf.config.document import Policy
+
+#: Ranks between two classes, so that a class never overtakes a higher one.
+CLASS_STEP = 1000
+
+
+class PriorityPolicy(Protocol):
+    """Ranks a request."""
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> PriorityPolicy:
+        """Build the policy with the numbers of *policy*."""
+        ...
+
+    def rank(self, priority_class: PriorityClass, remaining_s: float) -> int:
+        """Return the rank."""
+        ...
+
+
+priority_policies: Registry[PriorityPolicy] = Registry('priority policy')
+
+
+@priority_policies.register('flat')
+@attrs.define
+class Flat:
+    """All requests are equal: first come, first served."""
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> Flat:
+        """Build the policy; it has no numbers."""
+        return cls()
+
+    def rank(self, priority_class: PriorityClass, remaining_s: float) -> int:
+        """Return 0."""
+        return 0
+
+
+@priority_policies.register('class-rank')
+@attrs.define
+class ClassRank:
+    """The class decides; within it, first come, first served."""
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> ClassRank:
+        """Build the policy; it has no numbers."""
+        return cls()
+
+    def rank(self, priority_class: PriorityClass, remaining_s: float) -> int:
+        """Return the rank of the class."""
+        return PRIORITY_RANK[priority_class] * CLASS_STEP
+
+
+@priority_policies.register('deadline-first')
+@attrs.define
+class DeadlineFirst:
+    """The class decides; within it, the nearest deadline first."""
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> DeadlineFirst:
+        """Build the policy; it has no numbers."""
+        return cls()
+
+    def rank(self, priority_class: PriorityClass, remaining_s: float) -> int:
+        """Return the class's rank plus the remaining seconds."""
+        seconds = min(max(int(remaining_s), 0), CLASS_STEP - 1)
+        return PRIORITY_RANK[priority_class] * CLASS_STEP + seconds
--- /dev/null
+++ b/limeshelf/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on idempotency keys, so that a call runs at most once."""
--- /dev/null
+++ b/limeshelf/claims/keeper.py
@@ -0,0 +1,156 @@
+"""Claims an idempotency key before a call that may run at most once is sent."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.errors import PlatformUnavailable, PlatformUnknown
+from limeshelf.platform.table import Committed, Condition, Row, Write
+from limeshelf.util.clock import wall_s
+from limeshelf.util.identifiers import new_id
+
+if TYPE_CHECKING:
+    from limeshelf.platform.table import TableClient
+
+#: Larger answers are not kept for a repeat; the repeat learns only that the
+#: call ran.
+MAX_KEPT_BYTES = 16 << 10
+
+
+@attrs.frozen
+class KeptAnswer:
+    """The answer of a claimed call, for a later repeat.
+
+    :param body: text of the body; ``None`` when it was too large to keep.
+    """
+
+    status: int
+    content_type: str
+    body: str | None
+
+
+@dataclass(frozen=True)
+class Claimed:
+    """The key is ours: send the call, once."""
+
+    key: str
+    claim_id: str
+    version: int
+
+
+@dataclass(frozen=True)
+class ClaimedBefore:
+    """Another request has the key.
+
+    :param answer: its answer, or ``None`` while that is not known.
+    """
+
+    answer: KeptAnswer | None
+
+
+@dataclass(frozen=True)
+class ClaimMismatch:
+    """The key was used before for a different call."""
+
+
+@dataclass(frozen=True)
+class ClaimsUnavailable:
+    """The table cannot be asked; nothing was sent and nothing may be."""
+
+
+ClaimOutcome = Claimed | ClaimedBefore | ClaimMismatch | ClaimsUnavailable
+
+
+class ClaimKeeper:
+    """Claims keys through the table service.
+
+    A claim is a row inserted on the condition that it is absent, so of any
+    number of instances exactly one gets it. A lost answer is settled by
+    reading back whose claim id stands there.
+    """
+
+    def __init__(self, table: TableClient) -> None:
+        self._table = table
+
+    async def claim(self, scope: str, key: str, fingerprint: str) -> ClaimOutcome:
+        """Try to claim *key*.
+
+        :param scope: route and caller that the key belongs to.
+        :param fingerprint: digest of the call, so that a key is not reused for
+            another one.
+        """
+        row_key = f'claim/{_digest(scope)}/{_digest(key)}'
+        claim_id = new_id('claim')
+        value = {
+            'claim_id': claim_id,
+            'fingerprint': fingerprint,
+            'claimed_unix_s': wall_s(),
+            'answer': None,
+        }
+        try:
+            outcome = await self._table.transact(
+                [Condition(row_key, 0)], [Write(row_key, value)]
+            )
+        except PlatformUnavailable:
+            return ClaimsUnavailable()
+        except PlatformUnknown:
+            return await self._settle(row_key, claim_id, fingerprint)
+        if isinstance(outcome, Committed):
+            return Claimed(row_key, claim_id, outcome.versions[row_key])
+        return _before(outcome.rows[0], fingerprint)
+
+    async def _settle(self, row_key: str, claim_id: str, fingerprint: str) -> ClaimOutcome:
+        try:
+            row = await self._table.read(row_key)
+        except (PlatformUnavailable, PlatformUnknown):
+            return ClaimsUnavailable()
+        if row.value is None:
+            # The insert may still arrive; nothing is sent under it.
+            return ClaimsUnavailable()
+        if row.value['claim_id'] == claim_id:
+            return Claimed(row_key, claim_id, row.version)
+        return _before(row, fingerprint)
+
+    async def keep_answer(self, claim: Claimed, answer: KeptAnswer, fingerprint: str) -> bool:
+        """Store the answer for later repeats; return whether that is certain."""
+        value = {
+            'claim_id': claim.claim_id,
+            'fingerprint': fingerprint,
+            'claimed_unix_s': wall_s(),
+            'answer': attrs.asdict(answer),
+        }
+        return await self._write(claim, value)
+
+    async def give_back(self, claim: Claimed) -> bool:
+        """Free the key after a call that surely did not run."""
+        return await self._write(claim, None)
+
+    async def _write(self, claim: Claimed, value: dict[str, object] | None) -> bool:
+        try:
+            outcome = await self._table.transact(
+                [Condition(claim.key, claim.version)], [Write(claim.key, value)]
+            )
+        except (PlatformUnavailable, PlatformUnknown):
+            return False
+        return isinstance(outcome, Committed)
+
+
+def fingerprint_of(method: str, path_and_query: str, body: bytes) -> str:
+    """Return the digest that tells two calls apart."""
+    return _digest(f'{method} {path_and_query} ' + hashlib.sha256(body).hexdigest())
+
+
+def _before(row: Row, fingerprint: str) -> ClaimOutcome:
+    value = row.value or {}
+    if value.get('fingerprint') != fingerprint:
+        return ClaimMismatch()
+    answer = value.get('answer')
+    return ClaimedBefore(KeptAnswer(**answer) if answer else None)
+
+
+def _digest(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
--- /dev/null
+++ b/limeshelf/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operator configuration: entities, deltas, snapshots and the revision in force."""
--- /dev/null
+++ b/limeshelf/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The caller-facing HTTP program: parsing, relaying, errors and drain."""
--- /dev/null
+++ b/limeshelf/entry/answers.py
@@ -0,0 +1,88 @@
+"""Error answers in the OpenAI shape, with outcome and time to come back."""
+
+from __future__ import annotations
+
+import math
+from typing import Any, TypeVar
+
+import msgspec
+from aiohttp import web
+
+from limeshelf.entry.headers import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    RETRY_AFTER_HEADER,
+    REVISION_HEADER,
+)
+from limeshelf.errors import (
+    InvalidRequest,
+    MayHaveRun,
+    NotRun,
+    OutcomeKind,
+    RefusalReason,
+)
+
+AnyAnswer = TypeVar('AnyAnswer', bound=web.StreamResponse)
+
+#: HTTP status by reason; every other reason is 503.
+STATUS_BY_REASON = {
+    RefusalReason.BAD_REQUEST: 400,
+    RefusalReason.UNKNOWN_MODEL: 404,
+    RefusalReason.UNKNOWN_ROUTE: 404,
+    RefusalReason.OVERLOADED: 429,
+    RefusalReason.DEADLINE_TOO_SHORT: 504,
+    RefusalReason.KEY_REUSED: 422,
+}
+NOT_RUN_STATUS = 503
+MAY_HAVE_RUN_STATUS = 502
+
+
+def error_body(
+    outcome: NotRun | MayHaveRun, request_id: str, field_name: str | None = None
+) -> dict[str, Any]:
+    """Return the body of an error answer."""
+    kind = OutcomeKind.NOT_RUN if isinstance(outcome, NotRun) else OutcomeKind.MAY_HAVE_RUN
+    return {
+        'error': {
+            'message': outcome.detail or outcome.reason.value,
+            'type': 'invalid_request_error' if field_name else f'{kind}_error',
+            'param': field_name,
+            'code': outcome.reason.value,
+            'outcome': kind.value,
+            'request_id': request_id,
+        }
+    }
+
+
+def outcome_answer(outcome: NotRun | MayHaveRun, request_id: str) -> web.Response:
+    """Return the final answer for a request that has no other."""
+    if isinstance(outcome, MayHaveRun):
+        return _answer(MAY_HAVE_RUN_STATUS, error_body(outcome, request_id), 'may_have_run')
+    status = STATUS_BY_REASON.get(outcome.reason, NOT_RUN_STATUS)
+    answer = _answer(status, error_body(outcome, request_id), 'not_run')
+    if outcome.retry_after_s is not None:
+        answer.headers[RETRY_AFTER_HEADER] = str(max(1, math.ceil(outcome.retry_after_s)))
+    return answer
+
+
+def invalid_answer(error: InvalidRequest, request_id: str) -> web.Response:
+    """Return the answer to a malformed request; nothing reached an upstream."""
+    outcome = NotRun(RefusalReason.BAD_REQUEST, None, f'{error.field_name}: {error.problem}')
+    body = error_body(outcome, request_id, error.field_name)
+    return _answer(error.status, body, 'not_run')
+
+
+def tag(answer: AnyAnswer, request_id: str, revision: int) -> AnyAnswer:
+    """Add the headers that every answer carries."""
+    answer.headers[REQUEST_ID_HEADER] = request_id
+    answer.headers[REVISION_HEADER] = str(revision)
+    return answer
+
+
+def _answer(status: int, body: dict[str, Any], outcome: str) -> web.Response:
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(body),
+        content_type='application/json',
+        headers={OUTCOME_HEADER: outcome},
+    )
--- /dev/null
+++ b/limeshelf/entry/context.py
@@ -0,0 +1,46 @@
+"""What the request handlers of an entry process share."""
+
+from __future__ import annotations
+
+import attrs
+
+from limeshelf.admission.retries import RetryBudget
+from limeshelf.claims.keeper import ClaimKeeper
+from limeshelf.config.holder import ConfigHolder
+from limeshelf.entry.bound import PolicyShelf
+from limeshelf.entry.demand import DemandCounter
+from limeshelf.entry.lifecycle import Lifecycle
+from limeshelf.entry.samples import SampleBook
+from limeshelf.membership.upstreams import UpstreamDirectory
+from limeshelf.metrics.decisions import DecisionLog
+from limeshelf.metrics.statsd import Metrics
+from limeshelf.routing.loads import LoadBook
+from limeshelf.settings.model import EntrySettings
+from limeshelf.upstreams.pool import UpstreamPool
+
+
+@attrs.define
+class EntryContext:
+    """Everything a handler needs beside the request."""
+
+    instance_id: str
+    settings: EntrySettings
+    config: ConfigHolder
+    upstreams: UpstreamDirectory
+    pool: UpstreamPool
+    claims: ClaimKeeper
+    metrics: Metrics
+    decisions: DecisionLog
+    demand: DemandCounter
+    lifecycle: Lifecycle
+    loads: LoadBook = attrs.field(factory=LoadBook)
+    samples: SampleBook = attrs.field(factory=SampleBook)
+    policies: PolicyShelf = attrs.field(factory=PolicyShelf)
+    budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+
+    def budget(self, route: str) -> RetryBudget:
+        """Return the retry budget of a model or route."""
+        found = self.budgets.get(route)
+        if found is None:
+            found = self.budgets[route] = RetryBudget(self.settings.retry_ratio)
+        return found
--- /dev/null
+++ b/limeshelf/entry/models.py
@@ -0,0 +1,168 @@
+"""HTTP handlers of model requests."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+
+from limeshelf.entry.answers import invalid_answer, outcome_answer, tag
+from limeshelf.entry.exchange import ModelExchange
+from limeshelf.entry.formats import EventWriter, whole_body
+from limeshelf.entry.headers import OUTCOME_HEADER, REVISION_HEADER
+from limeshelf.entry.parse import ModelRequest, parse_model_request, read_body
+from limeshelf.errors import (
+    DoubtReason,
+    InvalidRequest,
+    MayHaveRun,
+    NotRun,
+    OutcomeKind,
+    RefusalReason,
+    RequestInDoubt,
+    RequestNotRun,
+)
+from limeshelf.util.identifiers import new_id
+
+if TYPE_CHECKING:
+    from limeshelf.config.catalog import Catalog, Target
+    from limeshelf.entry.context import EntryContext
+
+
+class ModelHandlers:
+    """Chat completions, completions and the list of models."""
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    async def chat(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``POST /v1/chat/completions``."""
+        return await self._answer(request, chat=True)
+
+    async def completions(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``POST /v1/completions``."""
+        return await self._answer(request, chat=False)
+
+    async def models(self, request: web.Request) -> web.Response:
+        """Answer ``GET /v1/models`` with models, adapters and versions."""
+        catalog = self._context.config.catalog
+        entries = [
+            {
+                'id': name,
+                'object': 'model',
+                'owned_by': 'limeshelf',
+                'version': target.deployment.version,
+                'base': target.deployment.name if target.item.base_id else None,
+                'priority_class': target.deployment.priority_class.value,
+                'ready': self._is_ready(target),
+            }
+            for name, target in sorted(catalog.targets.items())
+        ]
+        body = msgspec.json.encode({'object': 'list', 'data': entries})
+        headers = {REVISION_HEADER: str(catalog.revision)}
+        return web.Response(body=body, content_type='application/json', headers=headers)
+
+    def _is_ready(self, target: Target) -> bool:
+        upstreams = self._context.upstreams
+        return any(
+            target.item.item_id in u.ready_items and upstreams.is_fresh(u)
+            for u in upstreams.engines()
+        )
+
+    async def _answer(self, http: web.Request, chat: bool) -> web.StreamResponse:
+        request_id = new_id(f'req-{self._context.instance_id}')
+        catalog = self._context.config.catalog
+        settings = self._context.settings
+        try:
+            body = await read_body(http, settings.max_body_bytes, settings.body_timeout_s)
+            request = parse_model_request(
+                http, body, chat, request_id, settings.default_deadline_s
+            )
+        except InvalidRequest as error:
+            self._context.metrics.count('entry.invalid')
+            return tag(invalid_answer(error, request_id), request_id, catalog.revision)
+        target = catalog.targets.get(request.model)
+        if target is None:
+            outcome = NotRun(
+                RefusalReason.UNKNOWN_MODEL, None, f'model: {request.model!r} is not deployed'
+            )
+            return tag(outcome_answer(outcome, request_id), request_id, catalog.revision)
+        return await self._serve(http, request, catalog, target)
+
+    async def _serve(
+        self, http: web.Request, request: ModelRequest, catalog: Catalog, target: Target
+    ) -> web.StreamResponse:
+        context = self._context
+        item_id = target.item.item_id
+        context.metrics.count('entry.requests')
+        context.demand.arrived(item_id)
+        exchange = ModelExchange(context, catalog, request, target)
+        try:
+            if request.stream:
+                return await self._stream(http, request, catalog, exchange)
+            return await self._whole(request, catalog, exchange)
+        except (RequestNotRun, RequestInDoubt) as error:
+            answer = outcome_answer(error.outcome, request.request_id)
+            return tag(answer, request.request_id, catalog.revision)
+        finally:
+            context.demand.ended(item_id)
+
+    async def _whole(
+        self, request: ModelRequest, catalog: Catalog, exchange: ModelExchange
+    ) -> web.Response:
+        texts: list[str] = []
+        finish = ''
+        try:
+            async with (
+                asyncio.timeout(request.deadline_s),
+                aclosing(exchange.batches()) as batches,
+            ):
+                async for batch in batches:
+                    texts += [line.text for line in batch if not line.finish]
+                    finish = batch[-1].finish
+        except TimeoutError:
+            raise RequestInDoubt(MayHaveRun(DoubtReason.ANSWER_TIMEOUT)) from None
+        body = whole_body(request, ''.join(texts), finish, len(texts))
+        answer = web.Response(body=body, content_type='application/json')
+        answer.headers[OUTCOME_HEADER] = OutcomeKind.COMPLETED.value
+        return tag(answer, request.request_id, catalog.revision)
+
+    async def _stream(
+        self,
+        http: web.Request,
+        request: ModelRequest,
+        catalog: Catalog,
+        exchange: ModelExchange,
+    ) -> web.StreamResponse:
+        writer = EventWriter(request)
+        answer = web.StreamResponse()
+        answer.content_type = 'text/event-stream'
+        answer.headers['Cache-Control'] = 'no-store'
+        tag(answer, request.request_id, catalog.revision)
+        try:
+            async with (
+                asyncio.timeout(request.deadline_s),
+                aclosing(exchange.batches()) as batches,
+            ):
+                async for batch in batches:
+                    if not answer.prepared:
+                        await answer.prepare(http)
+                    await answer.write(writer.events(batch))
+        except TimeoutError:
+            outcome = MayHaveRun(DoubtReason.ANSWER_TIMEOUT)
+            if not answer.prepared:
+                raise RequestInDoubt(outcome) from None
+            await answer.write(writer.error_event(outcome))
+        except (RequestNotRun, RequestInDoubt) as error:
+            if not answer.prepared:
+                raise
+            self._context.metrics.count('entry.streams_broken')
+            await answer.write(writer.error_event(error.outcome))
+        except ConnectionError:
+            # The caller has gone; leaving the block above cancelled the engine.
+            self._context.metrics.count('entry.callers_gone')
+            return answer
+        await answer.write_eof()
+        return answer
--- /dev/null
+++ b/limeshelf/membership/reach.py
@@ -0,0 +1,61 @@
+"""Which process has which revision in force, over all data centres."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from limeshelf.peers.messages import Reach
+from limeshelf.util.backoff import jittered_s
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from limeshelf.membership.processes import ProcessDirectory
+    from limeshelf.peers.codec import Envelope
+    from limeshelf.peers.node import PeerNode
+
+#: Pause between two tellings when a revision changed, and when none did.
+CHANGED_S = 0.25
+UNCHANGED_S = 5.0
+
+
+class ReachSender:
+    """Tells the other data centres the revisions of the own one."""
+
+    def __init__(self, processes: ProcessDirectory, node: PeerNode) -> None:
+        self._processes = processes
+        self._node = node
+
+    async def run(self) -> None:
+        """Tell changes soon, and everything now and then."""
+        told: dict[str, int] = {}
+        told_s = 0.0
+        while True:
+            await asyncio.sleep(jittered_s(CHANGED_S))
+            if not self._processes.is_chosen('gateway'):
+                continue
+            revisions = centre_revisions(self._processes)
+            if revisions == told and boottime_s() - told_s < UNCHANGED_S:
+                continue
+            told, told_s = revisions, boottime_s()
+            message = Reach(self._processes.own.data_centre, revisions, relay=True)
+            for addresses in self._processes.remote_entries().values():
+                if addresses:
+                    self._node.send(random.choice(addresses), message)
+
+    def relay(self, envelope: Envelope) -> None:
+        """Pass a telling on to the admin processes of the own data centre."""
+        message: Reach = envelope.message
+        if message.relay:
+            inner = Reach(message.data_centre, message.revisions)
+            self._node.send_all(self._processes.centre_addresses('admin'), inner)
+
+
+def centre_revisions(processes: ProcessDirectory) -> dict[str, int]:
+    """Return the revisions of the data centre's processes, as heard."""
+    return {
+        f'{beat.instance_id}/{beat.program}': beat.revision
+        for beat in processes.heard()
+        if beat.data_centre == processes.own.data_centre
+    }
--- /dev/null
+++ b/limeshelf/membership/rendezvous.py
@@ -0,0 +1,22 @@
+"""Rendezvous hashing: everybody ranks the same members in the same order."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def rank(key: str, members: Iterable[str]) -> list[str]:
+    """Return *members*, the highest weight for *key* first.
+
+    A member that joins or leaves moves only the keys it wins or held.
+    """
+    return sorted(members, key=lambda member: _weight(key, member), reverse=True)
+
+
+def _weight(key: str, member: str) -> tuple[bytes, str]:
+    digest = hashlib.blake2b(f'{key}\0{member}'.encode(), digest_size=8).digest()
+    return digest, member
--- /dev/null
+++ b/limeshelf/membership/upstreams.py
@@ -0,0 +1,171 @@
+"""Which upstreams may get work, and what they hold."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from absl import logging
+
+from limeshelf.platform.instances import Listed, ListedKind, ListedState
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from limeshelf.peers.messages import UpstreamState
+
+
+@attrs.define
+class Upstream:
+    """One upstream as this process knows it.
+
+    :param left_boot_ids: boots that said that they leave; they get no new work
+        whatever the list says.
+    :param heard_s: when the last state arrived, on the boot clock.
+    :param avoid_until_s: no new work before, after a failed connection.
+    """
+
+    listed: Listed
+    boot_id: str = ''
+    sequence: int = -1
+    reachable: bool = False
+    running: int = 0
+    ready_items: frozenset[str] = frozenset()
+    heard_s: float = float('-inf')
+    avoid_until_s: float = float('-inf')
+    left_boot_ids: set[str] = attrs.field(factory=set)
+
+    @property
+    def upstream_id(self) -> str:
+        """Return the id of the upstream."""
+        return self.listed.instance_id
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether it gets no new work."""
+        said_so = bool(self.left_boot_ids) and (
+            not self.boot_id or self.boot_id in self.left_boot_ids
+        )
+        return said_so or self.listed.state is ListedState.LEAVING
+
+
+class UpstreamDirectory:
+    """All upstreams of all data centres.
+
+    :param stale_s: a state older than this is not trusted.
+    """
+
+    def __init__(self, data_centre: str, stale_s: float) -> None:
+        self.data_centre = data_centre
+        self._stale_s = stale_s
+        self._upstreams: dict[str, Upstream] = {}
+        self._leaving_listeners: list[Callable[[str, str], None]] = []
+
+    def add_leaving_listener(self, listener: Callable[[str, str], None]) -> None:
+        """Call *listener* with upstream id and boot id at first news of leaving."""
+        self._leaving_listeners.append(listener)
+
+    def take_listed(self, instances: list[Listed]) -> None:
+        """Take in a new instance list; upstreams no longer listed are dropped."""
+        listed = {
+            line.instance_id: line for line in instances if line.kind is not ListedKind.ENTRY
+        }
+        for upstream_id in [known for known in self._upstreams if known not in listed]:
+            del self._upstreams[upstream_id]
+            logging.info('upstream=%s state=unlisted', upstream_id)
+        for upstream_id, line in listed.items():
+            self._take_line(upstream_id, line)
+
+    def _take_line(self, upstream_id: str, line: Listed) -> None:
+        known = self._upstreams.get(upstream_id)
+        if known is None:
+            self._upstreams[upstream_id] = Upstream(line)
+            logging.info('upstream=%s state=listed kind=%s', upstream_id, line.kind)
+            return
+        if line.address != known.listed.address:
+            self._upstreams[upstream_id] = Upstream(line, left_boot_ids=known.left_boot_ids)
+            return
+        known.listed = line
+
+    def take_state(self, state: UpstreamState) -> None:
+        """Take in a state, unless it is older than the one known."""
+        known = self._upstreams.get(state.upstream_id)
+        if known is None:
+            return
+        if state.boot_id == known.boot_id and state.sequence < known.sequence:
+            return
+        if state.boot_id and state.boot_id != known.boot_id:
+            known.boot_id = state.boot_id
+            known.ready_items = frozenset()
+        known.sequence = state.sequence
+        if state.reachable != known.reachable:
+            logging.info(
+                'upstream=%s state=%s',
+                state.upstream_id,
+                'reachable' if state.reachable else 'unreachable',
+            )
+        known.reachable = state.reachable
+        known.running = state.running
+        known.heard_s = boottime_s()
+        if state.ready_items is not None:
+            known.ready_items = frozenset(state.ready_items)
+        if state.leaving:
+            self.mark_leaving(state.upstream_id, state.boot_id)
+
+    def mark_leaving(self, upstream_id: str, boot_id: str) -> None:
+        """Give this boot of the upstream no new work from now on."""
+        known = self._upstreams.get(upstream_id)
+        if known is None:
+            return
+        boot_id = boot_id or known.boot_id
+        if boot_id in known.left_boot_ids:
+            return
+        known.left_boot_ids.add(boot_id)
+        logging.info('upstream=%s state=leaving boot=%s', upstream_id, boot_id)
+        for listener in self._leaving_listeners:
+            listener(upstream_id, boot_id)
+
+    def avoid(self, upstream_id: str, for_s: float) -> None:
+        """Give the upstream no new work for a while, after a failed connection."""
+        known = self._upstreams.get(upstream_id)
+        if known is not None:
+            known.avoid_until_s = boottime_s() + for_s
+
+    def get(self, upstream_id: str) -> Upstream | None:
+        """Return one upstream."""
+        return self._upstreams.get(upstream_id)
+
+    def all(self) -> list[Upstream]:
+        """Return all upstreams."""
+        return list(self._upstreams.values())
+
+    def engines(self) -> list[Upstream]:
+        """Return all engines."""
+        return [u for u in self._upstreams.values() if u.listed.kind is ListedKind.ENGINE]
+
+    def plain(self, service: str) -> list[Upstream]:
+        """Return all replicas of a plain service."""
+        return [
+            u
+            for u in self._upstreams.values()
+            if u.listed.kind is ListedKind.PLAIN and u.listed.service == service
+        ]
+
+    def own_centre(self) -> list[Upstream]:
+        """Return all upstreams of the own data centre."""
+        return [
+            u for u in self._upstreams.values() if u.listed.data_centre == self.data_centre
+        ]
+
+    def is_fresh(self, upstream: Upstream) -> bool:
+        """Return whether the last state is recent and found it reachable."""
+        return upstream.reachable and boottime_s() - upstream.heard_s <= self._stale_s
+
+    def takes_work(self, upstream: Upstream, drained: frozenset[str]) -> bool:
+        """Return whether new work may go to the upstream."""
+        return (
+            not upstream.leaving
+            and upstream.upstream_id not in drained
+            and upstream.avoid_until_s <= boottime_s()
+        )
--- /dev/null
+++ b/limeshelf/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, gauges and timers sent by statsd; decision lines."""
--- /dev/null
+++ b/limeshelf/metrics/decisions.py
@@ -0,0 +1,50 @@
+"""One line for each decision, kept for a while so that it can be explained."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from absl import logging
+
+#: Subjects (request ids or models) whose lines are kept.
+KEPT_SUBJECTS = 4096
+#: Lines kept for one subject; older ones are dropped.
+KEPT_LINES = 20
+
+
+class DecisionLog:
+    """Writes decision lines and remembers the latest.
+
+    :param enabled: whether lines go to the log; they are kept in any case.
+    """
+
+    def __init__(self, enabled: bool) -> None:
+        self._enabled = enabled
+        self._lines: OrderedDict[str, list[str]] = OrderedDict()
+
+    def add(self, subject: str, decision: str, **fields: object) -> None:
+        """Note a decision.
+
+        :param subject: request id or model that the decision is about.
+        :param decision: kind of decision, for example ``route``.
+        """
+        pairs = ' '.join(f'{name}={_text(value)}' for name, value in fields.items())
+        line = f'decision={decision} subject={subject} {pairs}'
+        kept = self._lines.setdefault(subject, [])
+        kept.append(line)
+        del kept[:-KEPT_LINES]
+        self._lines.move_to_end(subject)
+        if len(self._lines) > KEPT_SUBJECTS:
+            self._lines.popitem(last=False)
+        if self._enabled:
+            logging.info('%s', line)
+
+    def lines(self, subject: str) -> list[str]:
+        """Return the kept lines about *subject*, oldest first."""
+        return list(self._lines.get(subject, ()))
+
+
+def _text(value: object) -> str:
+    if isinstance(value, float):
+        return f'{value:.4g}'
+    return str(value).replace(' ', '_')
--- /dev/null
+++ b/limeshelf/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between limeshelf processes: messages, codec and sockets."""
--- /dev/null
+++ b/limeshelf/placement/demand.py
@@ -0,0 +1,77 @@
+"""Demand for each item, smoothed, from what the entry instances report."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.config.items import model_of
+
+if TYPE_CHECKING:
+    from limeshelf.peers.messages import Demand
+
+#: Time constant of the mean of requests in flight.
+SMOOTHING_S = 10.0
+#: An adapter counts as used for this long after a request.
+ADAPTER_USE_S = 600.0
+#: Reports of an entry instance count for this long.
+REPORT_LIFE_S = 5.0
+
+
+@attrs.define
+class _Smoothed:
+    load: float = 0.0
+    updated_s: float = 0.0
+    used_s: float = float('-inf')
+
+
+class DemandBook:
+    """Keeps the demand of all models of one data centre and the whole."""
+
+    def __init__(self) -> None:
+        self._latest: dict[str, tuple[float, dict[str, int]]] = {}
+        self._models: dict[str, _Smoothed] = {}
+        self._item_used_s: dict[str, float] = {}
+
+    def take(self, demand: Demand, now_s: float) -> None:
+        """Take in the demand that one entry instance saw."""
+        waiting: dict[str, int] = {}
+        for item in demand.items:
+            model = model_of(item.item_id)
+            waiting[model] = waiting.get(model, 0) + item.waiting + item.refused
+            if item.arrived:
+                self._item_used_s[item.item_id] = now_s
+                self._models.setdefault(model, _Smoothed(0.0, now_s)).used_s = now_s
+        self._latest[demand.instance_id] = (now_s, waiting)
+
+    def advance(self, now_s: float) -> None:
+        """Move all means to *now_s*."""
+        totals: dict[str, int] = {}
+        for instance_id, (taken_s, waiting) in list(self._latest.items()):
+            if now_s - taken_s > REPORT_LIFE_S:
+                del self._latest[instance_id]
+                continue
+            for model, count in waiting.items():
+                totals[model] = totals.get(model, 0) + count
+        for model in totals.keys() | self._models.keys():
+            smoothed = self._models.setdefault(model, _Smoothed(0.0, now_s))
+            keep = math.exp(-(now_s - smoothed.updated_s) / SMOOTHING_S)
+            smoothed.load = smoothed.load * keep + totals.get(model, 0) * (1 - keep)
+            smoothed.updated_s = now_s
+
+    def load(self, model: str) -> float:
+        """Return the mean number of requests in flight or refused lately."""
+        smoothed = self._models.get(model)
+        return smoothed.load if smoothed else 0.0
+
+    def idle_s(self, model: str, now_s: float) -> float:
+        """Return the time since the last request for *model*."""
+        smoothed = self._models.get(model)
+        return now_s - smoothed.used_s if smoothed else float('inf')
+
+    def used_items(self, now_s: float) -> set[str]:
+        """Return the items asked for lately."""
+        limit_s = now_s - ADAPTER_USE_S
+        return {item for item, used_s in self._item_used_s.items() if used_s >= limit_s}
--- /dev/null
+++ b/limeshelf/placement/gate.py
@@ -0,0 +1,70 @@
+"""The last check before an unload: every deployed model stays reachable."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limeshelf.config.items import model_of, unversioned
+
+if TYPE_CHECKING:
+    from limeshelf.placement.anchors import AnchorBook
+    from limeshelf.placement.view import PlacementView, UnitView
+
+
+class UnloadGate:
+    """Judges unloads by what one round saw, whatever the policy wished.
+
+    An unload that it lets pass is taken out of its picture, so that two
+    unloads of one round cannot count on each other's replica.
+    """
+
+    def __init__(self, view: PlacementView, anchors: AnchorBook, data_centre: str) -> None:
+        self._view = view
+        self._anchors = anchors
+        self._data_centre = data_centre
+        self._removed: set[tuple[str, str]] = set()
+
+    def may_unload(self, item_id: str, upstream_id: str) -> bool:
+        """Return whether *item_id* may leave the memory of the own engine."""
+        unit = self._view.units.get(model_of(item_id))
+        if unit is None:
+            allowed = True
+        elif item_id in {item.item_id for item in unit.items}:
+            allowed = self._is_spare(unit, item_id, upstream_id)
+        else:
+            allowed = self._is_replaced(unit, item_id)
+        if allowed:
+            self._removed.add((item_id, upstream_id))
+        return allowed
+
+    def _is_spare(self, unit: UnitView, item_id: str, upstream_id: str) -> bool:
+        if self._anchors.may_be_anchored(unit.model, upstream_id):
+            return False
+        anchor = self._view.anchors.get(unit.model)
+        if anchor is None or not self._is_ready(item_id, anchor.upstream_id):
+            return False
+        others = self._holders(item_id) - {upstream_id}
+        needed = unit.min_replicas if item_id == unit.base.item_id else 1
+        return len(others) >= needed
+
+    def _is_replaced(self, unit: UnitView, item_id: str) -> bool:
+        """Return whether the deployed version stands whole at the anchor."""
+        name = unversioned(item_id)
+        if all(unversioned(item.item_id) != name for item in unit.items):
+            return True
+        anchor = self._view.anchors.get(unit.model)
+        return anchor is not None and all(
+            self._is_ready(item.item_id, anchor.upstream_id) for item in unit.items
+        )
+
+    def _is_ready(self, item_id: str, upstream_id: str) -> bool:
+        return upstream_id in self._holders(item_id)
+
+    def _holders(self, item_id: str) -> set[str]:
+        return {
+            room.upstream_id
+            for room in self._view.rooms.values()
+            if room.open
+            and item_id in room.sure_ids
+            and (item_id, room.upstream_id) not in self._removed
+        }
--- /dev/null
+++ b/limeshelf/placement/intents.py
@@ -0,0 +1,61 @@
+"""Intents: orders written to the table before they go to an engine that checks no fence."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from limeshelf.errors import PlatformUnavailable, PlatformUnknown
+from limeshelf.platform.table import Committed, Condition, Write
+from limeshelf.upstreams.messages import Order
+from limeshelf.util.clock import wall_s
+
+if TYPE_CHECKING:
+    from limeshelf.lease.keeper import LeaseKeeper
+    from limeshelf.platform.table import TableClient
+
+INTENT_PREFIX = 'intent/'
+
+
+class IntentLog:
+    """The row with the open intents of one engine.
+
+    A successor reads it after it has taken the epoch. A deposed placer can add
+    nothing afterwards, since each write is conditional on the epoch row.
+    """
+
+    def __init__(self, table: TableClient, lease: LeaseKeeper, upstream_id: str) -> None:
+        self._table = table
+        self._lease = lease
+        self._key = f'{INTENT_PREFIX}{upstream_id}'
+        self._orders: list[Order] = []
+
+    async def read(self) -> list[Order] | None:
+        """Return all intents written, or ``None`` when the table did not answer."""
+        try:
+            row = await self._table.read(self._key)
+        except (PlatformUnavailable, PlatformUnknown):
+            return None
+        self._orders = msgspec.convert((row.value or {}).get('orders', []), list[Order])
+        return list(self._orders)
+
+    async def add(self, order: Order, keep_s: float) -> bool:
+        """Write an intent; return whether it surely stands.
+
+        :param keep_s: intents expired for longer are removed from the row.
+        """
+        limit_s = wall_s() - keep_s
+        orders = [kept for kept in self._orders if kept.expires_unix_s > limit_s]
+        orders.append(order)
+        epoch_condition = Condition(self._lease.epoch_key, self._lease.epoch_version)
+        value = {'orders': msgspec.to_builtins(orders)}
+        try:
+            outcome = await self._table.transact([epoch_condition], [Write(self._key, value)])
+        except (PlatformUnavailable, PlatformUnknown):
+            return False
+        if not isinstance(outcome, Committed):
+            self._lease.supersede()
+            return False
+        self._orders = orders
+        return True
--- /dev/null
+++ b/limeshelf/placement/placer.py
@@ -0,0 +1,303 @@
+"""The placement loop of one data centre: look, plan, check, order."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from limeshelf.config.document import PolicyKind
+from limeshelf.config.items import items_of, model_of
+from limeshelf.membership.rendezvous import rank
+from limeshelf.placement.demand import DemandBook
+from limeshelf.placement.gate import UnloadGate
+from limeshelf.placement.intents import IntentLog
+from limeshelf.placement.ledger import Ledger
+from limeshelf.placement.planner import Planner
+from limeshelf.placement.policies import placement_policies
+from limeshelf.placement.view import (
+    AnchorView,
+    Move,
+    MoveKind,
+    PlacementView,
+    RoomView,
+    UnitView,
+)
+from limeshelf.placement.worker import EngineWorker, Wish
+from limeshelf.platform.instances import ListedKind
+from limeshelf.upstreams.messages import OrderAction
+from limeshelf.util.backoff import jittered_s
+from limeshelf.util.clock import boottime_s
+from limeshelf.util.rate import TokenBucket
+from limeshelf.util.tasks import TaskSet
+
+if TYPE_CHECKING:
+    from limeshelf.config.document import Policy
+    from limeshelf.config.holder import ConfigHolder
+    from limeshelf.lease.keeper import LeaseKeeper
+    from limeshelf.membership.upstreams import Upstream, UpstreamDirectory
+    from limeshelf.metrics.decisions import DecisionLog
+    from limeshelf.metrics.statsd import Metrics
+    from limeshelf.placement.anchors import AnchorBook
+    from limeshelf.platform.table import TableClient
+    from limeshelf.settings.model import PlacerSettings
+    from limeshelf.upstreams.pool import UpstreamPool
+
+#: An anchor's engine out of sight for this long counts as lost.
+LOST_S = 15.0
+#: Anchors are read again after this time.
+ANCHOR_READ_S = 1.0
+
+
+class Placer:
+    """Decides placement for its data centre while it holds the lease."""
+
+    def __init__(
+        self,
+        data_centre: str,
+        settings: PlacerSettings,
+        config: ConfigHolder,
+        upstreams: UpstreamDirectory,
+        pool: UpstreamPool,
+        table: TableClient,
+        lease: LeaseKeeper,
+        anchors: AnchorBook,
+        metrics: Metrics,
+        decisions: DecisionLog,
+    ) -> None:
+        self.demand = DemandBook()
+        self._data_centre = data_centre
+        self._settings = settings
+        self._config = config
+        self._upstreams = upstreams
+        self._pool = pool
+        self._table = table
+        self._lease = lease
+        self._anchors = anchors
+        self._metrics = metrics
+        self._decisions = decisions
+        self._workers: dict[str, EngineWorker] = {}
+        self._worker_tasks: dict[str, asyncio.Task[None]] = {}
+        self._tasks = TaskSet()
+        self._load_rate = TokenBucket(settings.loads_per_s)
+        self._planner: Planner | None = None
+        self._policy: Policy | None = None
+        self._anchors_read_s = float('-inf')
+        self._seen_s: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Start the lease task and the placement loop."""
+        self._tasks.spawn(self._keep_lease(), 'lease')
+        self._tasks.spawn(self._run(), 'placement')
+
+    async def close(self) -> None:
+        """Stop, and give the lease back."""
+        await self._tasks.close()
+        await self._lease.release()
+
+    async def _keep_lease(self) -> None:
+        while True:
+            await self._lease.step()
+            self._metrics.gauge('placement.leads', 1.0 if self._lease.is_valid() else 0.0)
+            await asyncio.sleep(jittered_s(self._settings.lease_s / 3))
+
+    async def _run(self) -> None:
+        while True:
+            self._assign_workers()
+            if self._lease.epoch is not None:
+                await self._round()
+            else:
+                self._anchors.is_read = False
+            await asyncio.sleep(jittered_s(self._settings.round_s))
+
+    def _assign_workers(self) -> None:
+        """Run one worker for each engine of the data centre, while leading."""
+        engines = {
+            u.upstream_id: u
+            for u in self._upstreams.own_centre()
+            if u.listed.kind is ListedKind.ENGINE and self._lease.epoch is not None
+        }
+        for upstream_id in [known for known in self._workers if known not in engines]:
+            self._worker_tasks.pop(upstream_id).cancel()
+            del self._workers[upstream_id]
+        for upstream_id, upstream in engines.items():
+            worker = self._workers.get(upstream_id)
+            if worker is None:
+                self._start_worker(upstream)
+            else:
+                worker.upstream = upstream
+
+    def _start_worker(self, upstream: Upstream) -> None:
+        upstream_id = upstream.upstream_id
+        worker = EngineWorker(
+            upstream,
+            self._pool,
+            Ledger(upstream_id, upstream.listed.checks_fence),
+            self._lease,
+            IntentLog(self._table, self._lease, upstream_id),
+            self._settings,
+            self._metrics,
+        )
+        self._workers[upstream_id] = worker
+        self._worker_tasks[upstream_id] = self._tasks.spawn(
+            worker.run(), f'engine-{upstream_id}'
+        )
+
+    async def _round(self) -> None:
+        now_s = boottime_s()
+        if now_s - self._anchors_read_s > ANCHOR_READ_S and await self._anchors.refresh():
+            self._anchors_read_s = now_s
+        if not self._anchors.is_read or self._config.revision == 0:
+            return
+        self.demand.advance(now_s)
+        view = self._view(now_s)
+        gate = UnloadGate(view, self._anchors, self._data_centre)
+        for move in self._current_planner().plan(view):
+            await self._make(move, gate)
+        await self._drop_old_anchors()
+        self._metrics.count('placement.rounds')
+
+    def _current_planner(self) -> Planner:
+        policy = self._config.catalog.policy_for(PolicyKind.PLACEMENT, None, 1.0)
+        if self._planner is None or policy != self._policy:
+            made = placement_policies.get(policy.implementation).from_config(policy)
+            if self._planner is None:
+                self._planner = Planner(made)
+            self._planner.policy = made
+            self._policy = policy
+            logging.info('placement=policy name=%s', policy.name)
+        return self._planner
+
+    def _view(self, now_s: float) -> PlacementView:
+        catalog = self._config.catalog
+        rooms = {u.upstream_id: self._room(u) for u in self._upstreams.engines()}
+        used = self.demand.used_items(now_s)
+        units = {}
+        for deployment in catalog.document.deployments:
+            items = tuple(items_of(deployment))
+            units[deployment.name] = UnitView(
+                deployment.name,
+                items,
+                deployment.min_replicas,
+                self.demand.load(deployment.name),
+                frozenset(item.item_id for item in items if item.item_id in used),
+                self.demand.idle_s(deployment.name, now_s),
+            )
+        centres = {room.data_centre for room in rooms.values()} | {self._data_centre}
+        ranks = {model: rank(model, centres).index(self._data_centre) for model in units}
+        anchors = {
+            model: AnchorView(
+                anchor.upstream_id,
+                anchor.data_centre,
+                anchor.handoff,
+                self._is_lost(anchor.upstream_id, rooms, now_s),
+            )
+            for model, anchor in self._anchors.all().items()
+        }
+        return PlacementView(now_s, self._data_centre, units, rooms, anchors, ranks)
+
+    def _room(self, upstream: Upstream) -> RoomView:
+        worker = self._workers.get(upstream.upstream_id)
+        is_open = self._upstreams.takes_work(upstream, self._config.catalog.drained)
+        if worker is not None:
+            recent = boottime_s() - worker.reported_s < self._settings.lease_s
+            return RoomView(
+                upstream.upstream_id,
+                upstream.listed.data_centre,
+                True,
+                is_open and recent and worker.is_ready,
+                upstream.listed.capacity_bytes,
+                worker.ledger.free_bytes,
+                frozenset(worker.ledger.possible_ids()),
+                frozenset(worker.ledger.sure_ids()),
+                float(upstream.running),
+            )
+        return RoomView(
+            upstream.upstream_id,
+            upstream.listed.data_centre,
+            False,
+            is_open and self._upstreams.is_fresh(upstream),
+            upstream.listed.capacity_bytes,
+            0,
+            upstream.ready_items,
+            upstream.ready_items,
+            float(upstream.running),
+        )
+
+    def _is_lost(self, upstream_id: str, rooms: dict[str, RoomView], now_s: float) -> bool:
+        room = rooms.get(upstream_id)
+        if room is not None and room.open:
+            self._seen_s[upstream_id] = now_s
+        return now_s - self._seen_s.setdefault(upstream_id, now_s) > LOST_S
+
+    async def _make(self, move: Move, gate: UnloadGate) -> None:
+        if move.kind in (MoveKind.ANCHOR, MoveKind.HANDOFF):
+            done = await self._anchors.put(
+                move.model, move.upstream_id, handoff=move.kind is MoveKind.HANDOFF
+            )
+            self._note(move, 'made' if done else 'not_made')
+            return
+        worker = self._workers.get(move.upstream_id)
+        if worker is None or not worker.is_ready:
+            return
+        if not worker.ledger.checks_fence and not self._lease.is_valid():
+            return
+        if move.kind is MoveKind.LOAD:
+            self._load(move, worker)
+        else:
+            self._unload(move, worker, gate)
+
+    def _load(self, move: Move, worker: EngineWorker) -> None:
+        item = move.item
+        ledger = worker.ledger
+        if item.item_id in ledger.possible_ids():
+            return
+        if not ledger.may_load(item.item_id, item.total_bytes):
+            return
+        if item.base_id and item.base_id not in ledger.sure_ids():
+            return
+        loading = sum(other.ledger.loading_count() for other in self._workers.values())
+        if loading >= self._settings.max_loads or not self._load_rate.try_take():
+            return
+        worker.submit(Wish(OrderAction.LOAD, item.item_id, item.base_id, item.total_bytes))
+        self._metrics.count('placement.loads')
+        self._note(move, 'ordered', free_bytes=ledger.free_bytes)
+
+    def _unload(self, move: Move, worker: EngineWorker, gate: UnloadGate) -> None:
+        item = move.item
+        if item.item_id not in worker.ledger.sure_ids():
+            return
+        if not gate.may_unload(item.item_id, move.upstream_id):
+            self._metrics.count('placement.unloads_held_back')
+            return
+        worker.submit(Wish(OrderAction.UNLOAD, item.item_id, item.base_id, 0))
+        self._metrics.count('placement.unloads')
+        self._note(move, 'ordered', free_bytes=worker.ledger.free_bytes)
+
+    async def _drop_old_anchors(self) -> None:
+        deployed = {d.name for d in self._config.catalog.document.deployments}
+        for model, anchor in self._anchors.all().items():
+            if model in deployed or anchor.data_centre != self._data_centre:
+                continue
+            held = any(
+                model == model_of(item_id)
+                for worker in self._workers.values()
+                for item_id in worker.ledger.possible_ids()
+            )
+            if not held:
+                await self._anchors.drop(model)
+
+    def _note(self, move: Move, result: str, **fields: object) -> None:
+        self._decisions.add(
+            move.model,
+            'place',
+            move=move.kind,
+            item=move.item.item_id,
+            upstream=move.upstream_id,
+            policy=self._policy.name if self._policy else '',
+            reason=move.reason,
+            result=result,
+            epoch=self._lease.epoch,
+            **fields,
+        )
--- /dev/null
+++ b/limeshelf/placement/policies.py
@@ -0,0 +1,147 @@
+"""Placement policies: which models get more replicas than they must have.
+
+A policy only adds wishes to the rules that every placement keeps
+(:mod:`limeshelf.placement.planner`); it cannot unload an anchor or overcommit.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+from limeshelf.placement.rooms import eviction_moves
+from limeshelf.placement.view import Move, MoveKind
+from limeshelf.registry import Registry
+
+if TYPE_CHECKING:
+    from limeshelf.config.document import Policy
+    from limeshelf.placement.view import PlacementView, RoomView, UnitView
+
+
+class PlacementPolicy(Protocol):
+    """Asks for further replicas."""
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> PlacementPolicy:
+        """Build the policy with the numbers of *policy*."""
+        ...
+
+    def propose(self, view: PlacementView) -> list[Move]:
+        """Return wished moves, the most useful first."""
+        ...
+
+
+placement_policies: Registry[PlacementPolicy] = Registry('placement policy')
+
+
+@placement_policies.register('static')
+@attrs.define
+class StaticPlacement:
+    """Keep the replicas that every model must have, and no others."""
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> StaticPlacement:
+        """Build the policy; it has no numbers."""
+        return cls()
+
+    def propose(self, view: PlacementView) -> list[Move]:
+        """Return no moves."""
+        return []
+
+
+@placement_policies.register('least-recently-used')
+@attrs.define
+class SwapOnDemand:
+    """Load a busy model wherever it is missing; throw out the longest idle one.
+
+    The naive baseline of the measurements.
+
+    :param busy_load: requests in flight for each replica that call for another.
+    """
+
+    busy_load: float
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> SwapOnDemand:
+        """Build the policy; number ``busy_load``."""
+        return cls(policy.number('busy_load', 2.0))
+
+    def propose(self, view: PlacementView) -> list[Move]:
+        """Return loads of all busy models, each with the unloads it needs."""
+        moves: list[Move] = []
+        for unit in sorted(view.units.values(), key=lambda u: -u.load):
+            replicas = len(view.replicas(unit.base.item_id))
+            if unit.load <= self.busy_load * max(1, replicas):
+                continue
+            room = _emptiest(unit, view)
+            if room is None:
+                continue
+            moves += eviction_moves(unit, room, view, unit.base.total_bytes, {})
+            moves.append(_load(unit, room, 'busy'))
+        return moves
+
+
+@placement_policies.register('spread')
+@attrs.define
+class Spread:
+    """Even out the load of the engines with as few loads as that takes.
+
+    A replica is added only when the engine that lacks it carries so much less
+    load than those that have it that the difference will outlast the move, and
+    not again before the last addition has had time to show.
+
+    :param gap_load: least difference of load, in requests in work.
+    :param settle_s: pause after an addition of the same model.
+    :param idle_s: replicas idle for less are not thrown out for others.
+    """
+
+    gap_load: float
+    settle_s: float
+    idle_s: float
+    _added_s: dict[str, float] = attrs.field(factory=dict)
+
+    @classmethod
+    def from_config(cls, policy: Policy) -> Spread:
+        """Build the policy; numbers ``gap_load``, ``settle_s``, ``idle_s``."""
+        return cls(
+            policy.number('gap_load', 4.0),
+            policy.number('settle_s', 20.0),
+            policy.number('idle_s', 60.0),
+        )
+
+    def propose(self, view: PlacementView) -> list[Move]:
+        """Return at most one addition, with the unloads it needs."""
+        for unit in sorted(view.units.values(), key=_gain, reverse=True):
+            if unit.load <= 0 or self._is_settling(unit, view.now_s):
+                continue
+            room = _emptiest(unit, view)
+            holders = view.replicas(unit.base.item_id)
+            if room is None or not holders:
+                continue
+            if min(holder.load for holder in holders) - room.load < self.gap_load:
+                continue
+            needed_bytes = unit.base.total_bytes
+            moves = eviction_moves(unit, room, view, needed_bytes, {}, self.idle_s)
+            if not moves and needed_bytes > room.free_bytes:
+                continue
+            self._added_s[unit.model] = view.now_s
+            return [*moves, _load(unit, room, 'spread')]
+        return []
+
+    def _is_settling(self, unit: UnitView, now_s: float) -> bool:
+        return now_s - self._added_s.get(unit.model, float('-inf')) < self.settle_s
+
+
+def _gain(unit: UnitView) -> float:
+    return unit.load / max(1, unit.total_bytes)
+
+
+def _emptiest(unit: UnitView, view: PlacementView) -> RoomView | None:
+    """Return the own engine with the least load that lacks the unit."""
+    lacking = [r for r in view.own_rooms() if unit.base.item_id not in r.possible_ids]
+    return min(lacking, key=lambda r: (r.load, -r.free_bytes), default=None)
+
+
+def _load(unit: UnitView, room: RoomView, reason: str) -> Move:
+    return Move(MoveKind.LOAD, unit.model, room.upstream_id, unit.base, reason)
--- /dev/null
+++ b/limeshelf/placement/view.py
@@ -0,0 +1,121 @@
+"""What a placement decision sees, and what it may ask for."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from limeshelf.config.items import Item
+
+
+@attrs.frozen
+class UnitView:
+    """A deployed model with its adapters: what is placed together.
+
+    :param items: the base model first, then its adapters.
+    :param load: mean number of requests in flight, over all replicas.
+    :param used_adapter_ids: adapters asked for lately.
+    :param idle_s: time since the last request.
+    """
+
+    model: str
+    items: tuple[Item, ...]
+    min_replicas: int
+    load: float
+    used_adapter_ids: frozenset[str]
+    idle_s: float
+
+    @property
+    def base(self) -> Item:
+        """Return the base model's item."""
+        return self.items[0]
+
+    @property
+    def total_bytes(self) -> int:
+        """Return the bytes of one whole replica."""
+        return sum(item.total_bytes for item in self.items)
+
+
+@attrs.frozen
+class RoomView:
+    """One engine.
+
+    :param own: whether the deciding placer orders this engine.
+    :param open: whether new work and loads may go to it.
+    :param free_bytes: surely free; known for own engines only.
+    :param possible_ids: items that may be in its memory.
+    :param sure_ids: items that are ready and stay so without a new order.
+    :param load: mean number of requests in work.
+    """
+
+    upstream_id: str
+    data_centre: str
+    own: bool
+    open: bool
+    capacity_bytes: int
+    free_bytes: int
+    possible_ids: frozenset[str]
+    sure_ids: frozenset[str]
+    load: float
+
+
+@attrs.frozen
+class AnchorView:
+    """Where a unit's anchor is.
+
+    :param lost: its engine has been out of sight for long.
+    """
+
+    upstream_id: str
+    data_centre: str
+    handoff: bool
+    lost: bool
+
+
+@attrs.frozen
+class PlacementView:
+    """Everything that one placement round looks at.
+
+    :param now_s: time of the round, on any clock that only advances.
+    :param ranks: by model, the place of the own data centre in the order in
+        which data centres may take an unplaced model; 0 goes first.
+    """
+
+    now_s: float
+    data_centre: str
+    units: dict[str, UnitView]
+    rooms: dict[str, RoomView]
+    anchors: dict[str, AnchorView]
+    ranks: dict[str, int]
+
+    def own_rooms(self) -> list[RoomView]:
+        """Return the engines that this placer orders and that are open."""
+        return [room for room in self.rooms.values() if room.own and room.open]
+
+    def replicas(self, base_id: str) -> list[RoomView]:
+        """Return the open engines on which the base item is surely ready."""
+        return [r for r in self.rooms.values() if r.open and base_id in r.sure_ids]
+
+
+class MoveKind(enum.StrEnum):
+    """What a move asks for."""
+
+    LOAD = 'load'
+    UNLOAD = 'unload'
+    ANCHOR = 'anchor'
+    HANDOFF = 'handoff'
+
+
+@attrs.frozen
+class Move:
+    """One wish of the planner; the placer checks it before it acts.
+
+    :param reason: short code for the decision line.
+    """
+
+    kind: MoveKind
+    model: str
+    upstream_id: str
+    item: Item
+    reason: str
--- /dev/null
+++ b/limeshelf/placement/worker.py
@@ -0,0 +1,212 @@
+"""Sends the orders of the leading placer to one engine and reads its reports."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+from absl import logging
+
+from limeshelf.errors import ExchangeBroken, UpstreamRefused, UpstreamUnreachable
+from limeshelf.upstreams.messages import EngineReport, Order, OrderAction, OrderRefusal
+from limeshelf.util.backoff import jittered_s
+from limeshelf.util.clock import boottime_s, wall_s
+
+if TYPE_CHECKING:
+    from limeshelf.lease.keeper import LeaseKeeper
+    from limeshelf.membership.upstreams import Upstream
+    from limeshelf.metrics.statsd import Metrics
+    from limeshelf.placement.intents import IntentLog
+    from limeshelf.placement.ledger import Ledger
+    from limeshelf.settings.model import PlacerSettings
+    from limeshelf.upstreams.pool import UpstreamPool
+
+EXCHANGE_TIMEOUT_S = 1.0
+
+
+@attrs.frozen
+class Wish:
+    """An order before it has a number."""
+
+    action: OrderAction
+    item_id: str
+    base_id: str
+    total_bytes: int
+
+
+class EngineWorker:
+    """One task for one engine.
+
+    Before the first order of an epoch it raises the engine's fence to that
+    epoch, which ends every order of earlier placers; toward an engine that
+    checks no fence it counts the predecessor's intents instead.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        pool: UpstreamPool,
+        ledger: Ledger,
+        lease: LeaseKeeper,
+        intents: IntentLog,
+        settings: PlacerSettings,
+        metrics: Metrics,
+    ) -> None:
+        self.upstream = upstream
+        self.ledger = ledger
+        self.reported_s = float('-inf')
+        self._pool = pool
+        self._lease = lease
+        self._intents = intents
+        self._settings = settings
+        self._metrics = metrics
+        self._queue: deque[Order] = deque()
+        self._arrived = asyncio.Event()
+        self._ready_for: tuple[int, str] | None = None
+        self._number = 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the ledger is sure, and orders may be decided."""
+        if self.ledger.report is None or self._lease.epoch is None:
+            return False
+        # A restarted engine has forgotten the fence, so it must be raised anew.
+        return self._ready_for == (self._lease.epoch, self.ledger.report.boot_id)
+
+    def submit(self, wish: Wish) -> None:
+        """Number *wish*, count it in the ledger and queue it for sending."""
+        order = self._numbered(wish)
+        settle_s = self._settings.order_life_s + self._settings.clock_margin_s
+        self.ledger.add_order(order, boottime_s() + settle_s)
+        self._queue.append(order)
+        self._arrived.set()
+
+    async def run(self) -> None:
+        """Read reports and send orders until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except UpstreamRefused:
+                self._metrics.count('placement.exchange_refused')
+            except (UpstreamUnreachable, ExchangeBroken):
+                self._metrics.count('placement.exchange_failed')
+            await self._pause()
+
+    async def _pause(self) -> None:
+        if self._queue:
+            return
+        self._arrived.clear()
+        try:
+            await asyncio.wait_for(
+                self._arrived.wait(), jittered_s(self._settings.round_s / 2)
+            )
+        except TimeoutError:
+            return
+
+    async def _step(self) -> None:
+        if self._lease.epoch is None:
+            self._forget_epoch()
+        elif not self.is_ready:
+            await self._take_over(self._lease.epoch)
+        while self._queue:
+            await self._send(self._queue.popleft())
+        self._flush_if_stuck()
+        report = await self._pool.engine(self.upstream).report(EXCHANGE_TIMEOUT_S)
+        self._note_report(report)
+
+    def _forget_epoch(self) -> None:
+        self._ready_for = None
+        for order in self._queue:
+            self.ledger.remove_order(order)
+        self._queue.clear()
+
+    async def _take_over(self, epoch: int) -> None:
+        self._forget_epoch()
+        self._number = 0
+        report = await self._pool.engine(self.upstream).report(EXCHANGE_TIMEOUT_S)
+        self._note_report(report)
+        if not self.ledger.checks_fence:
+            await self._count_intents(epoch)
+            return
+        fence = self._numbered(Wish(OrderAction.FENCE, '', '', 0), epoch)
+        answer = await self._pool.engine(self.upstream).order(fence, EXCHANGE_TIMEOUT_S)
+        self._note_report(answer.report)
+        if answer.refusal is OrderRefusal.NONE:
+            self._ready_for = (epoch, answer.report.boot_id)
+            logging.info('upstream=%s fence=%d', self.upstream.upstream_id, epoch)
+        elif answer.refusal is OrderRefusal.OLD_EPOCH:
+            self._lease.supersede()
+
+    async def _count_intents(self, epoch: int) -> None:
+        orders = await self._intents.read()
+        if orders is None:
+            return
+        # Whatever the clocks say, none of them outlives this.
+        settle_s = self._settings.order_life_s + self._settings.clock_margin_s
+        for order in orders:
+            self.ledger.add_order(order, boottime_s() + settle_s)
+        self._ready_for = (epoch, self.ledger.report.boot_id if self.ledger.report else '')
+
+    def _numbered(self, wish: Wish, epoch: int | None = None) -> Order:
+        self._number += 1
+        report = self.ledger.report
+        return Order(
+            epoch=epoch if epoch is not None else self._lease.epoch or 0,
+            number=self._number,
+            boot_id=report.boot_id if report else '',
+            action=wish.action,
+            item_id=wish.item_id,
+            base_id=wish.base_id,
+            total_bytes=wish.total_bytes,
+            expires_unix_s=wall_s() + self._settings.order_life_s,
+        )
+
+    async def _send(self, order: Order) -> None:
+        if not await self._may_send(order):
+            self.ledger.remove_order(order)
+            return
+        self._metrics.count(f'placement.orders.{order.action}')
+        answer = await self._pool.engine(self.upstream).order(order, EXCHANGE_TIMEOUT_S)
+        self._note_report(answer.report)
+        if answer.refusal is OrderRefusal.NONE:
+            return
+        self._metrics.count(f'placement.refused.{answer.refusal}')
+        logging.info(
+            'upstream=%s order=%d/%d item=%s refused=%s',
+            self.upstream.upstream_id,
+            order.epoch,
+            order.number,
+            order.item_id,
+            answer.refusal,
+        )
+        if answer.refusal is OrderRefusal.OLD_EPOCH:
+            self._lease.supersede()
+
+    async def _may_send(self, order: Order) -> bool:
+        """Return whether *order* may go out, judged immediately before it does."""
+        if self._lease.epoch != order.epoch or wall_s() >= order.expires_unix_s:
+            return False
+        if self.ledger.checks_fence:
+            return True
+        if not self._lease.is_valid():
+            return False
+        keep_s = self._settings.clock_margin_s
+        return await self._intents.add(order, keep_s) and self._lease.is_valid()
+
+    def _flush_if_stuck(self) -> None:
+        """Follow a lost order by a fence order, which settles it."""
+        if not self.is_ready or not self.ledger.checks_fence:
+            return
+        limit_s = boottime_s() - self._settings.order_life_s
+        settle_s = self._settings.order_life_s + self._settings.clock_margin_s
+        stuck = [o for o in self.ledger.open_orders if o.dead_after_s - settle_s < limit_s]
+        if stuck and not self._queue:
+            self._metrics.count('placement.orders_lost')
+            self.submit(Wish(OrderAction.FENCE, '', '', 0))
+
+    def _note_report(self, report: EngineReport) -> None:
+
+        self.ledger.take_report(report, boottime_s())
+        self.reported_s = boottime_s()
--- /dev/null
+++ b/limeshelf/platform/http.py
@@ -0,0 +1,76 @@
+"""One JSON exchange with a platform service: deadline, rate limit, outcome."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import attrs
+import msgspec
+
+from limeshelf.errors import PlatformUnavailable, PlatformUnknown
+from limeshelf.util.rate import TokenBucket
+
+
+@attrs.frozen
+class Reply:
+    """A whole answer of a platform service."""
+
+    status: int
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body as parsed JSON."""
+        return msgspec.json.decode(self.body)
+
+
+class ServiceClient:
+    """Sends requests to one platform service."""
+
+    def __init__(
+        self, service: str, base_url: str, timeout_s: float, calls_per_s: float
+    ) -> None:
+        self.service = service
+        self._base_url = base_url.rstrip('/')
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._rate = TokenBucket(calls_per_s)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def call(self, method: str, path: str, body: Any = None) -> Reply:
+        """Make one call and return its whole answer.
+
+        :raises PlatformUnavailable: it had no effect (not sent, or refused).
+        :raises PlatformUnknown: it was sent, and no whole answer came.
+        """
+        if not self._rate.try_take():
+            raise PlatformUnavailable(self.service)
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            async with self._open().request(
+                method, self._base_url + path, data=data
+            ) as answer:
+                reply = Reply(answer.status, await answer.read())
+        except aiohttp.ClientConnectorError:
+            raise PlatformUnavailable(self.service) from None
+        except (TimeoutError, aiohttp.ClientError):
+            raise PlatformUnknown(self.service) from None
+        if reply.status in (429, 503):
+            raise PlatformUnavailable(self.service)
+        if reply.status >= 500:
+            raise PlatformUnknown(self.service)
+        return reply
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(timeout=self._timeout)
+            # The client would repeat idempotent methods by itself on a dropped
+            # connection; every repeat here is decided by the caller.
+            self._session._retry_connection = False
+        return self._session
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            await asyncio.sleep(0)
--- /dev/null
+++ b/limeshelf/platform/objects.py
@@ -0,0 +1,46 @@
+"""The object store: whole values under a key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+import msgspec
+
+from limeshelf.platform.http import ServiceClient
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from limeshelf.settings.model import PlatformSettings
+
+
+class ObjectStoreClient:
+    """Client of the object store."""
+
+    def __init__(self, client: ServiceClient) -> None:
+        self._client = client
+
+    @classmethod
+    def from_settings(cls, settings: PlatformSettings) -> ObjectStoreClient:
+        """Build the client for the address in *settings*."""
+        return cls(
+            ServiceClient(
+                'objects', settings.objects_url, settings.timeout_s, settings.calls_per_s
+            )
+        )
+
+    async def put(self, key: str, value: Any) -> None:
+        """Store *value* as JSON under *key*; storing it again changes nothing."""
+        await self._client.call('PUT', f'/objects/{quote(key, safe="")}', value)
+
+    async def get(self, key: str) -> Any | None:
+        """Return the value under *key*, or ``None``."""
+        reply = await self._client.call('GET', f'/objects/{quote(key, safe="")}')
+        if reply.status == 404:
+            return None
+        return msgspec.json.decode(reply.body)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
--- /dev/null
+++ b/limeshelf/platform/table.py
@@ -0,0 +1,103 @@
+"""The transactional table service: rows with versions, conditional writes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
+
+import attrs
+import msgspec
+
+from limeshelf.platform.http import ServiceClient
+
+if TYPE_CHECKING:
+    from limeshelf.settings.model import PlatformSettings
+
+
+@attrs.frozen
+class Row:
+    """One row as read.
+
+    :param version: grows with each write; 0 stands for an absent row.
+    """
+
+    key: str
+    version: int
+    value: dict[str, Any] | None
+
+
+@attrs.frozen
+class Condition:
+    """The transaction commits only if the row still has this version."""
+
+    key: str
+    version: int
+
+
+@attrs.frozen
+class Write:
+    """A row to write; a ``None`` value deletes it."""
+
+    key: str
+    value: dict[str, Any] | None
+
+
+@dataclass(frozen=True)
+class Committed:
+    """All writes took effect."""
+
+    versions: dict[str, int]
+
+
+@dataclass(frozen=True)
+class Conflicted:
+    """No write took effect; the rows whose condition failed, as they are."""
+
+    rows: list[Row]
+
+
+TransactOutcome = Committed | Conflicted
+
+
+class TableClient:
+    """Client of the table service."""
+
+    def __init__(self, client: ServiceClient) -> None:
+        self._client = client
+
+    @classmethod
+    def from_settings(cls, settings: PlatformSettings) -> TableClient:
+        """Build the client for the address in *settings*."""
+        return cls(
+            ServiceClient(
+                'table', settings.table_url, settings.timeout_s, settings.calls_per_s
+            )
+        )
+
+    async def read(self, key: str) -> Row:
+        """Return the row called *key*; an absent one has version 0."""
+        reply = await self._client.call('GET', f'/rows/{quote(key, safe="")}')
+        return msgspec.convert(reply.json(), Row)
+
+    async def scan(self, prefix: str) -> list[Row]:
+        """Return all rows whose key starts with *prefix*, sorted by key."""
+        reply = await self._client.call('GET', f'/rows?prefix={quote(prefix, safe="")}')
+        return msgspec.convert(reply.json(), list[Row])
+
+    async def transact(
+        self, conditions: list[Condition], writes: list[Write]
+    ) -> TransactOutcome:
+        """Write all of *writes* if every condition holds, else nothing.
+
+        :raises PlatformUnknown: the commit may or may not have happened.
+        """
+        body = {'conditions': conditions, 'writes': writes}
+        reply = await self._client.call('POST', '/transact', body)
+        if reply.status == 409:
+            return Conflicted(msgspec.convert(reply.json()['rows'], list[Row]))
+        return Committed(msgspec.convert(reply.json()['versions'], dict[str, int]))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
--- /dev/null
+++ b/limeshelf/platform/weights.py
@@ -0,0 +1,49 @@
+"""The weight store: which weights exist and how large they are."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+import attrs
+import msgspec
+
+from limeshelf.platform.http import ServiceClient
+
+if TYPE_CHECKING:
+    from limeshelf.settings.model import PlatformSettings
+
+
+@attrs.frozen
+class Manifest:
+    """What the store says of one item."""
+
+    item_id: str
+    weights_bytes: int
+
+
+class WeightStoreClient:
+    """Client of the weight store; engines fetch the weights themselves."""
+
+    def __init__(self, client: ServiceClient) -> None:
+        self._client = client
+
+    @classmethod
+    def from_settings(cls, settings: PlatformSettings) -> WeightStoreClient:
+        """Build the client for the address in *settings*."""
+        return cls(
+            ServiceClient(
+                'weights', settings.weights_url, settings.timeout_s, settings.calls_per_s
+            )
+        )
+
+    async def manifest(self, item_id: str) -> Manifest | None:
+        """Return the manifest of *item_id*, or ``None`` if the store lacks it."""
+        reply = await self._client.call('GET', f'/manifests/{quote(item_id, safe="")}')
+        if reply.status == 404:
+            return None
+        return msgspec.convert(reply.json(), Manifest)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
--- /dev/null
+++ b/limeshelf/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Console scripts, one job each."""
--- /dev/null
+++ b/limeshelf/revisions/__init__.py
@@ -0,0 +1,1 @@
+"""Revisions of the configuration: commit, fetch and spread."""
--- /dev/null
+++ b/limeshelf/revisions/store.py
@@ -0,0 +1,200 @@
+"""Commits revisions to the platform and fetches them from it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+from absl import logging
+
+from limeshelf.config.delta import Change, document_from_json, document_to_json
+from limeshelf.errors import PlatformUnavailable, PlatformUnknown
+from limeshelf.platform.table import Committed, Condition, Write
+from limeshelf.util.clock import wall_s
+
+if TYPE_CHECKING:
+    from limeshelf.config.document import Document
+    from limeshelf.platform.objects import ObjectStoreClient
+    from limeshelf.platform.table import TableClient
+
+HEAD_KEY = 'config/head'
+REVISION_PREFIX = 'config/revision/'
+OPERATION_PREFIX = 'config/operation/'
+SNAPSHOT_PREFIX = 'config-snapshot-'
+#: A whole snapshot is stored each time the revision is a multiple of this.
+SNAPSHOT_EVERY = 20
+#: Tries to learn the outcome of a commit whose answer was lost.
+SETTLE_TRIES = 3
+
+
+@attrs.frozen
+class Head:
+    """The latest revision.
+
+    :param snapshot_revision: latest revision with a stored snapshot, 0 if none.
+    :param version: version of the head's row.
+    """
+
+    revision: int
+    snapshot_revision: int
+    version: int
+
+
+@attrs.frozen
+class RevisionRecord:
+    """Who changed what and when."""
+
+    revision: int
+    operation_id: str
+    operator: str
+    committed_unix_s: float
+    note: str
+    changes: list[Change]
+
+
+@dataclass(frozen=True)
+class Applied:
+    """The operation is committed as this revision."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class RaceLost:
+    """Other operators committed first; nothing was changed.
+
+    :param others: what they changed since the base revision.
+    """
+
+    revision: int
+    others: list[RevisionRecord]
+
+
+@dataclass(frozen=True)
+class Undecided:
+    """The platform did not answer; asking again with the same operation id tells."""
+
+
+@dataclass(frozen=True)
+class NotApplied:
+    """The platform cannot be reached; nothing was changed."""
+
+
+CommitOutcome = Applied | RaceLost | Undecided | NotApplied
+
+
+class RevisionStore:
+    """The configuration in the platform's services."""
+
+    def __init__(self, table: TableClient, objects: ObjectStoreClient) -> None:
+        self._table = table
+        self._objects = objects
+
+    async def head(self) -> Head:
+        """Return the latest revision; raises the platform errors."""
+        row = await self._table.read(HEAD_KEY)
+        value = row.value or {'revision': 0, 'snapshot_revision': 0}
+        return Head(value['revision'], value['snapshot_revision'], row.version)
+
+    async def record(self, revision: int) -> RevisionRecord | None:
+        """Return one revision's record."""
+        row = await self._table.read(_revision_key(revision))
+        return None if row.value is None else msgspec.convert(row.value, RevisionRecord)
+
+    async def records_after(self, revision: int, until: int) -> list[RevisionRecord]:
+        """Return the records of the revisions above *revision* up to *until*."""
+        records = []
+        for number in range(revision + 1, until + 1):
+            record = await self.record(number)
+            if record is None:
+                break
+            records.append(record)
+        return records
+
+    async def snapshot(self, revision: int) -> Document | None:
+        """Return the stored snapshot of *revision*."""
+        plain = await self._objects.get(f'{SNAPSHOT_PREFIX}{revision}')
+        return None if plain is None else document_from_json(plain)
+
+    async def commit(
+        self,
+        changes: list[Change],
+        based_on: int,
+        operation_id: str,
+        operator: str,
+        note: str,
+    ) -> CommitOutcome:
+        """Commit *changes* as the revision after *based_on*.
+
+        Repeating the call with the same operation id never applies it twice.
+        """
+        try:
+            return await self._commit(changes, based_on, operation_id, operator, note)
+        except PlatformUnavailable:
+            return NotApplied()
+        except PlatformUnknown:
+            return Undecided()
+
+    async def _commit(
+        self, changes: list[Change], based_on: int, operation_id: str, operator: str, note: str
+    ) -> CommitOutcome:
+        for _ in range(SETTLE_TRIES):
+            done = await self._operation(operation_id)
+            if done is not None:
+                return Applied(done)
+            head = await self.head()
+            if head.revision != based_on:
+                return await self._race_lost(based_on, head.revision)
+            record = RevisionRecord(
+                based_on + 1, operation_id, operator, wall_s(), note, changes
+            )
+            try:
+                outcome = await self._write(head, record)
+            except PlatformUnknown:
+                continue
+            if isinstance(outcome, Committed):
+                return Applied(record.revision)
+        return Undecided()
+
+    async def _operation(self, operation_id: str) -> int | None:
+        row = await self._table.read(f'{OPERATION_PREFIX}{operation_id}')
+        return None if row.value is None else int(row.value['revision'])
+
+    async def _write(self, head: Head, record: RevisionRecord) -> object:
+        new_head = {
+            'revision': record.revision,
+            'snapshot_revision': head.snapshot_revision,
+        }
+        operation_key = f'{OPERATION_PREFIX}{record.operation_id}'
+        plain: dict[str, Any] = msgspec.to_builtins(record)
+        return await self._table.transact(
+            [Condition(HEAD_KEY, head.version), Condition(operation_key, 0)],
+            [
+                Write(HEAD_KEY, new_head),
+                Write(_revision_key(record.revision), plain),
+                Write(operation_key, {'revision': record.revision}),
+            ],
+        )
+
+    async def _race_lost(self, based_on: int, head_revision: int) -> RaceLost:
+        return RaceLost(head_revision, await self.records_after(based_on, head_revision))
+
+    async def store_snapshot(self, revision: int, document: Document) -> None:
+        """Store a snapshot and note it in the head; a failure costs only speed."""
+        try:
+            await self._objects.put(f'{SNAPSHOT_PREFIX}{revision}', document_to_json(document))
+            head = await self.head()
+            if head.snapshot_revision >= revision:
+                return
+            value = {'revision': head.revision, 'snapshot_revision': revision}
+            await self._table.transact(
+                [Condition(HEAD_KEY, head.version)], [Write(HEAD_KEY, value)]
+            )
+        except (PlatformUnavailable, PlatformUnknown):
+            logging.warning('config=snapshot_not_stored revision=%d', revision)
+
+
+def _revision_key(revision: int) -> str:
+    return f'{REVISION_PREFIX}{revision:010d}'
--- /dev/null
+++ b/limeshelf/revisions/sync.py
@@ -0,0 +1,223 @@
+"""Keeps one process at the highest revision it can reach, and spreads it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from limeshelf.config.delta import document_from_json, document_to_json
+from limeshelf.errors import (
+    InvalidDocument,
+    PlatformUnavailable,
+    PlatformUnknown,
+    StaleRevision,
+)
+from limeshelf.peers.messages import (
+    ConfigChanges,
+    ConfigPull,
+    ConfigSnapshot,
+    Heartbeat,
+    ListedInstances,
+)
+from limeshelf.util.backoff import jittered_s
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from limeshelf.config.holder import ConfigHolder
+    from limeshelf.membership.processes import ProcessDirectory
+    from limeshelf.peers.codec import Envelope
+    from limeshelf.peers.node import PeerNode
+    from limeshelf.platform.instances import InstanceListClient, Listed
+    from limeshelf.revisions.store import RevisionStore
+
+#: A starting process gives its peers this long to answer when the platform
+#: does not.
+PEERS_ANSWER_S = 2.0
+#: Pause between two tries of a starting process.
+START_PAUSE_S = 0.2
+#: One process of a data centre reads the platform for all; the others look by
+#: themselves this much less often, which covers the time without a reader.
+IDLE_READ_FACTOR = 20
+
+
+class RevisionSync:
+    """Fetches from the platform, pushes to and pulls from peers.
+
+    :param reads_platform: tells whether this process is the data centre's
+        reader of the platform at the moment.
+    """
+
+    def __init__(
+        self,
+        config: ConfigHolder,
+        store: RevisionStore,
+        instances: InstanceListClient,
+        processes: ProcessDirectory,
+        node: PeerNode,
+        poll_s: float,
+        reads_platform: Callable[[], bool],
+    ) -> None:
+        self._config = config
+        self._store = store
+        self._instances = instances
+        self._processes = processes
+        self._node = node
+        self._poll_s = poll_s
+        self._reads_platform = reads_platform
+        self._listed_listeners: list[Callable[[list[Listed]], None]] = []
+        self._read_s = float('-inf')
+        self._pulled: dict[str, float] = {}
+        node.add_handler(ConfigChanges, self._take_changes)
+        node.add_handler(ConfigSnapshot, self._take_snapshot)
+        node.add_handler(ConfigPull, self._answer_pull)
+        node.add_handler(Heartbeat, self._compare)
+        node.add_handler(ListedInstances, self._take_listed)
+
+    def add_listed_listener(self, listener: Callable[[list[Listed]], None]) -> None:
+        """Call *listener* with each new instance list."""
+        self._listed_listeners.append(listener)
+
+    async def start(self) -> None:
+        """Return once the highest revision within reach is in force.
+
+        With the platform that is its head; without it, the highest of the
+        peers that answer.
+        """
+        started_s = boottime_s()
+        while True:
+            if await self._read_platform():
+                return
+            self._ask_peers()
+            await asyncio.sleep(START_PAUSE_S)
+            waited = boottime_s() - started_s > PEERS_ANSWER_S
+            highest = max(beat.revision for beat in self._processes.heard())
+            if waited and self._config.revision > 0 and self._config.revision >= highest:
+                logging.info('config=started_from_peers revision=%d', self._config.revision)
+                return
+
+    async def run(self) -> None:
+        """Follow the platform, while this process is the one that reads it."""
+        while True:
+            await asyncio.sleep(jittered_s(self._poll_s))
+            overdue = boottime_s() - self._read_s > self._poll_s * IDLE_READ_FACTOR
+            if self._reads_platform() or overdue:
+                await self._read_platform()
+
+    def push(self, based_on: int) -> None:
+        """Send what lies after *based_on* to the data centre, and one peer of each other."""
+        message = self._update_after(based_on)
+        self._node.send_all(self._processes.centre_addresses(), message)
+        for addresses in self._processes.remote_entries().values():
+            if addresses:
+                self._node.send(random.choice(addresses), message)
+
+    async def _read_platform(self) -> bool:
+        listed_read = await self._read_listed()
+        try:
+            head = await self._store.head()
+            before = self._config.revision
+            if head.revision > before:
+                await self._fetch(head.revision, head.snapshot_revision)
+        except (PlatformUnavailable, PlatformUnknown):
+            return False
+        if self._config.revision > before:
+            self.push(before)
+        self._read_s = boottime_s()
+        return listed_read and self._config.revision >= head.revision
+
+    async def _fetch(self, revision: int, snapshot_revision: int) -> None:
+        if self._config.revision < snapshot_revision:
+            document = await self._store.snapshot(snapshot_revision)
+            if document is not None:
+                self._config.take_snapshot(snapshot_revision, document)
+        for record in await self._store.records_after(self._config.revision, revision):
+            try:
+                self._config.take_changes(record.revision - 1, record.revision, record.changes)
+            except StaleRevision:
+                # A peer's push got here first; the next look settles it.
+                return
+
+    async def _read_listed(self) -> bool:
+        try:
+            listed = await self._instances.list()
+        except (PlatformUnavailable, PlatformUnknown):
+            return False
+        self._use_listed(listed)
+        if self._reads_platform():
+            message = ListedInstances(listed)
+            self._node.send_all(self._processes.centre_addresses(), message)
+        return True
+
+    def _use_listed(self, listed: list[Listed]) -> None:
+        self._processes.take_listed(listed)
+        for listener in self._listed_listeners:
+            listener(listed)
+
+    def _ask_peers(self) -> None:
+        addresses = self._processes.centre_addresses()
+        self._node.send_all(addresses, ConfigPull(self._config.revision))
+        self._node.send_all(addresses, self._processes.own)
+
+    def _take_listed(self, envelope: Envelope) -> None:
+        self._use_listed(envelope.message.instances)
+
+    def _compare(self, envelope: Envelope) -> None:
+        beat: Heartbeat = envelope.message
+        if beat.revision < self._config.revision:
+            self._node.send(beat.address, self._update_after(beat.revision))
+        elif beat.revision > self._config.revision:
+            self._pull(beat.address)
+
+    def _pull(self, address: str) -> None:
+        now_s = boottime_s()
+        if now_s - self._pulled.get(address, float('-inf')) < START_PAUSE_S:
+            return
+        self._pulled[address] = now_s
+        self._node.send(address, ConfigPull(self._config.revision))
+
+    def _answer_pull(self, envelope: Envelope) -> None:
+        have: int = envelope.message.have_revision
+        if have < self._config.revision:
+            self._node.send(envelope.sender, self._update_after(have))
+
+    def _update_after(self, revision: int) -> ConfigChanges | ConfigSnapshot:
+        steps = self._config.changes_after(revision)
+        if steps is not None:
+            return ConfigChanges(revision, steps)
+        plain = document_to_json(self._config.catalog.document)
+        return ConfigSnapshot(self._config.revision, plain)
+
+    def _take_changes(self, envelope: Envelope) -> None:
+        message: ConfigChanges = envelope.message
+        before = self._config.revision
+        try:
+            for index, changes in enumerate(message.steps):
+                based_on = message.based_on + index
+                if based_on >= self._config.revision:
+                    self._config.take_changes(based_on, based_on + 1, changes)
+        except StaleRevision:
+            self._pull(envelope.sender)
+        except InvalidDocument:
+            logging.warning('config=refused sender=%s', envelope.sender)
+        self._relay(before, envelope)
+
+    def _take_snapshot(self, envelope: Envelope) -> None:
+        message: ConfigSnapshot = envelope.message
+        before = self._config.revision
+        try:
+            self._config.take_snapshot(message.revision, document_from_json(message.document))
+        except InvalidDocument:
+            logging.warning('config=refused sender=%s', envelope.sender)
+        self._relay(before, envelope)
+
+    def _relay(self, before: int, envelope: Envelope) -> None:
+        """Pass news from another data centre on inside the own one."""
+        foreign = envelope.data_centre != self._processes.own.data_centre
+        if foreign and self._config.revision > before:
+            message = self._update_after(before)
+            self._node.send_all(self._processes.centre_addresses(), message)
--- /dev/null
+++ b/limeshelf/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Process settings: JSON files checked into attrs classes."""
--- /dev/null
+++ b/limeshelf/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/limeshelf/upstreams/engine.py
@@ -0,0 +1,152 @@
+"""Client of one model engine."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, Protocol, TypeVar
+
+import aiohttp
+import msgspec
+
+from limeshelf.errors import DoubtReason, ExchangeBroken
+from limeshelf.upstreams.http import failure_of, refusal_of
+from limeshelf.upstreams.messages import (
+    EngineReport,
+    GenerateRequest,
+    Order,
+    OrderAnswer,
+    TokenLine,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, AsyncIterator
+
+T = TypeVar('T')
+
+HTTP_OK = 200
+
+
+class EngineClient(Protocol):
+    """What the rest of limeshelf needs of an engine, whatever its wire format."""
+
+    upstream_id: str
+
+    async def report(self, timeout_s: float) -> EngineReport:
+        """Return the engine's report."""
+        ...
+
+    async def order(self, order: Order, timeout_s: float) -> OrderAnswer:
+        """Send an order and return the answer."""
+        ...
+
+    def generate(self, request: GenerateRequest) -> AsyncGenerator[list[TokenLine], None]:
+        """Return the checked lines of an answer, in batches as they arrive."""
+        ...
+
+
+class HttpEngineClient:
+    """Speaks JSON over HTTP, with one line of JSON for each token."""
+
+    def __init__(self, upstream_id: str, address: str, session: aiohttp.ClientSession) -> None:
+        self.upstream_id = upstream_id
+        self._base_url = f'http://{address}'
+        self._session = session
+        self._lines = msgspec.json.Decoder(TokenLine)
+
+    async def report(self, timeout_s: float) -> EngineReport:
+        """Return the engine's report.
+
+        :raises UpstreamUnreachable: not connected.
+        :raises ExchangeBroken: no whole answer.
+        """
+        body = await self._exchange('GET', '/report', None, timeout_s)
+        return self._decoded(body, EngineReport)
+
+    async def order(self, order: Order, timeout_s: float) -> OrderAnswer:
+        """Send *order*; after :exc:`ExchangeBroken` it may have taken effect."""
+        body = await self._exchange('POST', '/orders', order, timeout_s)
+        return self._decoded(body, OrderAnswer)
+
+    async def generate(
+        self, request: GenerateRequest
+    ) -> AsyncGenerator[list[TokenLine], None]:
+        """Yield the lines of the answer; the last one has a finish reason.
+
+        :raises UpstreamRefused: the engine did not run it.
+        :raises UpstreamUnreachable: no byte was sent.
+        :raises ExchangeBroken: anything else that is not a whole answer.
+        """
+        next_index = request.start_index
+        try:
+            async with self._session.post(
+                f'{self._base_url}/v1/generate', data=msgspec.json.encode(request)
+            ) as answer:
+                self._check_status(answer)
+                try:
+                    async for batch in self._batches(answer, request):
+                        next_index += sum(1 for line in batch if not line.finish)
+                        yield batch
+                        if batch[-1].finish:
+                            return
+                finally:
+                    # Unless the answer was read to its end, the connection is
+                    # out of step and must not be used again.
+                    if not answer.content.at_eof():
+                        answer.close()
+        except ExchangeBroken as broken:
+            raise ExchangeBroken(self.upstream_id, broken.reason, next_index) from None
+        except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
+            failure = failure_of(error, self.upstream_id)
+            if isinstance(failure, ExchangeBroken):
+                failure = ExchangeBroken(self.upstream_id, failure.reason, next_index)
+            raise failure or error from None
+
+    def _check_status(self, answer: aiohttp.ClientResponse) -> None:
+        refusal = refusal_of(answer.headers, self.upstream_id)
+        if refusal is not None:
+            raise refusal
+        if answer.status != HTTP_OK:
+            raise ExchangeBroken(self.upstream_id, DoubtReason.ANSWER_CUT)
+
+    async def _batches(
+        self, answer: aiohttp.ClientResponse, request: GenerateRequest
+    ) -> AsyncIterator[list[TokenLine]]:
+        expected = request.start_index
+        rest = b''
+        while True:
+            data = await answer.content.readany()
+            if not data:
+                raise ExchangeBroken(self.upstream_id, DoubtReason.ANSWER_CUT)
+            whole, newline, rest = (rest + data).rpartition(b'\n')
+            if not newline:
+                continue
+            batch = self._decode_lines(whole)
+            for line in batch:
+                if line.exchange_id != request.exchange_id or line.index != expected:
+                    raise ExchangeBroken(self.upstream_id, DoubtReason.ANSWER_FOREIGN)
+                expected += 0 if line.finish else 1
+            yield batch
+
+    def _decode_lines(self, data: bytes) -> list[TokenLine]:
+        try:
+            return self._lines.decode_lines(data)
+        except msgspec.MsgspecError:
+            raise ExchangeBroken(self.upstream_id, DoubtReason.ANSWER_FOREIGN) from None
+
+    async def _exchange(self, method: str, path: str, body: Any, timeout_s: float) -> bytes:
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._session.request(method, self._base_url + path, data=data) as answer,
+            ):
+                self._check_status(answer)
+                return await answer.read()
+        except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
+            raise failure_of(error, self.upstream_id) or error from None
+
+    def _decoded(self, body: bytes, kind: type[T]) -> T:
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.MsgspecError:
+            raise ExchangeBroken(self.upstream_id, DoubtReason.ANSWER_FOREIGN) from None
--- /dev/null
+++ b/limeshelf/upstreams/http.py
@@ -0,0 +1,71 @@
+"""HTTP sessions towards upstreams and what their failures mean."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from limeshelf.errors import DoubtReason, ExchangeBroken, UpstreamRefused, UpstreamUnreachable
+
+if TYPE_CHECKING:
+    from multidict import CIMultiDictProxy
+
+#: An upstream sets this header on a refusal before any work was done.
+NOT_RUN_HEADER = 'X-Not-Run'
+#: Set beside it by an upstream that takes no new work because it leaves.
+LEAVING_HEADER = 'X-Leaving'
+RETRY_AFTER_HEADER = 'Retry-After'
+
+
+def open_session(connect_timeout_s: float, reuse: bool = True) -> aiohttp.ClientSession:
+    """Return a session that never repeats a request by itself.
+
+    :param reuse: whether connections are kept for later requests. Calls that
+        may not be repeated use fresh ones: a kept connection may have been
+        closed by the other side, which cannot be told from a lost answer.
+    """
+    connector = aiohttp.TCPConnector(limit=0, force_close=not reuse)
+    session = aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+    # aiohttp sends idempotent methods a second time on a dropped connection
+    # (tests/upstreams/test_no_silent_retry.py).
+    session._retry_connection = False
+    return session
+
+
+def failure_of(
+    error: Exception, upstream_id: str
+) -> UpstreamUnreachable | ExchangeBroken | None:
+    """Return what a client error says of the request, ``None`` if not one of ours."""
+    if isinstance(error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError):
+        return UpstreamUnreachable(upstream_id)
+    if isinstance(error, TimeoutError):
+        return ExchangeBroken(upstream_id, DoubtReason.ANSWER_TIMEOUT)
+    if isinstance(error, aiohttp.ClientError | ConnectionError):
+        return ExchangeBroken(upstream_id, DoubtReason.CONNECTION_LOST)
+    return None
+
+
+def refusal_of(headers: CIMultiDictProxy[str], upstream_id: str) -> UpstreamRefused | None:
+    """Return the refusal that the answer's *headers* carry, if they do."""
+    if NOT_RUN_HEADER not in headers:
+        return None
+    return UpstreamRefused(
+        upstream_id,
+        _seconds(headers.get(RETRY_AFTER_HEADER)),
+        leaving=LEAVING_HEADER in headers,
+    )
+
+
+def _seconds(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        return None
--- /dev/null
+++ b/limeshelf/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers sorted by topic: clocks, tasks, identifiers."""
--- /dev/null
+++ b/limeshelf/util/identifiers.py
@@ -0,0 +1,10 @@
+"""Random identifiers for boots, requests, claims and operations."""
+
+from __future__ import annotations
+
+import secrets
+
+
+def new_id(prefix: str) -> str:
+    """Return ``prefix-`` followed by 64 random bits in hexadecimal."""
+    return f'{prefix}-{secrets.token_hex(8)}'
--- /dev/null
+++ b/standins/launcher.py
@@ -0,0 +1,324 @@
+"""Starts stand-ins and limeshelf programs as processes, for demo, tests and benchmarks."""
+
+from __future__ import annotations
+
+import json
+import os
+import select
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+HOST = '127.0.0.1'
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 20.0
+GIB = 1 << 30
+PROGRAMS = ('entry', 'placer', 'admin')
+RUN_PROGRAM = {
+    name: ('-c', f'from limeshelf.programs.{name} import main; main()') for name in PROGRAMS
+}
+
+
+@attrs.define
+class Started:
+    """A running process and the ports it told."""
+
+    name: str
+    process: subprocess.Popen[str]
+    ports: dict[str, Any]
+    log_path: Path
+
+    @property
+    def http(self) -> str:
+        """Return the base URL of its HTTP listener."""
+        return f'http://{HOST}:{self.ports["http_port"]}'
+
+    def address(self, port_name: str) -> str:
+        """Return ``ip:port`` of one of its listeners."""
+        return f'{HOST}:{self.ports[port_name]}'
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this process, by its id."""
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def kill(self) -> None:
+        """Kill it and wait for its end."""
+        self.signal(signal.SIGKILL)
+        self.process.wait(STOP_LIMIT_S)
+
+    def stop(self) -> int:
+        """Stop it as planned; return its exit code."""
+        self.signal(signal.SIGTERM)
+        return self.process.wait(STOP_LIMIT_S)
+
+    def log(self) -> str:
+        """Return what it wrote to standard error."""
+        return self.log_path.read_text(errors='replace')
+
+
+@attrs.define
+class Instance:
+    """One entry instance: its settings file and its three processes."""
+
+    instance_id: str
+    data_centre: str
+    settings_file: Path
+    programs: dict[str, Started]
+
+    @property
+    def url(self) -> str:
+        """Return the base URL for callers."""
+        return self.programs['entry'].http
+
+    @property
+    def rpc(self) -> str:
+        """Return the address for operators."""
+        return self.programs['admin'].address('rpc_port')
+
+
+@attrs.define
+class Upstream:
+    """One stand-in of an upstream."""
+
+    upstream_id: str
+    started: Started
+    line: dict[str, Any]
+
+
+class System:
+    """A platform, upstreams and entry instances on this machine.
+
+    :param settings: changes to the settings of all instances, by dotted name.
+    """
+
+    def __init__(self, settings: dict[str, Any] | None = None, lag_s: float = 0.0) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix='limeshelf-'))
+        self._all: list[Started] = []
+        self.platform = self._start(
+            'platform', '-m', 'standins', 'platform', '--lag-s', str(lag_s)
+        )
+        self.upstreams: dict[str, Upstream] = {}
+        self.instances: dict[str, Instance] = {}
+        self._changes = settings or {}
+
+    def __enter__(self) -> System:
+        """Return the system."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Stop everything."""
+        self.close()
+
+    def _start(self, name: str, *arguments: str) -> Started:
+        log_path = self.folder / f'{name}-{time.monotonic_ns()}.log'
+        with log_path.open('w') as log:
+            process = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+                cwd=Path(__file__).parent.parent,
+            )
+        started = Started(name, process, {}, log_path)
+        self._all.append(started)
+        return started
+
+    def _await_ports(self, started: Started) -> Started:
+        stdout = started.process.stdout
+        assert stdout is not None
+        readable, _, _ = select.select([stdout], [], [], START_LIMIT_S)
+        line = stdout.readline() if readable else ''
+        if not line:
+            raise SystemExit(f'{started.name} did not start:\n{started.log()}')
+        started.ports = json.loads(line)
+        return started
+
+    def start_upstreams(
+        self, engines: dict[str, list[dict[str, Any]]], plain: dict[str, list[str]]
+    ) -> None:
+        """Start engines (options by data centre) and plain services (names by data centre)."""
+        pending: list[tuple[Started, dict[str, Any]]] = []
+        for data_centre, rows in engines.items():
+            for number, options in enumerate(rows):
+                name = f'{data_centre}-engine{number}'
+                words = _words(options)
+                started = self._start(name, '-m', 'standins', 'engine', name, *words)
+                line = {
+                    'instance_id': name,
+                    'kind': 'engine',
+                    'data_centre': data_centre,
+                    'capacity_bytes': options.get('capacity_bytes', 80 * GIB),
+                    'checks_fence': options.get('checks_fence', True),
+                }
+                pending.append((started, line))
+        for data_centre, services in plain.items():
+            for number, service in enumerate(services):
+                name = f'{data_centre}-{service}{number}'
+                started = self._start(name, '-m', 'standins', 'plain', name)
+                line = {
+                    'instance_id': name,
+                    'kind': 'plain',
+                    'data_centre': data_centre,
+                    'service': service,
+                }
+                pending.append((started, line))
+        self._await_platform()
+        for started, line in pending:
+            self._await_ports(started)
+            line['address'] = started.address('http_port')
+            self.upstreams[started.name] = Upstream(started.name, started, line)
+            self.list_instance(line)
+
+    def _await_platform(self) -> None:
+        if not self.platform.ports:
+            self._await_ports(self.platform)
+
+    def start_instances(self, counts: dict[str, int]) -> None:
+        """Start entry instances, a number by data centre, and list them."""
+        self._await_platform()
+        made = []
+        for data_centre, count in counts.items():
+            for _ in range(count):
+                number = len(
+                    [i for i in self.instances.values() if i.data_centre == data_centre]
+                )
+                instance_id = f'{data_centre}-{number}'
+                made.append(self.launch(instance_id, data_centre))
+        for instance in made:
+            self.await_started(instance)
+        for instance in made:
+            self.list_entry(instance)
+
+    def launch(
+        self, instance_id: str, data_centre: str, seeds: list[str] | None = None
+    ) -> Instance:
+        """Start the processes of one instance without waiting for them."""
+        path = self.folder / f'{instance_id}.json'
+        path.write_text(json.dumps(self.settings(instance_id, data_centre, seeds or [])))
+        programs = {
+            name: self._start(
+                f'{instance_id}-{name}', *RUN_PROGRAM[name], '--settings', str(path)
+            )
+            for name in PROGRAMS
+        }
+        instance = Instance(instance_id, data_centre, path, programs)
+        self.instances[instance_id] = instance
+        return instance
+
+    def await_started(self, instance: Instance) -> None:
+        """Wait until all processes of *instance* listen."""
+        for started in instance.programs.values():
+            self._await_ports(started)
+
+    def list_entry(self, instance: Instance, state: str = 'live') -> None:
+        """Put an entry instance into the instance list."""
+        self.list_instance(
+            {
+                'instance_id': instance.instance_id,
+                'kind': 'entry',
+                'data_centre': instance.data_centre,
+                'state': state,
+                'peer_addresses': {
+                    name: started.address('peer_port')
+                    for name, started in instance.programs.items()
+                },
+            }
+        )
+
+    def settings(self, instance_id: str, data_centre: str, seeds: list[str]) -> dict[str, Any]:
+        """Return the settings document of one instance."""
+        url = self.platform.http
+        document: dict[str, Any] = {
+            'instance_id': instance_id,
+            'data_centre': data_centre,
+            'platform': {
+                'table_url': url,
+                'objects_url': url,
+                'weights_url': url,
+                'instances_url': url,
+            },
+            'entry': {'balancer_notice_s': 0.5},
+            'placer': {'loads_per_s': 20.0, 'max_loads': 20},
+            'peers': {'seeds': seeds},
+        }
+        for dotted, value in self._changes.items():
+            place = document
+            *sections, last = dotted.split('.')
+            for section in sections:
+                place = place.setdefault(section, {})
+            place[last] = value
+        return document
+
+    def list_instance(self, line: dict[str, Any]) -> None:
+        """Put a line into the instance list."""
+        post(f'{self.platform.http}/_instances/{line["instance_id"]}', line, 'PUT')
+
+    def unlist(self, instance_id: str) -> None:
+        """Remove a line from the instance list."""
+        post(f'{self.platform.http}/_instances/{instance_id}', None, 'DELETE')
+
+    def record(self, upstream_id: str) -> dict[str, Any]:
+        """Return the record of an upstream."""
+        return get(f'{self.upstreams[upstream_id].started.http}/_record')
+
+    def fault(self, target: str, path: str, **values: Any) -> None:
+        """Set fault switches of an upstream, or of the platform."""
+        started = self.platform if target == 'platform' else self.upstreams[target].started
+        post(f'{started.http}/{path}', values)
+
+    def close(self) -> None:
+        """End every process that was started here, by its id."""
+        for started in self._all:
+            started.signal(signal.SIGCONT)
+            started.signal(signal.SIGKILL)
+        for started in self._all:
+            started.process.wait(STOP_LIMIT_S)
+            if started.process.stdout is not None:
+                started.process.stdout.close()
+
+
+def _words(options: dict[str, Any]) -> list[str]:
+    words = []
+    for name, value in options.items():
+        option = name.replace('_', '-')
+        if isinstance(value, bool):
+            words.append(f'--{option}' if value else f'--no-{option}')
+        else:
+            words += [f'--{option}', str(value)]
+    return words
+
+
+def post(url: str, body: Any, method: str = 'POST') -> None:
+    """Send JSON to a stand-in."""
+    data = json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    with urllib.request.urlopen(request, timeout=10) as answer:
+        answer.read()
+
+
+def get(url: str) -> Any:
+    """Return JSON from a stand-in or a program."""
+    with urllib.request.urlopen(url, timeout=10) as answer:
+        return json.loads(answer.read())
+
+
+def wait_until(check, limit_s: float = 20.0, pause_s: float = 0.05) -> float:
+    """Wait until *check* returns a true value; return the seconds that took."""
+    started_s = time.monotonic()
+    while True:
+        try:
+            if check():
+                return time.monotonic() - started_s
+        except OSError:
+            pass
+        if time.monotonic() - started_s > limit_s:
+            raise TimeoutError(f'{check} did not hold within {limit_s} s')
+        time.sleep(pause_s)
--- /dev/null
+++ b/standins/plain.py
@@ -0,0 +1,152 @@
+"""Stand-in for a plain service: runs each call it gets and records it."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+
+import attrs
+import msgspec
+from aiohttp import web
+
+from standins.faults import add_faults, drop
+
+
+@attrs.define
+class CallFaults:
+    """What goes wrong with calls at present, by number of next calls.
+
+    :param die_before: the connection is dropped before the call runs.
+    :param die_after: the call runs, and then the connection is dropped.
+    :param cut: half of the answer's body is sent.
+    :param busy: refused as not run.
+    """
+
+    die_before: int = 0
+    die_after: int = 0
+    cut: int = 0
+    busy: int = 0
+
+
+class PlainService:
+    """One replica of a plain service."""
+
+    def __init__(self, name: str, call_s: float) -> None:
+        self.name = name
+        self.call_s = call_s
+        self.faults = CallFaults()
+        self.runs: list[dict] = []
+        self.leaving = False
+        self.left_at_s = 0.0
+        self.boot_id = secrets.token_hex(6)
+        self.sequence = 0
+        self.running = 0
+
+    async def handle_report(self, request: web.Request) -> web.Response:
+        """Return the report."""
+        self.sequence += 1
+        return web.json_response(
+            {
+                'boot_id': self.boot_id,
+                'sequence': self.sequence,
+                'running': self.running,
+                'leaving': self.leaving,
+            }
+        )
+
+    async def handle_call(self, request: web.Request) -> web.StreamResponse:
+        """Run a call and echo it."""
+        body = await request.read()
+        if self.leaving or self._strikes('busy'):
+            headers = {'X-Not-Run': '1', 'Retry-After': '1'}
+            if self.leaving:
+                headers['X-Leaving'] = '1'
+            return web.Response(status=503, headers=headers)
+        if self._strikes('die_before'):
+            return drop(request)
+        self.running += 1
+        try:
+            self._record(request, body)
+            await asyncio.sleep(self.call_s)
+        finally:
+            self.running -= 1
+        if self._strikes('die_after'):
+            return drop(request)
+        answer = {
+            'service': self.name,
+            'run': len(self.runs),
+            'method': request.method,
+            'path': request.path_qs,
+            'caller': request.headers.get('X-Caller', ''),
+            'echo': body.decode(errors='replace'),
+        }
+        if self._strikes('cut'):
+            return await self._cut(request, msgspec.json.encode(answer))
+        return web.json_response(answer)
+
+    def _strikes(self, name: str) -> bool:
+        left = getattr(self.faults, name)
+        if left > 0:
+            setattr(self.faults, name, left - 1)
+        return left > 0
+
+    def _record(self, request: web.Request, body: bytes) -> None:
+        self.runs.append(
+            {
+                'at_s': time.monotonic(),
+                'method': request.method,
+                'path': request.path_qs,
+                'caller': request.headers.get('X-Caller', ''),
+                'key': request.headers.get('Idempotency-Key', ''),
+                'body': body.decode(errors='replace')[:200],
+            }
+        )
+
+    async def _cut(self, request: web.Request, data: bytes) -> web.StreamResponse:
+        answer = web.StreamResponse()
+        answer.content_length = len(data)
+        await answer.prepare(request)
+        await answer.write(data[: len(data) // 2])
+        drop(request)
+        return answer
+
+    async def handle_leave(self, request: web.Request) -> web.Response:
+        """Start to leave."""
+        self.leaving = True
+        self.left_at_s = time.monotonic()
+        return web.Response()
+
+    async def handle_restart(self, request: web.Request) -> web.Response:
+        """Come back with a new boot id."""
+        self.leaving = False
+        self.boot_id = secrets.token_hex(6)
+        self.sequence = 0
+        return web.Response()
+
+    async def handle_faults(self, request: web.Request) -> web.Response:
+        """Set faults of calls."""
+        for name, value in msgspec.json.decode(await request.read()).items():
+            if name == 'call_s':
+                self.call_s = value
+            else:
+                setattr(self.faults, name, value)
+        return web.Response()
+
+    async def handle_record(self, request: web.Request) -> web.Response:
+        """Return what tests check."""
+        record = {'now_s': time.monotonic(), 'runs': self.runs, 'left_at_s': self.left_at_s}
+        return web.Response(body=msgspec.json.encode(record))
+
+
+def plain_app(service: PlainService) -> web.Application:
+    """Return the app of one replica."""
+    app = web.Application(client_max_size=64 << 20)
+    add_faults(app)
+    app.router.add_get('/report', service.handle_report)
+    app.router.add_post('/_leave', service.handle_leave)
+    app.router.add_post('/_restart', service.handle_restart)
+    app.router.add_post('/_call_faults', service.handle_faults)
+    app.router.add_get('/_record', service.handle_record)
+    app.router.add_route('*', '/{path:.*}', service.handle_call)
+    return app
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,170 @@
+"""Stand-in for the platform: table service, object store, weight store, instance list."""
+
+from __future__ import annotations
+
+import asyncio
+from urllib.parse import unquote
+
+import attrs
+import msgspec
+from aiohttp import web
+
+from limeshelf.platform.instances import Listed
+from standins.faults import add_faults
+
+
+@attrs.define
+class TableRow:
+    """A stored row; the version outlives a deletion."""
+
+    version: int = 0
+    value: dict | None = None
+
+
+class Table:
+    """Rows with versions; all writes of a transaction or none."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, TableRow] = {}
+        self.commits: list[dict] = []
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the service's paths."""
+        app.router.add_get('/rows', self.scan)
+        app.router.add_get('/rows/{key}', self.read)
+        app.router.add_post('/transact', self.transact)
+        app.router.add_get('/_commits', self.list_commits)
+
+    def _row(self, key: str) -> dict:
+        row = self.rows.get(key, TableRow())
+        version = row.version if row.value is not None else 0
+        return {'key': key, 'version': version, 'value': row.value}
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Return one row."""
+        return web.json_response(self._row(unquote(request.match_info['key'])))
+
+    async def scan(self, request: web.Request) -> web.Response:
+        """Return the rows whose key starts with a prefix."""
+        prefix = request.query['prefix']
+        keys = sorted(k for k, row in self.rows.items() if k.startswith(prefix))
+        return web.json_response(
+            [self._row(k) for k in keys if self.rows[k].value is not None]
+        )
+
+    async def transact(self, request: web.Request) -> web.Response:
+        """Check all conditions, then write all rows."""
+        body = msgspec.json.decode(await request.read())
+        failed = [
+            self._row(condition['key'])
+            for condition in body['conditions']
+            if self._row(condition['key'])['version'] != condition['version']
+        ]
+        if failed:
+            return web.json_response({'rows': failed}, status=409)
+        versions = {}
+        for write in body['writes']:
+            row = self.rows.setdefault(write['key'], TableRow())
+            row.version += 1
+            row.value = write['value']
+            versions[write['key']] = row.version
+        at_s = asyncio.get_running_loop().time()
+        self.commits.append({'at_s': at_s, 'writes': body['writes']})
+        del self.commits[:-2000]
+        return web.json_response({'versions': versions})
+
+    async def list_commits(self, request: web.Request) -> web.Response:
+        """Return the latest commits with their times."""
+        return web.json_response(self.commits)
+
+
+class Objects:
+    """Whole values under keys."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, bytes] = {}
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the service's paths."""
+        app.router.add_put('/objects/{key}', self.put)
+        app.router.add_get('/objects/{key}', self.get)
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Store a value."""
+        self.values[request.match_info['key']] = await request.read()
+        return web.Response()
+
+    async def get(self, request: web.Request) -> web.Response:
+        """Return a value."""
+        value = self.values.get(request.match_info['key'])
+        return web.Response(status=404) if value is None else web.Response(body=value)
+
+
+class Weights:
+    """Manifests of weights; each item is found, with a size set or none."""
+
+    def __init__(self) -> None:
+        self.sizes: dict[str, int] = {}
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the service's paths."""
+        app.router.add_get('/manifests/{item}', self.manifest)
+        app.router.add_post('/_weights', self.set_sizes)
+
+    async def set_sizes(self, request: web.Request) -> web.Response:
+        """Set the sizes of items, in bytes."""
+        self.sizes.update(msgspec.json.decode(await request.read()))
+        return web.Response()
+
+    async def manifest(self, request: web.Request) -> web.Response:
+        """Return an item's manifest."""
+        item_id = unquote(request.match_info['item'])
+        if item_id not in self.sizes:
+            return web.Response(status=404)
+        return web.json_response({'item_id': item_id, 'weights_bytes': self.sizes[item_id]})
+
+
+class Instances:
+    """The instance list; changes show after a lag."""
+
+    def __init__(self, lag_s: float) -> None:
+        self.lag_s = lag_s
+        self.shown: dict[str, dict] = {}
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the service's paths."""
+        app.router.add_get('/instances', self.list)
+        app.router.add_put('/_instances/{id}', self.put)
+        app.router.add_delete('/_instances/{id}', self.delete)
+
+    async def list(self, request: web.Request) -> web.Response:
+        """Return the list as it shows."""
+        return web.json_response(list(self.shown.values()))
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Set one line; it shows after the lag."""
+        line = msgspec.json.decode(await request.read(), type=Listed)
+        plain = msgspec.to_builtins(line)
+        self._later(lambda: self.shown.__setitem__(line.instance_id, plain))
+        return web.Response()
+
+    async def delete(self, request: web.Request) -> web.Response:
+        """Remove one line; it goes after the lag."""
+        instance_id = request.match_info['id']
+        self._later(lambda: self.shown.pop(instance_id, None))
+        return web.Response()
+
+    def _later(self, change) -> None:
+        if self.lag_s <= 0:
+            change()
+        else:
+            asyncio.get_running_loop().call_later(self.lag_s, change)
+
+
+def platform_app(lag_s: float = 0.0) -> web.Application:
+    """Return an app with all four services under one listener."""
+    app = web.Application(client_max_size=64 << 20)
+    add_faults(app)
+    for service in (Table(), Objects(), Weights(), Instances(lag_s)):
+        service.add_routes(app)
+    return app
