--- a/limeshelf/placement/placer.py
+++ b/limeshelf/placement/placer.py
@@ -104,13 +104,17 @@
 
     async def _run(self) -> None:
         while True:
-            self._assign_workers()
-            if self._lease.epoch is not None:
-                await self._round()
-            else:
-                self._anchors.is_read = False
+            await self.round()
             await asyncio.sleep(jittered_s(self._settings.round_s))
 
+    async def round(self) -> None:
+        """Look, plan and order once, if this placer leads."""
+        self._assign_workers()
+        if self._lease.epoch is not None:
+            await self._decide()
+        else:
+            self._anchors.is_read = False
+
     def _assign_workers(self) -> None:
         """Run one worker for each engine of the data centre, while leading."""
         engines = {
@@ -142,7 +146,7 @@
         self._workers[upstream_id] = worker
         self._worker_tasks[upstream_id] = self._tasks.spawn(worker.run(), f'engine-{upstream_id}')
 
-    async def _round(self) -> None:
+    async def _decide(self) -> None:
         now_s = boottime_s()
         if now_s - self._anchors_read_s > ANCHOR_READ_S and await self._anchors.refresh():
             self._anchors_read_s = now_s
--- a/limeshelf/placement/worker.py
+++ b/limeshelf/placement/worker.py
@@ -87,7 +87,7 @@
         """Read reports and send orders until cancelled."""
         while True:
             try:
-                await self._step()
+                await self.step()
             except UpstreamRefused:
                 self._metrics.count('placement.exchange_refused')
             except (UpstreamUnreachable, ExchangeBroken):
@@ -103,7 +103,8 @@
         except TimeoutError:
             return
 
-    async def _step(self) -> None:
+    async def step(self) -> None:
+        """Take over if needed, send what is queued, read a report."""
         if self._lease.epoch is None:
             self._forget_epoch()
         elif not self.is_ready:
--- /dev/null
+++ b/tests/support/table.py
@@ -0,0 +1,82 @@
+"""A table service in memory, whose calls fail in the ways a real one's do."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+
+from limeshelf.errors import PlatformUnavailable, PlatformUnknown
+from limeshelf.platform.table import Committed, Conflicted, Row
+
+
+class TableFault(enum.Enum):
+    NONE = 'none'
+    DOWN = 'down'
+    #: Sent, and lost on the way there.
+    LOST_BEFORE = 'lost before'
+    #: Took effect; the answer was lost.
+    LOST_AFTER = 'lost after'
+    #: Takes effect at some later time; there is no answer.
+    LATE = 'late'
+
+
+class FakeTable:
+    def __init__(self) -> None:
+        self.versions: dict[str, int] = {}
+        self.values: dict[str, dict] = {}
+        self.next_faults: deque[TableFault] = deque()
+        self.down = False
+        self.late: list[tuple[list, list]] = []
+        self.commits: list[list] = []
+
+    def row(self, key: str) -> Row:
+        if key not in self.values:
+            return Row(key, 0, None)
+        return Row(key, self.versions[key], self.values[key])
+
+    def _fault(self) -> TableFault:
+        if self.down:
+            return TableFault.DOWN
+        return self.next_faults.popleft() if self.next_faults else TableFault.NONE
+
+    def _strike(self, fault: TableFault) -> None:
+        if fault is TableFault.DOWN:
+            raise PlatformUnavailable('table')
+        if fault is not TableFault.NONE:
+            raise PlatformUnknown('table')
+
+    async def read(self, key: str) -> Row:
+        self._strike(self._fault())
+        return self.row(key)
+
+    async def scan(self, prefix: str) -> list[Row]:
+        self._strike(self._fault())
+        return [self.row(key) for key in sorted(self.values) if key.startswith(prefix)]
+
+    async def transact(self, conditions, writes):
+        fault = self._fault()
+        if fault is TableFault.LATE:
+            self.late.append((conditions, writes))
+        if fault in (TableFault.NONE, TableFault.LOST_AFTER):
+            outcome = self.commit(conditions, writes)
+            self._strike(fault)
+            return outcome
+        self._strike(fault)
+        raise AssertionError
+
+    def commit(self, conditions, writes):
+        failed = [self.row(c.key) for c in conditions if self.row(c.key).version != c.version]
+        if failed:
+            return Conflicted(failed)
+        for write in writes:
+            self.versions[write.key] = self.versions.get(write.key, 0) + 1
+            if write.value is None:
+                self.values.pop(write.key, None)
+            else:
+                self.values[write.key] = write.value
+        self.commits.append(writes)
+        return Committed({write.key: self.versions[write.key] for write in writes})
+
+    def deliver_late(self) -> None:
+        if self.late:
+            self.commit(*self.late.pop(0))
