--- a/limeshelf/placement/placer.py
+++ b/limeshelf/placement/placer.py
@@ -77,8 +77,8 @@
         self._anchors = anchors
         self._metrics = metrics
         self._decisions = decisions
-        self._workers: dict[str, EngineWorker] = {}
-        self._worker_tasks: dict[str, asyncio.Task[None]] = {}
+        self.workers: dict[str, EngineWorker] = {}
+        self.worker_tasks: dict[str, asyncio.Task[None]] = {}
         self._tasks = TaskSet()
         self._load_rate = TokenBucket(settings.loads_per_s)
         self._planner: Planner | None = None
@@ -122,11 +122,11 @@
             for u in self._upstreams.own_centre()
             if u.listed.kind is ListedKind.ENGINE and self._lease.epoch is not None
         }
-        for upstream_id in [known for known in self._workers if known not in engines]:
-            self._worker_tasks.pop(upstream_id).cancel()
-            del self._workers[upstream_id]
+        for upstream_id in [known for known in self.workers if known not in engines]:
+            self.worker_tasks.pop(upstream_id).cancel()
+            del self.workers[upstream_id]
         for upstream_id, upstream in engines.items():
-            worker = self._workers.get(upstream_id)
+            worker = self.workers.get(upstream_id)
             if worker is None:
                 self._start_worker(upstream)
             else:
@@ -143,8 +143,8 @@
             self._settings,
             self._metrics,
         )
-        self._workers[upstream_id] = worker
-        self._worker_tasks[upstream_id] = self._tasks.spawn(worker.run(), f'engine-{upstream_id}')
+        self.workers[upstream_id] = worker
+        self.worker_tasks[upstream_id] = self._tasks.spawn(worker.run(), f'engine-{upstream_id}')
 
     async def _decide(self) -> None:
         now_s = boottime_s()
@@ -200,7 +200,7 @@
         return PlacementView(now_s, self._data_centre, units, rooms, anchors, ranks)
 
     def _room(self, upstream: Upstream) -> RoomView:
-        worker = self._workers.get(upstream.upstream_id)
+        worker = self.workers.get(upstream.upstream_id)
         is_open = self._upstreams.takes_work(upstream, self._config.catalog.drained)
         if worker is not None:
             recent = boottime_s() - worker.reported_s < self._settings.lease_s
@@ -240,7 +240,7 @@
             )
             self._note(move, 'made' if done else 'not_made')
             return
-        worker = self._workers.get(move.upstream_id)
+        worker = self.workers.get(move.upstream_id)
         if worker is None or not worker.is_ready:
             return
         if not worker.ledger.checks_fence and not self._lease.is_valid():
@@ -259,7 +259,7 @@
             return
         if item.base_id and item.base_id not in ledger.sure_ids():
             return
-        loading = sum(other.ledger.loading_count() for other in self._workers.values())
+        loading = sum(other.ledger.loading_count() for other in self.workers.values())
         if loading >= self._settings.max_loads or not self._load_rate.try_take():
             return
         worker.submit(Wish(OrderAction.LOAD, item.item_id, item.base_id, item.total_bytes))
@@ -284,7 +284,7 @@
                 continue
             held = any(
                 model == model_of(item_id)
-                for worker in self._workers.values()
+                for worker in self.workers.values()
                 for item_id in worker.ledger.possible_ids()
             )
             if not held:
--- a/tests/placement/test_memory_machine.py
+++ b/tests/placement/test_memory_machine.py
@@ -6,7 +6,6 @@
 
 import attrs
 import pytest
-from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -28,6 +27,7 @@
 from limeshelf.upstreams.messages import OrderAction
 from tests.support.clock import fake_time
 from tests.support.engine import OracleEngine, OraclePool
+from tests.support.fuzzing import run_machine
 from tests.support.table import FakeTable, TableFault
 
 CAPACITY_BYTES = 10
@@ -190,8 +190,4 @@
 
 @pytest.mark.parametrize('machine', [MemoryMachine, UnfencedMemoryMachine])
 def test_memory_is_never_overcommitted(machine) -> None:
-    case = machine.TestCase
-    case.settings = hypothesis_settings(
-        max_examples=400, stateful_step_count=50, deadline=None, derandomize=True, database=None
-    )
-    case('runTest').runTest()
+    run_machine(machine, examples=400, steps=50)
--- /dev/null
+++ b/tests/revisions/test_store.py
@@ -0,0 +1,42 @@
+"""Commits whose answers are lost."""
+
+from __future__ import annotations
+
+import asyncio
+
+from limeshelf.config.delta import Change
+from limeshelf.revisions.store import Applied, RaceLost, RevisionStore, Undecided
+from tests.revisions.test_revisions_machine import NoObjects
+from tests.support.table import FakeTable, TableFault
+
+CHANGES = [Change('drained_upstreams', 'u1', {})]
+
+
+def commit(store: RevisionStore, operation_id: str, based_on: int = 0):
+    return asyncio.run(store.commit(CHANGES, based_on, operation_id, 'who', ''))
+
+
+def test_late_write_is_not_called_not_applied() -> None:
+    """The write is still on its way when the table goes down."""
+    table = FakeTable()
+    store = RevisionStore(table, NoObjects())
+    table.next_faults.extend([TableFault.NONE, TableFault.NONE, TableFault.LATE, TableFault.DOWN])
+    outcome = commit(store, 'op1')
+    table.deliver_late()
+    assert isinstance(outcome, Undecided)
+    assert commit(store, 'op1') == Applied(1)
+
+
+def test_lost_answer_is_settled_by_reading_back() -> None:
+    table = FakeTable()
+    store = RevisionStore(table, NoObjects())
+    table.next_faults.extend([TableFault.NONE, TableFault.NONE, TableFault.LOST_AFTER])
+    assert commit(store, 'op1') == Applied(1)
+
+
+def test_race_shows_what_the_other_changed() -> None:
+    store = RevisionStore(FakeTable(), NoObjects())
+    assert commit(store, 'op1') == Applied(1)
+    lost = commit(store, 'op2')
+    assert isinstance(lost, RaceLost)
+    assert [record.operation_id for record in lost.others] == ['op1']
