--- a/limeshelf/revisions/store.py
+++ b/limeshelf/revisions/store.py
@@ -130,32 +130,38 @@
 
         Repeating the call with the same operation id never applies it twice.
         """
-        try:
-            return await self._commit(changes, based_on, operation_id, operator, note)
-        except PlatformUnavailable:
-            return NotApplied()
-        except PlatformUnknown:
-            return Undecided()
-
-    async def _commit(
-        self, changes: list[Change], based_on: int, operation_id: str, operator: str, note: str
-    ) -> CommitOutcome:
+        record = RevisionRecord(based_on + 1, operation_id, operator, wall_s(), note, changes)
+        in_doubt = False
         for _ in range(SETTLE_TRIES):
-            done = await self._operation(operation_id)
-            if done is not None:
-                return Applied(done)
-            head = await self.head()
-            if head.revision != based_on:
-                return await self._race_lost(based_on, head.revision)
-            record = RevisionRecord(based_on + 1, operation_id, operator, wall_s(), note, changes)
             try:
-                outcome = await self._write(head, record)
+                outcome = await self._try_commit(record)
+            except PlatformUnavailable:
+                # An earlier write whose answer was lost may still take effect.
+                return Undecided() if in_doubt else NotApplied()
             except PlatformUnknown:
+                in_doubt = True
                 continue
-            if isinstance(outcome, Committed):
-                return Applied(record.revision)
+            if outcome is not None:
+                return outcome
         return Undecided()
 
+    async def _try_commit(self, record: RevisionRecord) -> Applied | RaceLost | None:
+        """Return the outcome, or ``None`` when others wrote in between.
+
+        The head is read before the operation's row: once the head has moved
+        on, a write of ours that is still on its way can no longer commit.
+        """
+        head = await self.head()
+        done = await self._operation(record.operation_id)
+        if done is not None:
+            return Applied(done)
+        based_on = record.revision - 1
+        if head.revision != based_on:
+            return await self._race_lost(based_on, head.revision)
+        if isinstance(await self._write(head, record), Committed):
+            return Applied(record.revision)
+        return None
+
     async def _operation(self, operation_id: str) -> int | None:
         row = await self._table.read(f'{OPERATION_PREFIX}{operation_id}')
         return None if row.value is None else int(row.value['revision'])
