--- a/limeshelf/entry/exchange.py
+++ b/limeshelf/entry/exchange.py
@@ -54,7 +54,8 @@
         self._request = request
         self._target = target
         self._started_s = boottime_s()
-        self._tried: set[str] = set()
+        self._refused: set[str] = set()
+        self._broken: set[str] = set()
         self._text: list[str] = []
         self._tries = 0
         self._may_have_run = False
@@ -93,23 +94,34 @@
                 self._note_refusal(candidate, refused)
             except UpstreamUnreachable:
                 self._context.upstreams.avoid(candidate.upstream_id, AVOID_S)
-                self._tried.add(candidate.upstream_id)
+                self._refused.add(candidate.upstream_id)
                 self._check_retry(RefusalReason.UPSTREAM_UNREACHABLE)
             except ExchangeBroken as broken:
                 self._note_break(candidate, broken)
 
+    def _candidates(self) -> list[Candidate]:
+        """Return replicas not tried yet; failing that, those whose answer broke.
+
+        Most models have one replica, so a broken answer is mostly resumed where
+        it broke.
+        """
+        for excluded in (self._refused | self._broken, self._refused):
+            found = engine_candidates(
+                self._target.item.item_id,
+                self._target.deployment.priority_class,
+                self._context.upstreams,
+                self._context.loads,
+                self._catalog.drained,
+                frozenset(excluded),
+            )
+            if found:
+                return found
+        return []
+
     def _choose(self) -> Candidate:
         """Choose a replica, or raise the final outcome."""
         context = self._context
-        deployment = self._target.deployment
-        candidates = engine_candidates(
-            self._target.item.item_id,
-            deployment.priority_class,
-            context.upstreams,
-            context.loads,
-            self._catalog.drained,
-            frozenset(self._tried),
-        )
+        candidates = self._candidates()
         if not candidates:
             self._give_up(RefusalReason.NO_READY_REPLICA, NOT_READY_RETRY_S)
         if self._tries == 0:
@@ -217,7 +229,7 @@
         context.metrics.time_s('entry.first_token', self._first_token_s)
 
     def _note_refusal(self, candidate: Candidate, refused: UpstreamRefused) -> None:
-        self._tried.add(candidate.upstream_id)
+        self._refused.add(candidate.upstream_id)
         if refused.leaving:
             self._context.upstreams.mark_leaving(candidate.upstream_id, '')
         self._context.metrics.count('entry.upstream_refused')
@@ -225,8 +237,7 @@
 
     def _note_break(self, candidate: Candidate, broken: ExchangeBroken) -> None:
         self._context.metrics.count('entry.exchange_broken')
-        self._context.upstreams.avoid(candidate.upstream_id, AVOID_S)
-        self._tried.add(candidate.upstream_id)
+        self._broken.add(candidate.upstream_id)
         self._may_have_run = True
         if not self._target.deployment.repeatable:
             raise RequestInDoubt(MayHaveRun(broken.reason))
