--- a/limeshelf/settings/structure.py
+++ b/limeshelf/settings/structure.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import Any, TypeVar
 
 import cattrs
@@ -52,13 +53,14 @@
 
 def _make_converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True)
-    # By identity: a hook for the class str would also take the enums, which
-    # are strings too, and leave them plain strings
-    # (tests/settings/test_structure.py::test_enums_stay_enums).
-    converter.register_structure_hook_func(lambda kind: kind is int, _strict_int)
-    converter.register_structure_hook_func(lambda kind: kind is float, _strict_float)
-    converter.register_structure_hook_func(lambda kind: kind is str, _strict_str)
-    converter.register_structure_hook_func(lambda kind: kind is bool, _strict_bool)
+    converter.register_structure_hook(int, _strict_int)
+    converter.register_structure_hook(float, _strict_float)
+    converter.register_structure_hook(str, _strict_str)
+    converter.register_structure_hook(bool, _strict_bool)
+    # Enums of strings are strings too; without a hook of their own the one for
+    # str would take them and leave them plain
+    # (tests/settings/test_load.py::test_enums_stay_enums).
+    converter.register_structure_hook(enum.StrEnum, lambda value, kind: kind(value))
     return converter
 
 
