--- a/limeshelf/membership/processes.py
+++ b/limeshelf/membership/processes.py
@@ -12,6 +12,8 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from limeshelf.peers.messages import Heartbeat
 
 ENTRY_PROGRAM = 'entry'
@@ -40,6 +42,11 @@
         self._silence_s = silence_s
         self._listed: dict[str, Listed] = {}
         self._heard: dict[tuple[str, str], _Heard] = {}
+        self._new_listeners: list[Callable[[Heartbeat], None]] = []
+
+    def add_new_listener(self, listener: Callable[[Heartbeat], None]) -> None:
+        """Call *listener* with the first heartbeat of each boot of a peer."""
+        self._new_listeners.append(listener)
 
     def take_listed(self, instances: list[Listed]) -> None:
         """Take in a new instance list."""
@@ -54,6 +61,8 @@
         self._heard[key] = _Heard(heartbeat, boottime_s())
         if known is None or known.heartbeat.boot_id != heartbeat.boot_id:
             logging.info('peer=%s/%s state=heard boot=%s', *key, heartbeat.boot_id)
+            for listener in self._new_listeners:
+                listener(heartbeat)
 
     def forget_silent(self) -> None:
         """Drop the peers that have fallen silent."""
--- a/limeshelf/membership/upstreams.py
+++ b/limeshelf/membership/upstreams.py
@@ -156,6 +156,13 @@
         """Return all upstreams of the own data centre."""
         return [u for u in self._upstreams.values() if u.listed.data_centre == self.data_centre]
 
+    def all_heard(self) -> bool:
+        """Return whether a state of every live upstream has arrived."""
+        return all(
+            upstream.heard_s > float('-inf') or upstream.leaving
+            for upstream in self._upstreams.values()
+        )
+
     def is_fresh(self, upstream: Upstream) -> bool:
         """Return whether the last state is recent and found it reachable."""
         return upstream.reachable and boottime_s() - upstream.heard_s <= self._stale_s
--- a/limeshelf/membership/watch.py
+++ b/limeshelf/membership/watch.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from limeshelf.membership.processes import ProcessDirectory
     from limeshelf.membership.upstreams import Upstream, UpstreamDirectory
+    from limeshelf.peers.messages import Heartbeat
     from limeshelf.peers.node import PeerNode
     from limeshelf.upstreams.pool import UpstreamPool
 
@@ -60,6 +61,7 @@
         self._sent: dict[str, tuple[UpstreamState, float]] = {}
         self._items_sent_s: dict[str, float] = {}
         upstreams.add_leaving_listener(self._spread_leaving)
+        processes.add_new_listener(self._tell_newcomer)
 
     def start(self) -> None:
         """Start to assign, watch and share."""
@@ -159,6 +161,14 @@
                 if addresses:
                     self._node.send(random.choice(addresses), message)
 
+    def _tell_newcomer(self, heartbeat: Heartbeat) -> None:
+        """Send all that is watched here to a process that has just started."""
+        watched = filter(None, map(self._upstreams.get, self._watched))
+        states = [_state_of(upstream) for upstream in watched if upstream.boot_id]
+        if states and heartbeat.data_centre == self._upstreams.data_centre:
+            message = UpstreamStates(self._upstreams.data_centre, states)
+            self._node.send(heartbeat.address, message)
+
     def _spread_leaving(self, upstream_id: str, boot_id: str) -> None:
         notice = LeavingNotice(upstream_id, boot_id)
         self._node.send_all(self._processes.centre_addresses(), notice)
--- a/limeshelf/programs/entry.py
+++ b/limeshelf/programs/entry.py
@@ -30,6 +30,10 @@
 from limeshelf.settings.tls import follow_files, open_context
 from limeshelf.upstreams.pool import UpstreamPool
 
+#: A starting process looks this often for the states of upstreams.
+HEAR_LOOKS = 60
+HEAR_PAUSE_S = 0.05
+
 
 class EntryProgram(ProgramService):
     """The entry process."""
@@ -92,9 +96,21 @@
 
     async def _serve(self) -> None:
         await self.process.synchronise()
+        await self._hear_upstreams()
         self.shared.lifecycle.enter(Phase.SERVING)
         self.process.set_serving(True)
 
+    async def _hear_upstreams(self) -> None:
+        """Wait for the states of the upstreams, but not for those out of reach.
+
+        A process that served before it knew who holds what would refuse
+        requests that its peers can serve (tests/features/planned_stop.feature).
+        """
+        for _ in range(HEAR_LOOKS):
+            if self.process.upstreams.all_heard():
+                return
+            await asyncio.sleep(HEAR_PAUSE_S)
+
     async def drain(self, at_once: asyncio.Event) -> int:
         """Stop as planned; return the exit code."""
         entry = self.settings.entry
--- a/limeshelf/programs/process.py
+++ b/limeshelf/programs/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 from typing import TYPE_CHECKING, Any
@@ -49,6 +50,10 @@
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
 EXIT_CUT_OFF = 3
+#: Read by libuv when the first loop is made. Without it, uvloop 0.19 to 0.22
+#: open two io_uring descriptors where the kernel has them
+#: (tests/features/path.feature); 0.23 no longer reads it, hence the pin.
+IO_URING_SWITCH = 'UV_USE_IO_URING'
 #: The programs do no blocking work, so the thread pool stays small.
 POOL_THREADS = 2
 
@@ -188,6 +193,7 @@
         for problem in error.problems:
             sys.stderr.write(f'{settings_file}: {problem.path}: {problem.message}\n')
         return EXIT_BAD_SETTINGS
+    os.environ[IO_URING_SWITCH] = '0'
     set_up_logs(settings.logs)
     service = make(settings)
     # aiomisc's own signal handling ends the loop at once; a planned stop takes
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import sys
 from typing import Annotated
 
@@ -12,6 +13,7 @@
 from aiohttp import web
 
 from standins.engine import Engine, EngineModel, engine_app
+from standins.gate import gate_app
 from standins.plain import PlainService, plain_app
 from standins.platform import platform_app
 
@@ -32,6 +34,7 @@
 
 
 def _run(app: web.Application, port: int) -> None:
+    os.environ['UV_USE_IO_URING'] = '0'
     try:
         uvloop.run(_serve(app, port))
     except KeyboardInterrupt:
@@ -44,6 +47,12 @@
     _run(platform_app(lag_s), port)
 
 
+@program.command()
+def gate(port: Port = 0) -> None:
+    """Run TCP relays that can be cut."""
+    _run(gate_app(), port)
+
+
 @program.command()
 def engine(
     name: str,
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -23,6 +23,7 @@
     :param drop_requests: this many next requests are dropped without effect.
     :param refuse: requests get status 503 without effect.
     :param path_prefix: only paths that start with it are hit.
+    :param cut_centres: data centres whose requests do not get through.
     """
 
     down: bool = False
@@ -31,6 +32,7 @@
     drop_requests: int = 0
     refuse: bool = False
     path_prefix: str = '/'
+    cut_centres: list[str] = attrs.field(factory=list)
 
 
 def add_faults(app: web.Application) -> Faults:
@@ -46,16 +48,15 @@
     async def strike(request: web.Request, handler):
         if request.path.startswith(CONTROL_PREFIX):
             return await handler(request)
-        if not request.path.startswith(faults.path_prefix):
+        if request.match_info.get('centre') in faults.cut_centres:
+            return drop(request)
+        if not path_of(request).startswith(faults.path_prefix):
             return await handler(request)
-        if faults.down or faults.drop_requests > 0:
-            faults.drop_requests = max(0, faults.drop_requests - 1)
+        if faults.down or _strikes(faults, 'drop_requests'):
             return drop(request)
         if faults.refuse:
             return web.Response(status=503)
-        lose = faults.lose_answers > 0
-        if lose:
-            faults.lose_answers -= 1
+        lose = _strikes(faults, 'lose_answers')
         answer = await handler(request)
         if faults.delay_s:
             await asyncio.sleep(faults.delay_s)
@@ -66,6 +67,18 @@
     return faults
 
 
+def _strikes(faults: Faults, name: str) -> bool:
+    left: int = getattr(faults, name)
+    setattr(faults, name, max(0, left - 1))
+    return left > 0
+
+
+def path_of(request: web.Request) -> str:
+    """Return the path without the data centre that the request came from."""
+    centre = request.match_info.get('centre')
+    return request.path if centre is None else request.path.removeprefix(f'/at/{centre}')
+
+
 def drop(request: web.Request) -> web.Response:
     """Cut the connection of *request*; nothing more is sent on it."""
     if request.transport is not None:
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -97,14 +97,23 @@
     """A platform, upstreams and entry instances on this machine.
 
     :param settings: changes to the settings of all instances, by dotted name.
+    :param gates: whether the data centres reach each other's entry instances
+        through relays that can be cut.
     """
 
-    def __init__(self, settings: dict[str, Any] | None = None, lag_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        settings: dict[str, Any] | None = None,
+        lag_s: float = 0.0,
+        gates: bool = False,
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix='limeshelf-'))
         self._all: list[Started] = []
         self.platform = self._start(
             'platform', '-m', 'standins', 'platform', '--lag-s', str(lag_s)
         )
+        self.gate = self._start('gate', '-m', 'standins', 'gate') if gates else None
+        self._gate_ports: dict[str, list[int]] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.instances: dict[str, Instance] = {}
         self._changes = settings or {}
@@ -223,15 +232,32 @@
                 'data_centre': instance.data_centre,
                 'state': state,
                 'peer_addresses': {
-                    name: started.address('peer_port')
+                    name: self._listed_address(instance, started)
                     for name, started in instance.programs.items()
                 },
             }
         )
 
+    def _listed_address(self, instance: Instance, started: Started) -> str:
+        """Return the address that other data centres use: a relay's, if there are relays."""
+        address = started.address('peer_port')
+        if self.gate is None:
+            return address
+        if not self.gate.ports:
+            self._await_ports(self.gate)
+        port = post(f'{self.gate.http}/_open', {'target': address})['port']
+        self._gate_ports.setdefault(instance.data_centre, []).append(port)
+        return f'{HOST}:{port}'
+
+    def cut_peers(self, cut: bool) -> None:
+        """Cut the data centres off from each other, or end that."""
+        assert self.gate is not None
+        for ports in self._gate_ports.values():
+            post(f'{self.gate.http}/_cut', {'ports': ports, 'cut': cut})
+
     def settings(self, instance_id: str, data_centre: str, seeds: list[str]) -> dict[str, Any]:
         """Return the settings document of one instance."""
-        url = self.platform.http
+        url = f'{self.platform.http}/at/{data_centre}'
         document: dict[str, Any] = {
             'instance_id': instance_id,
             'data_centre': data_centre,
@@ -292,12 +318,13 @@
     return words
 
 
-def post(url: str, body: Any, method: str = 'POST') -> None:
-    """Send JSON to a stand-in."""
+def post(url: str, body: Any, method: str = 'POST') -> Any:
+    """Send JSON to a stand-in; return its JSON answer, if it has one."""
     data = json.dumps(body).encode()
     request = urllib.request.Request(url, data=data, method=method)
     with urllib.request.urlopen(request, timeout=10) as answer:
-        answer.read()
+        reply = answer.read()
+    return json.loads(reply) if reply else None
 
 
 def get(url: str) -> Any:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -28,7 +28,7 @@
         self.rows: dict[str, TableRow] = {}
         self.commits: list[dict] = []
 
-    def add_routes(self, app: web.Application) -> None:
+    def add_routes(self, app: CentreRouter) -> None:
         """Add the service's paths."""
         app.router.add_get('/rows', self.scan)
         app.router.add_get('/rows/{key}', self.read)
@@ -82,7 +82,7 @@
     def __init__(self) -> None:
         self.values: dict[str, bytes] = {}
 
-    def add_routes(self, app: web.Application) -> None:
+    def add_routes(self, app: CentreRouter) -> None:
         """Add the service's paths."""
         app.router.add_put('/objects/{key}', self.put)
         app.router.add_get('/objects/{key}', self.get)
@@ -104,7 +104,7 @@
     def __init__(self) -> None:
         self.sizes: dict[str, int] = {}
 
-    def add_routes(self, app: web.Application) -> None:
+    def add_routes(self, app: CentreRouter) -> None:
         """Add the service's paths."""
         app.router.add_get('/manifests/{item}', self.manifest)
         app.router.add_post('/_weights', self.set_sizes)
@@ -129,7 +129,7 @@
         self.lag_s = lag_s
         self.shown: dict[str, dict] = {}
 
-    def add_routes(self, app: web.Application) -> None:
+    def add_routes(self, app: CentreRouter) -> None:
         """Add the service's paths."""
         app.router.add_get('/instances', self.list)
         app.router.add_put('/_instances/{id}', self.put)
@@ -159,10 +159,38 @@
             asyncio.get_running_loop().call_later(self.lag_s, change)
 
 
+class CentreRouter:
+    """Adds each path twice: bare, and under the data centre that it is called from."""
+
+    def __init__(self, app: web.Application) -> None:
+        self.router = self
+        self._app = app
+
+    def _add(self, method: str, path: str, handler) -> None:
+        self._app.router.add_route(method, path, handler)
+        self._app.router.add_route(method, '/at/{centre}' + path, handler)
+
+    def add_get(self, path: str, handler) -> None:
+        """Add a path for GET."""
+        self._add('GET', path, handler)
+
+    def add_post(self, path: str, handler) -> None:
+        """Add a path for POST."""
+        self._add('POST', path, handler)
+
+    def add_put(self, path: str, handler) -> None:
+        """Add a path for PUT."""
+        self._add('PUT', path, handler)
+
+    def add_delete(self, path: str, handler) -> None:
+        """Add a path for DELETE."""
+        self._add('DELETE', path, handler)
+
+
 def platform_app(lag_s: float = 0.0) -> web.Application:
     """Return an app with all four services under one listener."""
     app = web.Application(client_max_size=64 << 20)
     add_faults(app)
     for service in (Table(), Objects(), Weights(), Instances(lag_s)):
-        service.add_routes(app)
+        service.add_routes(CentreRouter(app))
     return app
