--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(PY) tests/run_all.py --only lint
 
 docs: $(STAMP)  ## Build the documentation into docs/_build.
-	$(PY) -m sphinx -W -q -b html docs docs/_build/html
+	$(PY) -m sphinx -E -W -q -b html docs docs/_build/html
 
 bench: $(STAMP)  ## Measure the request path against a direct connection.
 	$(PY) -m benchmarks.path
