--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -23,6 +23,7 @@
         sys.executable,
         '-m',
         'sphinx',
+        '-E',
         '-W',
         '-q',
         '-b',
