--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints ratios of one run."""
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,48 @@
+"""Processor time and memory of a process, and runs of the load-generating client."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from typing import Any
+
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor seconds that a process has used."""
+    with open(f'/proc/{pid}/stat') as file:
+        fields = file.read().rsplit(')', 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    with open(f'/proc/{pid}/statm') as file:
+        return int(file.read().split()[1]) * os.sysconf('SC_PAGE_SIZE')
+
+
+def start_client(url: str, kind: str, **options: float) -> subprocess.Popen[str]:
+    """Start a client process."""
+    words = [word for name, value in options.items() for word in (f'--{name}', str(value))]
+    command = [sys.executable, '-m', 'benchmarks.client', url, kind, *words]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+
+def results(clients: list[subprocess.Popen[str]]) -> dict[str, Any]:
+    """Wait for client processes and add their results up."""
+    outputs = [client.communicate(timeout=120)[0] for client in clients]
+    rows = [json.loads(output) for output in outputs]
+    return {
+        'per_s': sum(row['done'] / row['took_s'] for row in rows),
+        'done': sum(row['done'] for row in rows),
+        'failed': sum(row['failed'] for row in rows),
+        'first_s': sorted(value for row in rows for value in row['first_s']),
+    }
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return the value below which *share* of sorted *values* lie."""
+    return values[min(len(values) - 1, int(share * len(values)))]
