Write decision lines straight to the log handler

Cause: absl's logger walks the stack for each line; 11.4 % of the samples of a streamed request were in it. Ruled out: formatting the line (1.8 %). Change: one LogRecord, handed to the handler.

--- a/limeshelf/metrics/decisions.py
+++ b/limeshelf/metrics/decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging as std_logging
 from collections import OrderedDict
 
 from absl import logging
@@ -37,13 +38,21 @@
         if len(self._lines) > KEPT_SUBJECTS:
             self._lines.popitem(last=False)
         if self._enabled:
-            logging.info('%s', line)
+            _write(line)
 
     def lines(self, subject: str) -> list[str]:
         """Return the kept lines about *subject*, oldest first."""
         return list(self._lines.get(subject, ()))
 
 
+def _write(line: str) -> None:
+    # Straight to the handler: the logger would walk the stack for the place of
+    # the call, which took a tenth of a request's time and is always this one.
+    logging.get_absl_handler().handle(
+        std_logging.LogRecord('absl', std_logging.INFO, __file__, 0, line, None, None)
+    )
+
+
 def _text(value: object) -> str:
     if isinstance(value, float):
         return f'{value:.4g}'
