Find the holders of an item by an index

Cause: the candidates of each request were found by a walk over all engines. Change: the upstream directory keeps the holders of each item; a state machine holds the index against a walk.

--- a/limeshelf/membership/upstreams.py
+++ b/limeshelf/membership/upstreams.py
@@ -7,6 +7,7 @@
 import attrs
 from absl import logging
 
+from limeshelf.config.items import unversioned
 from limeshelf.platform.instances import Listed, ListedKind, ListedState
 from limeshelf.util.clock import boottime_s
 
@@ -60,6 +61,8 @@
         self.data_centre = data_centre
         self._stale_s = stale_s
         self._upstreams: dict[str, Upstream] = {}
+        #: Upstreams that hold some version of an item, by its unversioned name.
+        self._holders: dict[str, set[str]] = {}
         self._leaving_listeners: list[Callable[[str, str], None]] = []
 
     def add_leaving_listener(self, listener: Callable[[str, str], None]) -> None:
@@ -72,7 +75,7 @@
             line.instance_id: line for line in instances if line.kind is not ListedKind.ENTRY
         }
         for upstream_id in [known for known in self._upstreams if known not in listed]:
-            del self._upstreams[upstream_id]
+            self._set_items(self._upstreams.pop(upstream_id), frozenset())
             logging.info('upstream=%s state=unlisted', upstream_id)
         for upstream_id, line in listed.items():
             self._take_line(upstream_id, line)
@@ -84,6 +87,7 @@
             logging.info('upstream=%s state=listed kind=%s', upstream_id, line.kind)
             return
         if line.address != known.listed.address:
+            self._set_items(known, frozenset())
             self._upstreams[upstream_id] = Upstream(line, left_boot_ids=known.left_boot_ids)
             return
         known.listed = line
@@ -97,7 +101,7 @@
             return
         if state.boot_id and state.boot_id != known.boot_id:
             known.boot_id = state.boot_id
-            known.ready_items = frozenset()
+            self._set_items(known, frozenset())
         known.sequence = state.sequence
         if state.reachable != known.reachable:
             logging.info(
@@ -109,10 +113,20 @@
         known.running = state.running
         known.heard_s = boottime_s()
         if state.ready_items is not None:
-            known.ready_items = frozenset(state.ready_items)
+            self._set_items(known, frozenset(state.ready_items))
         if state.leaving:
             self.mark_leaving(state.upstream_id, state.boot_id)
 
+    def _set_items(self, upstream: Upstream, items: frozenset[str]) -> None:
+        """Note what an upstream holds, and keep the index of holders in step."""
+        if items == upstream.ready_items:
+            return
+        for name in map(unversioned, upstream.ready_items - items):
+            self._holders.get(name, set()).discard(upstream.upstream_id)
+        for name in map(unversioned, items):
+            self._holders.setdefault(name, set()).add(upstream.upstream_id)
+        upstream.ready_items = items
+
     def mark_leaving(self, upstream_id: str, boot_id: str) -> None:
         """Give this boot of the upstream no new work from now on."""
         known = self._upstreams.get(upstream_id)
@@ -144,6 +158,11 @@
         """Return all engines."""
         return [u for u in self._upstreams.values() if u.listed.kind is ListedKind.ENGINE]
 
+    def holders(self, item_id: str) -> list[Upstream]:
+        """Return the engines that hold the item in this or another version."""
+        ids = self._holders.get(unversioned(item_id), ())
+        return [self._upstreams[upstream_id] for upstream_id in ids]
+
     def plain(self, service: str) -> list[Upstream]:
         """Return all replicas of a plain service."""
         return [
--- a/limeshelf/routing/candidates.py
+++ b/limeshelf/routing/candidates.py
@@ -49,7 +49,7 @@
     """
     willing = [
         u
-        for u in upstreams.engines()
+        for u in upstreams.holders(item_id)
         if upstreams.takes_work(u, drained) and u.upstream_id not in tried
     ]
     kinds: dict[int, list[Candidate]] = {}
