Make the cost of a change and of a placement round fit many models

Cause: each change turned the whole document to JSON and back; the planner asked every engine about every model; the reader of the platform sent the instance list to every peer twice a second, changed or not. Change: only changed entities are checked; a view keeps its holders by item; the list is sent when it changes and every 30 s.

--- a/limeshelf/config/delta.py
+++ b/limeshelf/config/delta.py
@@ -6,14 +6,28 @@
 
 import attrs
 
-from limeshelf.config.document import Document
+from limeshelf.config.document import (
+    Binding,
+    Deployment,
+    Document,
+    Policy,
+    Route,
+    Split,
+)
+from limeshelf.errors import InvalidDocument, Problem
 from limeshelf.settings.structure import structure, unstructure
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-#: The lists of a document whose members have a name.
-NAMED_SECTIONS = ('deployments', 'policies', 'routes', 'splits', 'bindings')
+#: The lists of a document whose members have a name, and their classes.
+SECTION_TYPES: dict[str, type[Any]] = {
+    'deployments': Deployment,
+    'policies': Policy,
+    'routes': Route,
+    'splits': Split,
+    'bindings': Binding,
+}
 DRAINED_SECTION = 'drained_upstreams'
 
 
@@ -46,36 +60,57 @@
     before = _entities(old)
     after = _entities(new)
     changes = [Change(*key) for key in before if key not in after]
-    changes += [Change(*key, entity) for key, entity in after.items() if before.get(key) != entity]
+    for key, entity in after.items():
+        if key not in before or before[key] != entity:
+            changes.append(Change(*key, entity=_plain(entity)))
     return changes
 
 
 def apply_changes(document: Document, changes: list[Change]) -> Document:
-    """Return *document* with *changes* made in their order."""
+    """Return *document* with *changes* made in their order.
+
+    Only the changed entities are checked; the others are taken as they are,
+    so that the cost of a change hardly depends on the document's size.
+
+    :raises InvalidDocument: for an unknown section or a malformed entity.
+    """
     entities = _entities(document)
     for change in changes:
         key = (change.section, change.name)
         if change.entity is None:
             entities.pop(key, None)
         else:
-            entities[key] = change.entity
+            entities[key] = _entity(change)
     return _document(entities)
 
 
-def _entities(document: Document) -> dict[tuple[str, str], dict[str, Any]]:
-    plain = document_to_json(document)
-    found = {
-        (section, entity['name']): entity
-        for section in NAMED_SECTIONS
-        for entity in plain[section]
+def _entities(document: Document) -> dict[tuple[str, str], Any]:
+    found: dict[tuple[str, str], Any] = {
+        (section, entity.name): entity
+        for section in SECTION_TYPES
+        for entity in getattr(document, section)
     }
-    for upstream_id in plain[DRAINED_SECTION]:
-        found[(DRAINED_SECTION, upstream_id)] = {}
+    for upstream_id in document.drained_upstreams:
+        found[(DRAINED_SECTION, upstream_id)] = upstream_id
     return found
 
 
-def _document(entities: Mapping[tuple[str, str], dict[str, Any]]) -> Document:
-    plain: dict[str, list[Any]] = {name: [] for name in (*NAMED_SECTIONS, DRAINED_SECTION)}
-    for (section, name), entity in entities.items():
-        plain[section].append(name if section == DRAINED_SECTION else entity)
-    return document_from_json(plain)
+def _plain(entity: Any) -> dict[str, Any]:
+    plain: dict[str, Any] = {} if isinstance(entity, str) else unstructure(entity)
+    return plain
+
+
+def _entity(change: Change) -> Any:
+    if change.section == DRAINED_SECTION:
+        return change.name
+    kind = SECTION_TYPES.get(change.section)
+    if kind is None:
+        raise InvalidDocument([Problem(change.section, 'unknown section')])
+    return structure(change.entity, kind)
+
+
+def _document(entities: Mapping[tuple[str, str], Any]) -> Document:
+    lists: dict[str, list[Any]] = {name: [] for name in (*SECTION_TYPES, DRAINED_SECTION)}
+    for (section, _), entity in entities.items():
+        lists[section].append(entity)
+    return Document(**lists)
--- a/limeshelf/placement/planner.py
+++ b/limeshelf/placement/planner.py
@@ -86,7 +86,7 @@
     ready = ready_room(unit, view)
     if ready is not None:
         return [Move(MoveKind.ANCHOR, unit.model, ready.upstream_id, unit.base, 'take-over')]
-    if any(unit.base.item_id in room.possible_ids for room in view.own_rooms()):
+    if view.possible_own(unit.base.item_id):
         return []
     return load_somewhere(unit, view, reserved, 'take-over')
 
@@ -98,7 +98,7 @@
     ready = ready_room(unit, view)
     if ready is not None:
         return [Move(MoveKind.ANCHOR, unit.model, ready.upstream_id, unit.base, 'replace')]
-    if any(unit.base.item_id in room.possible_ids for room in view.own_rooms()):
+    if view.possible_own(unit.base.item_id):
         return []
     loads = load_somewhere(unit, view, reserved, 'replace')
     if loads or anchor.handoff:
@@ -121,7 +121,7 @@
         ready = ready_room(unit, view)
         if ready is not None:
             return [Move(MoveKind.ANCHOR, unit.model, ready.upstream_id, unit.base, 'fit')]
-        if not any(unit.base.item_id in other.possible_ids for other in view.own_rooms()):
+        if not view.possible_own(unit.base.item_id):
             return load_somewhere(unit, view, reserved, 'fit')
         return []
     reserved[room.upstream_id] = reserved.get(room.upstream_id, 0) + missing_bytes
@@ -143,8 +143,8 @@
     """Load adapters in use onto further replicas that lack them."""
     anchor = view.anchors.get(unit.model)
     moves: list[Move] = []
-    for room in view.own_rooms():
-        if unit.base.item_id not in room.sure_ids:
+    for room in view.replicas(unit.base.item_id):
+        if not room.own:
             continue
         if anchor is not None and anchor.upstream_id == room.upstream_id:
             continue
@@ -173,7 +173,7 @@
     """Unload what no deployment names, once the new version stands."""
     deployed = {item.item_id: item for unit in view.units.values() for item in unit.items}
     moves: list[Move] = []
-    for room in view.own_rooms():
+    for room in view.own_rooms:
         for item_id in sorted(room.sure_ids - deployed.keys(), reverse=True):
             unit = view.units.get(model_of(item_id))
             if unit is not None and not _is_replaced(item_id, unit, view):
--- a/limeshelf/placement/policies.py
+++ b/limeshelf/placement/policies.py
@@ -112,14 +112,16 @@
 
     def propose(self, view: PlacementView) -> list[Move]:
         """Return at most one addition, with the unloads it needs."""
+        least_load = min((room.load for room in view.own_rooms), default=0.0)
         for unit in sorted(view.units.values(), key=_gain, reverse=True):
             if unit.load <= 0 or self._is_settling(unit, view.now_s):
                 continue
-            room = _emptiest(unit, view)
             holders = view.replicas(unit.base.item_id)
-            if room is None or not holders:
+            lightest_load = min((holder.load for holder in holders), default=0.0)
+            if lightest_load - least_load < self.gap_load:
                 continue
-            if min(holder.load for holder in holders) - room.load < self.gap_load:
+            room = _emptiest(unit, view)
+            if room is None or lightest_load - room.load < self.gap_load:
                 continue
             needed_bytes = unit.base.total_bytes
             moves = eviction_moves(unit, room, view, needed_bytes, {}, self.idle_s)
@@ -139,7 +141,7 @@
 
 def _emptiest(unit: UnitView, view: PlacementView) -> RoomView | None:
     """Return the own engine with the least load that lacks the unit."""
-    lacking = [r for r in view.own_rooms() if unit.base.item_id not in r.possible_ids]
+    lacking = [r for r in view.own_rooms if unit.base.item_id not in r.possible_ids]
     return min(lacking, key=lambda r: (r.load, -r.free_bytes), default=None)
 
 
--- a/limeshelf/placement/rooms.py
+++ b/limeshelf/placement/rooms.py
@@ -16,7 +16,8 @@
 def ready_room(unit: UnitView, view: PlacementView) -> RoomView | None:
     """Return an own engine on which the whole unit is surely ready."""
     wanted = {item.item_id for item in unit.items}
-    ready = [room for room in view.own_rooms() if wanted <= room.sure_ids]
+    holders = [room for room in view.replicas(unit.base.item_id) if room.own]
+    ready = [room for room in holders if wanted <= room.sure_ids]
     return min(ready, key=lambda r: (r.load, r.upstream_id), default=None)
 
 
@@ -24,7 +25,7 @@
     """Return the own engine with the most free memory that the whole unit fits."""
     fitting = [
         room
-        for room in view.own_rooms()
+        for room in view.own_rooms
         if room.free_bytes - reserved.get(room.upstream_id, 0) >= unit.total_bytes
     ]
     return max(
@@ -45,7 +46,7 @@
     unit: UnitView, view: PlacementView, reserved: dict[str, int], reason: str
 ) -> list[Move]:
     """Return loads of *unit* on a further own engine, or the unloads they need first."""
-    lacking = [r for r in view.own_rooms() if unit.base.item_id not in r.possible_ids]
+    lacking = [r for r in view.own_rooms if unit.base.item_id not in r.possible_ids]
     narrowed = attrs.evolve(view, rooms={room.upstream_id: room for room in lacking})
     room = roomiest(unit, narrowed, reserved)
     if room is not None:
--- a/limeshelf/placement/view.py
+++ b/limeshelf/placement/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 
 import attrs
 
@@ -89,13 +90,37 @@
     anchors: dict[str, AnchorView]
     ranks: dict[str, int]
 
+    @functools.cached_property
     def own_rooms(self) -> list[RoomView]:
         """Return the engines that this placer orders and that are open."""
         return [room for room in self.rooms.values() if room.own and room.open]
 
-    def replicas(self, base_id: str) -> list[RoomView]:
-        """Return the open engines on which the base item is surely ready."""
-        return [r for r in self.rooms.values() if r.open and base_id in r.sure_ids]
+    @functools.cached_property
+    def _holders(self) -> dict[str, list[RoomView]]:
+        """Return the open engines by item that is surely ready there."""
+        holders: dict[str, list[RoomView]] = {}
+        for room in self.rooms.values():
+            if room.open:
+                for item_id in room.sure_ids:
+                    holders.setdefault(item_id, []).append(room)
+        return holders
+
+    @functools.cached_property
+    def _possible_own(self) -> dict[str, list[RoomView]]:
+        """Return the own open engines by item that may be in their memory."""
+        holders: dict[str, list[RoomView]] = {}
+        for room in self.own_rooms:
+            for item_id in room.possible_ids:
+                holders.setdefault(item_id, []).append(room)
+        return holders
+
+    def replicas(self, item_id: str) -> list[RoomView]:
+        """Return the open engines on which the item is surely ready."""
+        return self._holders.get(item_id, [])
+
+    def possible_own(self, item_id: str) -> list[RoomView]:
+        """Return the own open engines that may hold the item."""
+        return self._possible_own.get(item_id, [])
 
 
 class MoveKind(enum.StrEnum):
--- a/limeshelf/revisions/sync.py
+++ b/limeshelf/revisions/sync.py
@@ -43,6 +43,9 @@
 #: One process of a data centre reads the platform for all; the others look by
 #: themselves this much less often, which covers the time without a reader.
 IDLE_READ_FACTOR = 20
+#: An unchanged instance list is sent again after this time, for peers that
+#: missed it; a starting process reads the list by itself.
+LISTED_REFRESH_S = 30.0
 
 
 class RevisionSync:
@@ -71,6 +74,8 @@
         self._reads_platform = reads_platform
         self._listed_listeners: list[Callable[[list[Listed]], None]] = []
         self._read_s = float('-inf')
+        self._told_listed: list[Listed] = []
+        self._told_listed_s = float('-inf')
         self._pulled: dict[str, float] = {}
         node.add_handler(ConfigChanges, self._take_changes)
         node.add_handler(ConfigSnapshot, self._take_snapshot)
@@ -150,10 +155,17 @@
             return False
         self._use_listed(listed)
         if self._reads_platform():
-            message = ListedInstances(listed)
-            self._node.send_all(self._processes.centre_addresses(), message)
+            self._tell_listed(listed)
         return True
 
+    def _tell_listed(self, listed: list[Listed]) -> None:
+        """Send the list to the data centre when it changed, and now and then."""
+        now_s = boottime_s()
+        if listed == self._told_listed and now_s - self._told_listed_s < LISTED_REFRESH_S:
+            return
+        self._told_listed, self._told_listed_s = listed, now_s
+        self._node.send_all(self._processes.centre_addresses(), ListedInstances(listed))
+
     def _use_listed(self, listed: list[Listed]) -> None:
         self._processes.take_listed(listed)
         for listener in self._listed_listeners:
