Let a process that starts without the platform learn who the upstreams are

Cause: the instance list was read from the platform only, or sent by its reader while it could read it; a process started in an outage had no upstreams and refused every request. Ruled out: the peers' states (they came, and were dropped because their upstreams were not listed). Change: the reader of the platform sends a newcomer the list it has; states that come before the list are kept. Before: configuration.feature 'it answers a request' failed with 503; after: 7 scenarios passed.

--- a/limeshelf/membership/upstreams.py
+++ b/limeshelf/membership/upstreams.py
@@ -17,6 +17,10 @@
     from limeshelf.peers.messages import UpstreamState
 
 
+#: States kept for upstreams that are not listed yet.
+EARLY_LIMIT = 10_000
+
+
 @attrs.define
 class Upstream:
     """One upstream as this process knows it.
@@ -63,6 +67,7 @@
         self._upstreams: dict[str, Upstream] = {}
         #: Upstreams that hold some version of an item, by its unversioned name.
         self._holders: dict[str, set[str]] = {}
+        self._early: dict[str, UpstreamState] = {}
         self._leaving_listeners: list[Callable[[str, str], None]] = []
 
     def add_leaving_listener(self, listener: Callable[[str, str], None]) -> None:
@@ -85,6 +90,9 @@
         if known is None:
             self._upstreams[upstream_id] = Upstream(line)
             logging.info('upstream=%s state=listed kind=%s', upstream_id, line.kind)
+            early = self._early.pop(upstream_id, None)
+            if early is not None:
+                self.take_state(early)
             return
         if line.address != known.listed.address:
             self._set_items(known, frozenset())
@@ -96,6 +104,7 @@
         """Take in a state, unless it is older than the one known."""
         known = self._upstreams.get(state.upstream_id)
         if known is None:
+            self._keep_early(state)
             return
         if state.boot_id == known.boot_id and state.sequence < known.sequence:
             return
@@ -117,6 +126,11 @@
         if state.leaving:
             self.mark_leaving(state.upstream_id, state.boot_id)
 
+    def _keep_early(self, state: UpstreamState) -> None:
+        """Keep a state that came before the list that names its upstream."""
+        if len(self._early) < EARLY_LIMIT and state.ready_items is not None:
+            self._early[state.upstream_id] = state
+
     def _set_items(self, upstream: Upstream, items: frozenset[str]) -> None:
         """Note what an upstream holds, and keep the index of holders in step."""
         if items == upstream.ready_items:
--- a/limeshelf/revisions/sync.py
+++ b/limeshelf/revisions/sync.py
@@ -74,6 +74,7 @@
         self._reads_platform = reads_platform
         self._listed_listeners: list[Callable[[list[Listed]], None]] = []
         self._read_s = float('-inf')
+        self._listed: list[Listed] = []
         self._told_listed: list[Listed] = []
         self._told_listed_s = float('-inf')
         self._pulled: dict[str, float] = {}
@@ -82,6 +83,7 @@
         node.add_handler(ConfigPull, self._answer_pull)
         node.add_handler(Heartbeat, self._compare)
         node.add_handler(ListedInstances, self._take_listed)
+        processes.add_new_listener(self._greet)
 
     def add_listed_listener(self, listener: Callable[[list[Listed]], None]) -> None:
         """Call *listener* with each new instance list."""
@@ -167,10 +169,21 @@
         self._node.send_all(self._processes.centre_addresses(), ListedInstances(listed))
 
     def _use_listed(self, listed: list[Listed]) -> None:
+        self._listed = listed
         self._processes.take_listed(listed)
         for listener in self._listed_listeners:
             listener(listed)
 
+    def _greet(self, newcomer: Heartbeat) -> None:
+        """Send the instance list to a process that has just started.
+
+        It may have started while the platform is down
+        (tests/features/configuration.feature).
+        """
+        near = newcomer.data_centre == self._processes.own.data_centre
+        if near and self._listed and self._reads_platform():
+            self._node.send(newcomer.address, ListedInstances(self._listed))
+
     def _ask_peers(self) -> None:
         addresses = self._processes.centre_addresses()
         self._node.send_all(addresses, ConfigPull(self._config.revision))
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -32,3 +32,4 @@
   Scenario: A fresh instance starts while the platform is down
     When the platform is down and a fresh instance of "x" starts
     Then it serves at the highest revision of its peers
+    And it answers a request
--- a/tests/features/steps/world_steps.py
+++ b/tests/features/steps/world_steps.py
@@ -460,7 +460,16 @@
     url = context.fresh.url
     wait_until(lambda: get(f'{url}/ready')['phase'] == 'serving', 15)
     assert get(f'{url}/ready')['revision'] == context.revision
-    context.world.system.fault('platform', '_faults', down=False)
+
+
+@then('it answers a request')
+def fresh_answers(context) -> None:
+    try:
+        body = {'model': 'm1', 'messages': [{'role': 'user', 'content': 'a'}], 'max_tokens': 2}
+        reply = post(f'{context.fresh.url}/v1/chat/completions', body)
+        assert reply['choices'][0]['finish_reason'] == 'stop'
+    finally:
+        context.world.system.fault('platform', '_faults', down=False)
 
 
 @when('entry processes are killed and replaced {number:d} times')
