--- /dev/null
+++ b/limeshelf/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: the decision code on a virtual clock before models of engines."""
--- a/limeshelf/util/clock.py
+++ b/limeshelf/util/clock.py
@@ -2,7 +2,31 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+@attrs.define
+class VirtualClock:
+    """A clock that is moved by hand, for experiments and tests."""
+
+    now_s: float = 1000.0
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock forward."""
+        self.now_s += seconds
+
+
+#: Wall clock time at which a virtual clock starts.
+VIRTUAL_EPOCH_S = 1.7e9
+
+_virtual: VirtualClock | None = None
 
 
 def boottime_s() -> float:
@@ -11,9 +35,25 @@
     Leases are judged on it, because wall clocks jump and because
     ``CLOCK_MONOTONIC`` stands still while a machine is suspended.
     """
+    if _virtual is not None:
+        return _virtual.now_s
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def wall_s() -> float:
     """Return wall clock seconds since the epoch, for records that people read."""
+    if _virtual is not None:
+        return VIRTUAL_EPOCH_S + _virtual.now_s
     return time.time()
+
+
+@contextlib.contextmanager
+def virtual_clock() -> Iterator[VirtualClock]:
+    """Replace both clocks of this process by one that is moved by hand."""
+    global _virtual
+    before = _virtual
+    _virtual = VirtualClock()
+    try:
+        yield _virtual
+    finally:
+        _virtual = before
--- a/tests/support/engine.py
+++ b/tests/support/engine.py
@@ -14,6 +14,7 @@
     OrderAnswer,
     OrderRefusal,
 )
+from tests.support.clock import wall
 
 
 class OracleEngine:
@@ -65,7 +66,7 @@
         return report
 
     def take(self, order: Order) -> OrderRefusal:
-        if self.clock.time() > order.expires_unix_s:
+        if wall(self.clock) > order.expires_unix_s:
             return OrderRefusal.EXPIRED
         if self.checks_fence:
             if order.boot_id != f'{self.name}-boot{self.boots}':
