--- /dev/null
+++ b/limeshelf/experiment/report.py
@@ -0,0 +1,113 @@
+"""Sets the results of an experiment side by side."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from limeshelf.config.document import PriorityClass
+from limeshelf.experiment.systems import BOUND, NAIVE
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from limeshelf.experiment.measures import RunResult
+
+HEADINGS = (
+    'profile',
+    'variant',
+    'system',
+    'met per engine s',
+    'attainment',
+    'of bound',
+    'high',
+    'low',
+    'refused',
+    'unreachable',
+    'moves',
+    'of naive',
+)
+
+
+@attrs.frozen
+class Summary:
+    """Means over the seeds, with the spread of the attainment."""
+
+    profile: str
+    variant: str
+    system: str
+    met_per_engine_s: float
+    attainment_ratio: float
+    attainment_spread: float
+    high_ratio: float
+    low_ratio: float
+    refused: float
+    unreachable: float
+    moves: float
+    loaded_bytes: float
+    overcommitted: bool
+
+
+def summarise(results: Sequence[RunResult]) -> list[Summary]:
+    """Return a summary for each profile, variant and system, in their order."""
+    groups: dict[tuple[str, str, str], list[RunResult]] = {}
+    for result in results:
+        groups.setdefault((result.profile, result.variant, result.system), []).append(result)
+    return [_summary(key, rows) for key, rows in groups.items()]
+
+
+def _summary(key: tuple[str, str, str], rows: list[RunResult]) -> Summary:
+    def mean(values: list[float]) -> float:
+        return sum(values) / len(values)
+
+    attained = [row.attainment_ratio for row in rows]
+    counts = [count for row in rows for count in row.classes.values()]
+    return Summary(
+        *key,
+        met_per_engine_s=mean([row.met_per_engine_s for row in rows]),
+        attainment_ratio=mean(attained),
+        attainment_spread=max(attained) - min(attained),
+        high_ratio=mean([row.class_ratio(PriorityClass.HIGH) for row in rows]),
+        low_ratio=mean([row.class_ratio(PriorityClass.LOW) for row in rows]),
+        refused=sum(count.refused for count in counts) / len(rows),
+        unreachable=sum(count.unreachable for count in counts) / len(rows),
+        moves=mean([float(row.moves) for row in rows]),
+        loaded_bytes=mean([float(row.loaded_bytes) for row in rows]),
+        overcommitted=any(row.overcommitted for row in rows),
+    )
+
+
+def table_rows(summaries: Sequence[Summary]) -> list[tuple[object, ...]]:
+    """Return the rows under :data:`HEADINGS`."""
+    found = {(s.profile, s.variant, s.system): s for s in summaries}
+    rows: list[tuple[object, ...]] = []
+    for s in summaries:
+        bound = found.get((s.profile, s.variant, BOUND.name))
+        naive = found.get((s.profile, s.variant, NAIVE.name))
+        rows.append(
+            (
+                s.profile,
+                s.variant,
+                s.system,
+                f'{s.met_per_engine_s:.2f}',
+                f'{s.attainment_ratio:.3f} ± {s.attainment_spread / 2:.3f}',
+                _share(s.attainment_ratio, bound.attainment_ratio if bound else 0.0),
+                f'{s.high_ratio:.3f}',
+                f'{s.low_ratio:.3f}',
+                f'{s.refused:.0f}',
+                f'{s.unreachable:.0f}',
+                f'{s.moves:.0f}' + (' OVERCOMMITTED' if s.overcommitted else ''),
+                _share(s.moves, naive.moves if naive else 0.0),
+            )
+        )
+    return rows
+
+
+def to_json(results: Sequence[RunResult]) -> list[dict[str, Any]]:
+    """Return all results as plain JSON."""
+    return [attrs.asdict(result) for result in results]
+
+
+def _share(value: float, whole: float) -> str:
+    return f'{value / whole:.2f}' if whole else '-'
--- /dev/null
+++ b/limeshelf/experiment/systems.py
@@ -0,0 +1,78 @@
+"""The systems that an experiment sets side by side."""
+
+from __future__ import annotations
+
+import attrs
+
+from limeshelf.config.document import Binding, NumberParameter, Policy, PolicyKind
+
+
+@attrs.frozen
+class System:
+    """A set of policies.
+
+    :param unlimited_memory: every engine holds everything from the start. No
+        placement can do better, whatever it knows of the demand, so this is
+        the upper bound.
+    """
+
+    name: str
+    placement: Policy
+    admission: Policy
+    priority: Policy
+    routing: Policy
+    unlimited_memory: bool = False
+
+    @property
+    def policies(self) -> list[Policy]:
+        """Return the four policies."""
+        return [self.placement, self.admission, self.priority, self.routing]
+
+    @property
+    def bindings(self) -> list[Binding]:
+        """Return what puts them in force."""
+        return [Binding(policy.kind, policy.name) for policy in self.policies]
+
+
+def _policy(kind: PolicyKind, implementation: str, **numbers: float) -> Policy:
+    parameters = [NumberParameter(name, value) for name, value in numbers.items()]
+    return Policy(f'{kind}-{implementation}', kind, implementation, parameters)
+
+
+def make_system(
+    name: str,
+    placement: str,
+    admission: str,
+    priority: str,
+    routing: str,
+    unlimited_memory: bool = False,
+    **placement_numbers: float,
+) -> System:
+    """Return a system of the named implementations."""
+    return System(
+        name,
+        _policy(PolicyKind.PLACEMENT, placement, **placement_numbers),
+        _policy(PolicyKind.ADMISSION, admission),
+        _policy(PolicyKind.PRIORITY, priority),
+        _policy(PolicyKind.ROUTING, routing),
+        unlimited_memory,
+    )
+
+
+STATIC = make_system('static', 'static', 'always', 'flat', 'least-connections')
+NAIVE = make_system('naive-swap', 'least-recently-used', 'always', 'flat', 'least-connections')
+OURS = make_system('ours', 'spread', 'estimate', 'class-rank', 'first-token-estimate')
+FEWER_MOVES = make_system(
+    'ours-fewer-moves',
+    'spread',
+    'estimate',
+    'class-rank',
+    'first-token-estimate',
+    gap_load=10.0,
+    settle_s=60.0,
+    idle_s=60.0,
+)
+BOUND = make_system(
+    'bound', 'static', 'estimate', 'class-rank', 'first-token-estimate', unlimited_memory=True
+)
+SYSTEMS = {system.name: system for system in (STATIC, NAIVE, OURS, FEWER_MOVES, BOUND)}
--- /dev/null
+++ b/limeshelf/experiment/table.py
@@ -0,0 +1,42 @@
+"""A table service inside the process, for experiments."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from limeshelf.platform.table import Committed, Conflicted, Row
+
+if TYPE_CHECKING:
+    from limeshelf.platform.table import Condition, TransactOutcome, Write
+
+
+class MemoryTable:
+    """Rows with versions; answers at once and never fails."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Row] = {}
+
+    async def read(self, key: str) -> Row:
+        """Return one row."""
+        return self._rows.get(key, Row(key, 0, None))
+
+    async def scan(self, prefix: str) -> list[Row]:
+        """Return the rows whose key starts with a prefix."""
+        return [row for key, row in sorted(self._rows.items()) if key.startswith(prefix)]
+
+    async def transact(self, conditions: list[Condition], writes: list[Write]) -> TransactOutcome:
+        """Write all rows if every condition holds."""
+        current = [(await self.read(c.key), c.version) for c in conditions]
+        failed = [row for row, version in current if row.version != version]
+        if failed:
+            return Conflicted(failed)
+        versions: dict[str, int] = {}
+        for write in writes:
+            version = (await self.read(write.key)).version + 1
+            value: dict[str, Any] | None = write.value
+            self._rows[write.key] = Row(write.key, version, value)
+            versions[write.key] = version
+        return Committed(versions)
+
+    async def close(self) -> None:
+        """Do nothing."""
