Let old spare replicas make place for new versions; time the recoveries

Cause: with memory full of further replicas, a change of version of all models stood still for ever: replicas of old versions were neither deployed, so no eviction took them, nor replaced, so the gate kept them. Found by make recovery (no order within 30 s after the leader was killed and all versions changed). Change: an old version beside its anchor may go while the anchor holds it too. Before: tests/placement/test_rollout.py 2 failed; after: 2 passed, and all of tests/placement.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOAK_ARGS ?=
 EXPERIMENT_ARGS ?=
 
-.PHONY: help demo test lint docs bench capacity soak mutate experiment proto lock clean
+.PHONY: help demo test lint docs bench recovery capacity soak mutate experiment proto lock clean
 
 help:  ## Show this list.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 14
@@ -33,6 +33,9 @@
 bench: $(STAMP)  ## Measure the request path against a direct connection.
 	$(PY) -m benchmarks.path
 
+recovery: $(STAMP)  ## Measure the times of recovery from each kind of failure.
+	$(PY) -m benchmarks.recovery
+
 capacity: $(STAMP)  ## Measure the slopes that docs/CAPACITY.md is worked out from.
 	$(PY) -m benchmarks.capacity
 
--- a/limeshelf/placement/gate.py
+++ b/limeshelf/placement/gate.py
@@ -32,7 +32,9 @@
         elif item_id in {item.item_id for item in unit.items}:
             allowed = self._is_spare(unit, item_id, upstream_id)
         else:
-            allowed = self._is_replaced(unit, item_id)
+            allowed = self._is_replaced(unit, item_id) or self._is_old_spare(
+                unit, item_id, upstream_id
+            )
         if allowed:
             self._removed.add((item_id, upstream_id))
         return allowed
@@ -57,6 +59,17 @@
             self._is_ready(item.item_id, anchor.upstream_id) for item in unit.items
         )
 
+    def _is_old_spare(self, unit: UnitView, item_id: str, upstream_id: str) -> bool:
+        """Return whether the anchor itself holds this old version still.
+
+        Without this, replicas of old versions could fill the memory that the
+        new ones need (tests/placement/test_rollout.py).
+        """
+        if self._anchors.may_be_anchored(unit.model, upstream_id):
+            return False
+        anchor = self._view.anchors.get(unit.model)
+        return anchor is not None and self._is_ready(item_id, anchor.upstream_id)
+
     def _is_ready(self, item_id: str, upstream_id: str) -> bool:
         return upstream_id in self._holders(item_id)
 
--- a/limeshelf/placement/ledger.py
+++ b/limeshelf/placement/ledger.py
@@ -105,6 +105,11 @@
         ready = {i.item_id for i in self.report.items if i.state is ItemState.READY}
         return ready - going
 
+    def held_bytes(self) -> dict[str, int]:
+        """Return the bytes of each item in memory, as last reported."""
+        held = self.report.items if self.report else []
+        return {item.item_id: item.total_bytes for item in held}
+
     def open_ids(self, action: OrderAction) -> set[str]:
         """Return the items that open orders of this kind are about."""
         return {o.order.item_id for o in self.open_orders if o.order.action is action}
--- a/limeshelf/placement/placer.py
+++ b/limeshelf/placement/placer.py
@@ -214,6 +214,7 @@
                 frozenset(worker.ledger.possible_ids()),
                 frozenset(worker.ledger.sure_ids()),
                 float(upstream.running),
+                worker.ledger.held_bytes(),
             )
         return RoomView(
             upstream.upstream_id,
--- a/limeshelf/placement/rooms.py
+++ b/limeshelf/placement/rooms.py
@@ -6,10 +6,10 @@
 
 import attrs
 
+from limeshelf.config.items import Item, model_of
 from limeshelf.placement.view import Move, MoveKind
 
 if TYPE_CHECKING:
-    from limeshelf.config.items import Item
     from limeshelf.placement.view import PlacementView, RoomView, UnitView
 
 
@@ -83,6 +83,12 @@
     """
     short_bytes = needed_bytes - room.free_bytes + reserved.get(room.upstream_id, 0)
     moves: list[Move] = []
+    for item_id in _old_spares(room, view):
+        if short_bytes <= 0:
+            break
+        item = Item(item_id, '', 0, 0)
+        moves.append(Move(MoveKind.UNLOAD, model_of(item_id), room.upstream_id, item, 'evict-old'))
+        short_bytes -= room.held_bytes.get(item_id, 0)
     for other in sorted(view.units.values(), key=lambda u: (-u.idle_s, u.model)):
         if short_bytes <= 0:
             break
@@ -95,6 +101,21 @@
     return moves if short_bytes <= 0 else []
 
 
+def _old_spares(room: RoomView, view: PlacementView) -> list[str]:
+    """Return old versions on *room* that their anchors hold too, adapters first."""
+    found = []
+    for item_id in sorted(room.sure_ids, reverse=True):
+        unit = view.units.get(model_of(item_id))
+        if unit is None or any(item.item_id == item_id for item in unit.items):
+            continue
+        anchor = view.anchors.get(unit.model)
+        if anchor is None or anchor.upstream_id == room.upstream_id:
+            continue
+        if any(r.upstream_id == anchor.upstream_id for r in view.replicas(item_id)):
+            found.append(item_id)
+    return found
+
+
 def _is_spare(unit: UnitView, room: RoomView, view: PlacementView, idle_s: float) -> bool:
     anchor = view.anchors.get(unit.model)
     return (
--- a/limeshelf/placement/view.py
+++ b/limeshelf/placement/view.py
@@ -48,6 +48,7 @@
     :param possible_ids: items that may be in its memory.
     :param sure_ids: items that are ready and stay so without a new order.
     :param load: mean number of requests in work.
+    :param held_bytes: memory of each item, as reported; known for own engines.
     """
 
     upstream_id: str
@@ -59,6 +60,7 @@
     possible_ids: frozenset[str]
     sure_ids: frozenset[str]
     load: float
+    held_bytes: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/placement/test_rollout.py
@@ -0,0 +1,48 @@
+"""New versions come into force also when memory is full of further replicas."""
+
+from __future__ import annotations
+
+from limeshelf.config.document import Policy, PolicyKind
+from limeshelf.config.items import Item
+from limeshelf.placement.gate import UnloadGate
+from limeshelf.placement.planner import Planner
+from limeshelf.placement.policies import placement_policies
+from limeshelf.placement.view import AnchorView, MoveKind, PlacementView, RoomView, UnitView
+from tests.placement.test_gate import anchored
+from tests.support.table import TableFault
+
+SIZE_BYTES = 6
+
+
+def full_room(name: str) -> RoomView:
+    """Return an engine that is full of old versions, the one anchored here and a spare."""
+    held = {'m@1': SIZE_BYTES, 'n@1': SIZE_BYTES}
+    ids = frozenset(held)
+    return RoomView(name, 'x', True, True, 2 * SIZE_BYTES, 0, ids, ids, 0.0, held)
+
+
+def full_view() -> PlacementView:
+    units = {
+        model: UnitView(model, (Item(f'{model}@2', '', SIZE_BYTES, 1),), 1, 1.0, frozenset(), 0.0)
+        for model in 'mn'
+    }
+    anchors = {
+        'm': AnchorView('u0', 'x', False, False),
+        'n': AnchorView('u1', 'x', False, False),
+    }
+    rooms = {name: full_room(name) for name in ('u0', 'u1')}
+    return PlacementView(0.0, 'x', units, rooms, anchors, {'m': 0, 'n': 0})
+
+
+def test_old_spare_replicas_make_place_for_new_versions() -> None:
+    policy = Policy('even', PolicyKind.PLACEMENT, 'spread')
+    planner = Planner(placement_policies.get('spread').from_config(policy))
+    moves = planner.plan(full_view())
+    unloads = {(m.item.item_id, m.upstream_id) for m in moves if m.kind is MoveKind.UNLOAD}
+    assert ('n@1', 'u0') in unloads
+
+
+def test_gate_lets_old_spares_go_and_keeps_the_last_old_copy() -> None:
+    gate = UnloadGate(full_view(), anchored(('u0', TableFault.NONE)), 'x')
+    assert gate.may_unload('m@1', 'u1')
+    assert not gate.may_unload('m@1', 'u0')
