--- a/limeshelf/membership/watch.py
+++ b/limeshelf/membership/watch.py
@@ -33,7 +33,10 @@
 REPORT_TIMEOUT_S = 1.0
 #: Running counts are rounded up to this step before they count as a change.
 RUNNING_STEP = 4
-MAX_REPORT_GAP_S = 1.0
+#: An unchanged state is sent again after this time.
+MAX_REPORT_GAP_S = 1.5
+#: Looks at upstreams that one process makes in a second, over all of them.
+LOOKS_PER_S = 10.0
 
 
 class UpstreamWatch:
@@ -101,7 +104,16 @@
                 failed += 1
                 if failed >= FAILED_LOOKS:
                     self._note(_unreachable(upstream))
-            await asyncio.sleep(jittered_s(self._report_s))
+            await asyncio.sleep(jittered_s(self._look_pause_s))
+
+    @property
+    def _look_pause_s(self) -> float:
+        """Return the pause between two looks at one upstream.
+
+        It grows with the number of upstreams watched, so that looking costs the
+        same however many there are.
+        """
+        return max(self._report_s, len(self._watched) / LOOKS_PER_S)
 
     async def _look(self, upstream: Upstream) -> UpstreamState:
         if upstream.listed.kind is ListedKind.ENGINE:
