Ask the weight store for the size of changed models; take the look out of the placer

Cause: the weight store's client was used by no program; placer.py answered two questions. Change: an apply is refused where the store has another size; the view of a round is made in a module of its own.

--- a/limeshelf/admin/operations.py
+++ b/limeshelf/admin/operations.py
@@ -13,7 +13,14 @@
 from limeshelf.config.check import check_document
 from limeshelf.config.delta import Change, diff, document_from_json
 from limeshelf.config.document import Binding, Document, PolicyKind, Split
-from limeshelf.errors import InvalidDocument, Problem, StaleRevision
+from limeshelf.config.items import model_item_id
+from limeshelf.errors import (
+    InvalidDocument,
+    PlatformUnavailable,
+    PlatformUnknown,
+    Problem,
+    StaleRevision,
+)
 from limeshelf.placement.policies import placement_policies
 from limeshelf.revisions.store import (
     SNAPSHOT_EVERY,
@@ -29,9 +36,12 @@
 
     from limeshelf.config.holder import ConfigHolder
     from limeshelf.membership.upstreams import UpstreamDirectory
+    from limeshelf.platform.weights import WeightStoreClient
     from limeshelf.registry import Registry
     from limeshelf.revisions.sync import RevisionSync
 
+#: Deployments of one change whose size is asked of the weight store.
+CHECKED_DEPLOYMENTS = 20
 #: The registry of each kind of policy.
 REGISTRIES: Mapping[PolicyKind, Registry[Any]] = {
     PolicyKind.PLACEMENT: placement_policies,
@@ -80,11 +90,13 @@
         store: RevisionStore,
         sync: RevisionSync,
         upstreams: UpstreamDirectory,
+        weights: WeightStoreClient,
     ) -> None:
         self._config = config
         self._store = store
         self._sync = sync
         self._upstreams = upstreams
+        self._weights = weights
 
     def check(self, document: Document) -> list[Problem]:
         """Return the faults of *document* on the engines that are listed now."""
@@ -151,13 +163,13 @@
         return await self._commit(operation, document)
 
     async def _commit(self, operation: Operation, document: Document) -> OperationOutcome:
-        problems = self.check(document)
-        if problems:
-            return Rejected(problems)
         before = self._config.catalog
         changes = diff(before.document, document)
         if not changes:
             return Unchanged(before.revision)
+        problems = self.check(document) + await self._check_weights(before.document, document)
+        if problems:
+            return Rejected(problems)
         based_on = operation.based_on if operation.based_on >= 0 else before.revision
         outcome = await self._store.commit(
             changes, based_on, operation.operation_id, operation.operator, operation.note
@@ -166,6 +178,27 @@
             await self._put_in_force(outcome.revision, based_on, changes)
         return outcome
 
+    async def _check_weights(self, old: Document, new: Document) -> list[Problem]:
+        """Return the models whose size is not what the weight store says.
+
+        Only new and changed deployments are asked about, and not many. A store
+        that is down, or that gets the weights later, holds no change up.
+        """
+        known = {deployment.name: deployment for deployment in old.deployments}
+        changed = [d for d in new.deployments if known.get(d.name) != d]
+        problems = []
+        for deployment in changed[:CHECKED_DEPLOYMENTS]:
+            try:
+                item_id = model_item_id(deployment.name, deployment.version)
+                manifest = await self._weights.manifest(item_id)
+            except (PlatformUnavailable, PlatformUnknown):
+                break
+            if manifest is not None and manifest.weights_bytes != deployment.weights_bytes:
+                place = f'deployments.{deployment.name}.weights_bytes'
+                told = f'the weight store has {manifest.weights_bytes} bytes'
+                problems.append(Problem(place, told))
+        return problems
+
     async def _put_in_force(self, revision: int, based_on: int, changes: list[Change]) -> None:
         try:
             self._config.take_changes(based_on, revision, changes)
--- /dev/null
+++ b/limeshelf/placement/look.py
@@ -0,0 +1,110 @@
+"""Gathers what a placement round looks at from the directories and the ledgers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limeshelf.config.items import items_of
+from limeshelf.membership.rendezvous import rank
+from limeshelf.placement.view import AnchorView, PlacementView, RoomView, UnitView
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from limeshelf.config.holder import ConfigHolder
+    from limeshelf.membership.upstreams import Upstream, UpstreamDirectory
+    from limeshelf.placement.anchors import AnchorBook
+    from limeshelf.placement.demand import DemandBook
+    from limeshelf.placement.worker import EngineWorker
+
+#: An anchor's engine out of sight for this long counts as lost.
+LOST_S = 15.0
+
+
+class PlacementLook:
+    """Makes the view of each round.
+
+    :param fresh_s: a report of an own engine older than this is not relied on.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        config: ConfigHolder,
+        upstreams: UpstreamDirectory,
+        anchors: AnchorBook,
+        demand: DemandBook,
+        fresh_s: float,
+    ) -> None:
+        self._data_centre = data_centre
+        self._config = config
+        self._upstreams = upstreams
+        self._anchors = anchors
+        self._demand = demand
+        self._fresh_s = fresh_s
+        self._seen_s: dict[str, float] = {}
+
+    def view(self, now_s: float, workers: Mapping[str, EngineWorker]) -> PlacementView:
+        """Return everything that one round looks at."""
+        catalog = self._config.catalog
+        engines = self._upstreams.engines()
+        rooms = {u.upstream_id: self._room(u, workers.get(u.upstream_id)) for u in engines}
+        used = self._demand.used_items(now_s)
+        units = {}
+        for deployment in catalog.document.deployments:
+            items = tuple(items_of(deployment))
+            units[deployment.name] = UnitView(
+                deployment.name,
+                items,
+                deployment.min_replicas,
+                self._demand.load(deployment.name),
+                frozenset(item.item_id for item in items if item.item_id in used),
+                self._demand.idle_s(deployment.name, now_s),
+            )
+        centres = {room.data_centre for room in rooms.values()} | {self._data_centre}
+        ranks = {model: rank(model, centres).index(self._data_centre) for model in units}
+        anchors = {
+            model: AnchorView(
+                anchor.upstream_id,
+                anchor.data_centre,
+                anchor.handoff,
+                self._is_lost(anchor.upstream_id, rooms, now_s),
+            )
+            for model, anchor in self._anchors.all().items()
+        }
+        return PlacementView(now_s, self._data_centre, units, rooms, anchors, ranks)
+
+    def _room(self, upstream: Upstream, worker: EngineWorker | None) -> RoomView:
+        is_open = self._upstreams.takes_work(upstream, self._config.catalog.drained)
+        if worker is not None:
+            recent = boottime_s() - worker.reported_s < self._fresh_s
+            return RoomView(
+                upstream.upstream_id,
+                upstream.listed.data_centre,
+                True,
+                is_open and recent and worker.is_ready,
+                upstream.listed.capacity_bytes,
+                worker.ledger.free_bytes,
+                frozenset(worker.ledger.possible_ids()),
+                frozenset(worker.ledger.sure_ids()),
+                float(upstream.running),
+                worker.ledger.held_bytes(),
+            )
+        return RoomView(
+            upstream.upstream_id,
+            upstream.listed.data_centre,
+            False,
+            is_open and self._upstreams.is_fresh(upstream),
+            upstream.listed.capacity_bytes,
+            0,
+            upstream.ready_items,
+            upstream.ready_items,
+            float(upstream.running),
+        )
+
+    def _is_lost(self, upstream_id: str, rooms: dict[str, RoomView], now_s: float) -> bool:
+        room = rooms.get(upstream_id)
+        if room is not None and room.open:
+            self._seen_s[upstream_id] = now_s
+        return now_s - self._seen_s.setdefault(upstream_id, now_s) > LOST_S
--- a/limeshelf/placement/placer.py
+++ b/limeshelf/placement/placer.py
@@ -8,22 +8,15 @@
 from absl import logging
 
 from limeshelf.config.document import PolicyKind
-from limeshelf.config.items import items_of, model_of
-from limeshelf.membership.rendezvous import rank
+from limeshelf.config.items import model_of
 from limeshelf.placement.demand import DemandBook
 from limeshelf.placement.gate import UnloadGate
 from limeshelf.placement.intents import IntentLog
 from limeshelf.placement.ledger import Ledger
+from limeshelf.placement.look import PlacementLook
 from limeshelf.placement.planner import Planner
 from limeshelf.placement.policies import placement_policies
-from limeshelf.placement.view import (
-    AnchorView,
-    Move,
-    MoveKind,
-    PlacementView,
-    RoomView,
-    UnitView,
-)
+from limeshelf.placement.view import Move, MoveKind
 from limeshelf.placement.worker import EngineWorker, Wish
 from limeshelf.platform.instances import ListedKind
 from limeshelf.upstreams.messages import OrderAction
@@ -44,8 +37,6 @@
     from limeshelf.settings.model import PlacerSettings
     from limeshelf.upstreams.pool import UpstreamPool
 
-#: An anchor's engine out of sight for this long counts as lost.
-LOST_S = 15.0
 #: Anchors are read again after this time.
 ANCHOR_READ_S = 1.0
 
@@ -84,7 +75,9 @@
         self._planner: Planner | None = None
         self._policy: Policy | None = None
         self._anchors_read_s = float('-inf')
-        self._seen_s: dict[str, float] = {}
+        self._look = PlacementLook(
+            data_centre, config, upstreams, anchors, self.demand, settings.lease_s
+        )
 
     def start(self) -> None:
         """Start the lease task and the placement loop."""
@@ -153,7 +146,7 @@
         if not self._anchors.is_read or self._config.revision == 0:
             return
         self.demand.advance(now_s)
-        view = self._view(now_s)
+        view = self._look.view(now_s, self.workers)
         gate = UnloadGate(view, self._anchors, self._data_centre)
         for move in self._current_planner().plan(view):
             await self._make(move, gate)
@@ -171,69 +164,6 @@
             logging.info('placement=policy name=%s', policy.name)
         return self._planner
 
-    def _view(self, now_s: float) -> PlacementView:
-        catalog = self._config.catalog
-        rooms = {u.upstream_id: self._room(u) for u in self._upstreams.engines()}
-        used = self.demand.used_items(now_s)
-        units = {}
-        for deployment in catalog.document.deployments:
-            items = tuple(items_of(deployment))
-            units[deployment.name] = UnitView(
-                deployment.name,
-                items,
-                deployment.min_replicas,
-                self.demand.load(deployment.name),
-                frozenset(item.item_id for item in items if item.item_id in used),
-                self.demand.idle_s(deployment.name, now_s),
-            )
-        centres = {room.data_centre for room in rooms.values()} | {self._data_centre}
-        ranks = {model: rank(model, centres).index(self._data_centre) for model in units}
-        anchors = {
-            model: AnchorView(
-                anchor.upstream_id,
-                anchor.data_centre,
-                anchor.handoff,
-                self._is_lost(anchor.upstream_id, rooms, now_s),
-            )
-            for model, anchor in self._anchors.all().items()
-        }
-        return PlacementView(now_s, self._data_centre, units, rooms, anchors, ranks)
-
-    def _room(self, upstream: Upstream) -> RoomView:
-        worker = self.workers.get(upstream.upstream_id)
-        is_open = self._upstreams.takes_work(upstream, self._config.catalog.drained)
-        if worker is not None:
-            recent = boottime_s() - worker.reported_s < self._settings.lease_s
-            return RoomView(
-                upstream.upstream_id,
-                upstream.listed.data_centre,
-                True,
-                is_open and recent and worker.is_ready,
-                upstream.listed.capacity_bytes,
-                worker.ledger.free_bytes,
-                frozenset(worker.ledger.possible_ids()),
-                frozenset(worker.ledger.sure_ids()),
-                float(upstream.running),
-                worker.ledger.held_bytes(),
-            )
-        return RoomView(
-            upstream.upstream_id,
-            upstream.listed.data_centre,
-            False,
-            is_open and self._upstreams.is_fresh(upstream),
-            upstream.listed.capacity_bytes,
-            0,
-            upstream.ready_items,
-            upstream.ready_items,
-            float(upstream.running),
-        )
-
-    def _is_lost(self, upstream_id: str, rooms: dict[str, RoomView], now_s: float) -> bool:
-        room = rooms.get(upstream_id)
-        if room is not None and room.open:
-            self._seen_s[upstream_id] = now_s
-        return now_s - self._seen_s.setdefault(upstream_id, now_s) > LOST_S
-
     async def _make(self, move: Move, gate: UnloadGate) -> None:
         if move.kind in (MoveKind.ANCHOR, MoveKind.HANDOFF):
             done = await self._anchors.put(
--- a/limeshelf/programs/admin.py
+++ b/limeshelf/programs/admin.py
@@ -15,6 +15,7 @@
 from limeshelf.admin.service import AdminService
 from limeshelf.membership.processes import ADMIN_PROGRAM
 from limeshelf.peers.messages import Reach
+from limeshelf.platform.weights import WeightStoreClient
 from limeshelf.programs.process import EXIT_OK, Process, ProgramService, run_program
 
 #: Time for running calls at a planned stop.
@@ -29,7 +30,10 @@
         settings = self.settings
         process = self.process = Process(settings, ADMIN_PROGRAM, settings.admin.peer_port)
         await process.start()
-        operations = Operations(process.config, process.store, process.sync, process.upstreams)
+        self.weights = WeightStoreClient.from_settings(settings.platform)
+        operations = Operations(
+            process.config, process.store, process.sync, process.upstreams, self.weights
+        )
         service = AdminService(
             operations,
             PeerQueries(process.processes, process.node),
@@ -58,6 +62,7 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Close everything."""
         await self.server.close(0)
+        await self.weights.close()
         await self.process.close()
 
 
--- a/tests/features/reachable.feature
+++ b/tests/features/reachable.feature
@@ -16,3 +16,7 @@
   Scenario: More models than fit are refused with the shortfall in bytes
     When a configuration is applied that does not fit
     Then it is refused with the shortfall in bytes
+
+  Scenario: A model of another size than the weight store has is refused
+    When a model is applied whose weights are smaller than the weight store's
+    Then it is refused with the size that the store has
--- a/tests/features/steps/world_steps.py
+++ b/tests/features/steps/world_steps.py
@@ -248,6 +248,25 @@
     assert 'bytes' in reply['problems'][0]['message']
 
 
+@when("a model is applied whose weights are smaller than the weight store's")
+def wrong_size(context) -> None:
+    world = context.world
+    first = world.document['deployments'][0]
+    item = f'{first["name"]}@{first["version"]}'
+    post(f'{world.system.platform.http}/_weights', {item: first['weights_bytes']})
+    first['weights_bytes'] -= 1
+    context.result = world.apply()
+    first['weights_bytes'] += 1
+
+
+@then('it is refused with the size that the store has')
+def refused_with_size(context) -> None:
+    code, reply = context.result
+    size = context.world.document['deployments'][0]['weights_bytes']
+    assert code == 3
+    assert str(size) in reply['problems'][0]['message'], reply
+
+
 @when('{_} "{name}" says that it leaves')
 def leave(context, _: str, name: str) -> None:
     post(f'{context.world.system.upstreams[name].started.http}/_leave', {})
