Read the anchors only when one has changed

Cause: each leading placer read every anchor each second: at 1,600 models about 240 KB/s (worked out; docs/CAPACITY.md). Change: each change of an anchor also writes a row of its data centre; a reader looks at these and reads the anchors when a version has moved. The bytes are worked out, not measured.

--- a/limeshelf/placement/anchors.py
+++ b/limeshelf/placement/anchors.py
@@ -15,6 +15,9 @@
     from limeshelf.platform.table import TableClient
 
 ANCHOR_PREFIX = 'anchor/'
+#: One row for each data centre, written with each change of an anchor, so that
+#: readers look at a few rows as long as nothing changes.
+CHANGE_PREFIX = 'anchor-change/'
 
 
 @attrs.frozen
@@ -51,6 +54,8 @@
         #: by model, with the row version that would rule it out.
         self._doubtful: dict[str, dict[str, int]] = {}
         self.is_read = False
+        self._change_versions: dict[str, int] = {}
+        self._change_write = Write(f'{CHANGE_PREFIX}{data_centre}', {'changed': True})
 
     def get(self, model: str) -> Anchor | None:
         """Return the anchor of *model*, ``None`` if it has none."""
@@ -69,11 +74,18 @@
         return at_it or upstream_id in self._doubtful.get(model, {})
 
     async def refresh(self) -> bool:
-        """Read all anchors; return whether that succeeded."""
+        """Read the anchors if any may have changed; return whether they are known."""
         try:
+            changes = await self._table.scan(CHANGE_PREFIX)
+            versions = {row.key: row.version for row in changes}
+            if self.is_read and versions == self._change_versions:
+                return True
+            # The rows are read after the versions: a change in between is read
+            # now, and once more at the next look.
             rows = await self._table.scan(ANCHOR_PREFIX)
         except (PlatformUnavailable, PlatformUnknown):
             return False
+        self._change_versions = versions
         self._anchors = {anchor.model: anchor for anchor in map(_anchor_of, rows)}
         for model in list(self._doubtful):
             self._clear_doubts(model)
@@ -114,7 +126,8 @@
         ]
         self._doubtful.setdefault(model, {})[upstream_id] = based_on
         try:
-            outcome = await self._table.transact(conditions, [Write(key, value)])
+            writes = [Write(key, value), self._change_write]
+            outcome = await self._table.transact(conditions, writes)
         except PlatformUnavailable:
             self._doubtful[model].pop(upstream_id, None)
             return False
@@ -141,7 +154,7 @@
                     Condition(key, before.row_version),
                     Condition(self._lease.epoch_key, self._lease.epoch_version),
                 ],
-                [Write(key, None)],
+                [Write(key, None), self._change_write],
             )
         except (PlatformUnavailable, PlatformUnknown):
             return False
