--- a/limeshelf/experiment/simulation.py
+++ b/limeshelf/experiment/simulation.py
@@ -13,23 +13,16 @@
 from limeshelf.config.document import PolicyKind
 from limeshelf.config.holder import ConfigHolder
 from limeshelf.entry.bound import PolicyShelf
-from limeshelf.errors import LimeshelfError, NotRun
+from limeshelf.errors import NotRun
+from limeshelf.experiment.centres import Centre
 from limeshelf.experiment.engine import EngineSpeed, SimulatedEngine, Work
 from limeshelf.experiment.measures import RunResult, met_targets
 from limeshelf.experiment.table import MemoryTable
 from limeshelf.experiment.workload import Arrival, Profile, Variant, arrivals, document
-from limeshelf.lease.keeper import LeaseKeeper
-from limeshelf.membership.upstreams import UpstreamDirectory
-from limeshelf.metrics.decisions import DecisionLog
-from limeshelf.metrics.statsd import Metrics
-from limeshelf.peers.messages import Demand, ItemDemand, UpstreamState
-from limeshelf.placement.anchors import AnchorBook
-from limeshelf.placement.placer import Placer
+from limeshelf.peers.messages import UpstreamState
 from limeshelf.platform.instances import Listed, ListedKind
 from limeshelf.routing.candidates import Candidate, engine_candidates
-from limeshelf.routing.loads import LoadBook
 from limeshelf.routing.policies import RouteQuestion
-from limeshelf.settings.model import MetricsSettings, PlacerSettings
 from limeshelf.upstreams.messages import EngineReport, ItemState, OrderAction
 from limeshelf.util.clock import VirtualClock, virtual_clock
 
@@ -45,32 +38,6 @@
 FAILURE_AT = 0.4
 DEADLINE_S = 30.0
 STREAMS_LIMIT = 1000
-STALE_S = 4.0
-
-
-@attrs.define
-class Centre:
-    """One data centre: its placer, and what its entry instances know."""
-
-    name: str
-    upstreams: UpstreamDirectory
-    loads: LoadBook
-    placer: Placer
-    lease: LeaseKeeper
-    arrived: dict[str, int] = attrs.field(factory=dict)
-    refused: dict[str, int] = attrs.field(factory=dict)
-    waiting: dict[str, int] = attrs.field(factory=dict)
-
-
-class _Pool:
-    """Gives the placers the simulated engines."""
-
-    def __init__(self, engines: dict[str, SimulatedEngine]) -> None:
-        self._engines = engines
-
-    def engine(self, upstream: Any) -> SimulatedEngine:
-        """Return the engine of an upstream."""
-        return self._engines[upstream.listed.instance_id]
 
 
 class Simulation:
@@ -110,34 +77,16 @@
         self._deploy()
 
     def _make_centres(self) -> dict[str, Centre]:
-        table: Any = MemoryTable()
-        pool: Any = _Pool(self._engines)
+        table = MemoryTable()
         listed = [
             Listed(name, ListedKind.ENGINE, name[0], address=name, capacity_bytes=e.capacity_bytes)
             for name, e in self._engines.items()
         ]
-        settings = PlacerSettings(loads_per_s=self._profile.loads_per_s, max_loads=4)
-        centres = {}
-        for name in self._profile.data_centres:
-            upstreams = UpstreamDirectory(name, STALE_S)
-            upstreams.take_listed(listed)
-            lease = LeaseKeeper(table, name, f'placer-{name}', settings.lease_s)
-            metrics, decisions = Metrics(MetricsSettings(), 'experiment'), DecisionLog(False)
-            anchors = AnchorBook(table, lease, name)
-            placer = Placer(
-                name,
-                settings,
-                self._config,
-                upstreams,
-                pool,
-                table,
-                lease,
-                anchors,
-                metrics,
-                decisions,
-            )
-            centres[name] = Centre(name, upstreams, LoadBook(), placer, lease)
-        return centres
+        rate = self._profile.loads_per_s
+        return {
+            name: Centre.from_parts(name, listed, self._config, self._engines, table, rate)
+            for name in self._profile.data_centres
+        }
 
     def _deploy(self) -> None:
         made = document(self._profile, self._system.policies)
@@ -192,38 +141,12 @@
 
     def _placement_round(self) -> None:
         for centre in self._centres.values():
-            self._tell_demand(centre)
-            self._loop.run_until_complete(self._place(centre))
+            demand = centre.take_demand(ROUND_S)
+            for other in self._centres.values():
+                other.placer.demand.take(demand, self._clock.now_s)
+            self._loop.run_until_complete(centre.place())
         self._at(ROUND_S, self._placement_round)
 
-    async def _place(self, centre: Centre) -> None:
-        await centre.lease.step()
-        await centre.placer.round()
-        for task in centre.placer.worker_tasks.values():
-            task.cancel()
-        for worker in centre.placer.workers.values():
-            try:
-                await worker.step()
-            except LimeshelfError:
-                continue
-
-    def _tell_demand(self, centre: Centre) -> None:
-        names = {*centre.arrived, *centre.refused, *centre.waiting}
-        items = [
-            ItemDemand(
-                name,
-                centre.arrived.get(name, 0),
-                centre.refused.get(name, 0),
-                centre.waiting.get(name, 0),
-            )
-            for name in sorted(names)
-        ]
-        demand = Demand(f'entry-{centre.name}', ROUND_S, items)
-        for other in self._centres.values():
-            other.placer.demand.take(demand, self._clock.now_s)
-        centre.arrived.clear()
-        centre.refused.clear()
-
     def _share_states(self) -> None:
         for engine in self._engines.values():
             if not engine.alive:
