--- a/limeshelf/programs/logs.py
+++ b/limeshelf/programs/logs.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from absl import logging
+from absl import flags, logging
 
 if TYPE_CHECKING:
     from limeshelf.settings.model import LogSettings
@@ -33,6 +33,8 @@
 
 def set_up_logs(settings: LogSettings) -> None:
     """Send log lines to standard error in the form that *settings* ask for."""
+    # Settings take the place of absl's flags; unparsed ones make it warn.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     if settings.json_lines:
--- a/limeshelf/programs/process.py
+++ b/limeshelf/programs/process.py
@@ -177,6 +177,13 @@
 
     settings: Settings
 
+    async def drain(self, at_once: asyncio.Event) -> int:
+        """Stop as planned; return the exit code.
+
+        :param at_once: set by a second signal; ends every wait.
+        """
+        raise NotImplementedError
+
     def announce(self, **ports: int) -> None:
         """Print one line of JSON with the ports that were bound."""
         line = {
@@ -192,14 +199,17 @@
     """Run a program until it is told to stop; return its exit code."""
     try:
         settings = load_settings(settings_file)
+        return _run_service(make(settings), settings)
     except InvalidDocument as error:
         for problem in error.problems:
             sys.stderr.write(f'{settings_file}: {problem.path}: {problem.message}\n')
         return EXIT_BAD_SETTINGS
+
+
+def _run_service(service: ProgramService, settings: Settings) -> int:
     os.environ[IO_URING_SWITCH] = '0'
     set_up_logs(settings.logs)
     _spare_the_collector()
-    service = make(settings)
     # aiomisc's own signal handling ends the loop at once; a planned stop takes
     # its time, so the signals are handled here.
     with entrypoint(
@@ -236,4 +246,4 @@
         loop.add_signal_handler(number, on_signal)
     await first.wait()
     logging.info('program=stopping')
-    return await service.drain(second)  # type: ignore[no-any-return]
+    return await service.drain(second)
