Run the loops that a process cannot do without again when they fail

Cause: read, not seen: a fault in one placement round, or in a handler of one peer message, ended its task for good while the process renewed its lease and looked alive. Change: these loops are kept: logged, counted, and run again after a pause. Before: tests/util 2 failed; after, with tests/peers: 8 passed.

--- a/limeshelf/peers/node.py
+++ b/limeshelf/peers/node.py
@@ -59,7 +59,7 @@
         self._socket.listen(self._listen_url)
         port = _port_of(self._socket.listeners[0].local_address)
         self.address = f'{self._host}:{port}'
-        self._tasks.spawn(self._receive(), 'peer-listener')
+        self._tasks.keep(self._receive, 'peer-listener')
 
     async def close(self) -> None:
         """Close all connections."""
--- a/limeshelf/programs/entry.py
+++ b/limeshelf/programs/entry.py
@@ -51,7 +51,7 @@
             settings.listen_host, settings.entry.http_port, tls_context
         )
         if tls is not None and tls_context is not None:
-            self.process.tasks.spawn(follow_files(tls_context, tls), 'tls')
+            self.process.tasks.keep(follow_files, 'tls', tls_context, tls)
         self.watch = UpstreamWatch(
             self.process.processes,
             self.process.upstreams,
@@ -63,7 +63,7 @@
         self._start_telling()
         peer_port = int(self.process.node.address.rsplit(':')[-1])
         self.announce(http_port=http_port, peer_port=peer_port)
-        self.process.tasks.spawn(self._serve(), 'serve')
+        self.process.tasks.keep(self._serve, 'serve')
 
     def _make_context(self) -> EntryContext:
         process = self.process
@@ -85,8 +85,8 @@
         reach = ReachSender(process.processes, process.node)
         process.node.add_handler(Reach, reach.relay)
         process.node.add_handler(SamplesQuery, self._tell_samples)
-        process.tasks.spawn(reach.run(), 'reach')
-        process.tasks.spawn(self.shared.demand.run(process.processes, process.node), 'demand')
+        process.tasks.keep(reach.run, 'reach')
+        process.tasks.keep(self.shared.demand.run, 'demand', process.processes, process.node)
 
     def _tell_samples(self, envelope: Envelope) -> None:
         query: SamplesQuery = envelope.message
--- a/limeshelf/util/tasks.py
+++ b/limeshelf/util/tasks.py
@@ -7,8 +7,16 @@
 
 from absl import logging
 
+from limeshelf.util.backoff import full_jitter_s
+
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
+
+
+#: Pause before a failed loop is run again: bound after the first failure, and
+#: the largest bound.
+AGAIN_BASE_S = 0.1
+AGAIN_LIMIT_S = 2.0
 
 
 class TaskSet:
@@ -29,6 +37,33 @@
         task.add_done_callback(self._finished)
         return task
 
+    def keep(
+        self, function: Callable[..., Coroutine[Any, Any, None]], name: str, *arguments: Any
+    ) -> asyncio.Task[Any]:
+        """Run *function* as a task, and again whenever it fails.
+
+        For loops that a process cannot do without: a fault in one turn must not
+        end the loop while the process otherwise looks alive.
+        """
+        return self.spawn(self._keep(function, name, arguments), name)
+
+    async def _keep(
+        self,
+        function: Callable[..., Coroutine[Any, Any, None]],
+        name: str,
+        arguments: tuple[Any, ...],
+    ) -> None:
+        attempt = 0
+        while True:
+            try:
+                await function(*arguments)
+                return
+            except Exception as error:
+                self.failures += 1
+                attempt += 1
+                logging.exception('task=%s state=failed_and_kept error=%r', name, error)
+            await asyncio.sleep(full_jitter_s(attempt, AGAIN_BASE_S, AGAIN_LIMIT_S))
+
     def _finished(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
