Cancel a background task again when its cancellation was lost

Taken for the cause, not proved: asyncio.wait_for of Python 3.11 can lose a cancellation, and closing waited for ever for such a task. Ruled out: the drain (the admin has none). Change: tasks are cancelled again until they have ended.

--- a/limeshelf/util/tasks.py
+++ b/limeshelf/util/tasks.py
@@ -17,6 +17,8 @@
 #: the largest bound.
 AGAIN_BASE_S = 0.1
 AGAIN_LIMIT_S = 2.0
+#: A task that has not ended this long after its cancellation is cancelled again.
+CANCEL_AGAIN_S = 0.5
 
 
 class TaskSet:
@@ -72,8 +74,14 @@
         logging.error('task=%s state=failed error=%r', task.get_name(), task.exception())
 
     async def close(self) -> None:
-        """Cancel every task and wait until all have ended."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Cancel every task and wait until all have ended.
+
+        A cancellation can get lost inside a task, for example in
+        :func:`asyncio.wait_for` when its result arrives at the same moment;
+        such a task is cancelled again.
+        """
+        pending = set(self._tasks)
+        while pending:
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
--- a/tests/util/test_tasks.py
+++ b/tests/util/test_tasks.py
@@ -56,3 +56,25 @@
             await two.close()
 
     asyncio.run(case())
+
+
+def test_task_that_loses_a_cancellation_is_cancelled_again() -> None:
+    async def case() -> None:
+        tasks = TaskSet()
+        lost: list[bool] = []
+
+        async def loop() -> None:
+            while True:
+                try:
+                    await asyncio.sleep(3600)
+                except asyncio.CancelledError:
+                    if lost:
+                        raise
+                    lost.append(True)
+
+        tasks.spawn(loop(), 'loop')
+        await asyncio.sleep(0)
+        await asyncio.wait_for(tasks.close(), 10)
+        assert lost == [True]
+
+    asyncio.run(case())
