--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -29,9 +29,9 @@
 from limeshelf.placement.planner import Planner
 from limeshelf.placement.policies import placement_policies
 from limeshelf.placement.view import AnchorView, PlacementView, RoomView, UnitView
-from limeshelf.platform.instances import Listed, ListedKind
 from limeshelf.routing.candidates import engine_candidates
 from limeshelf.routing.loads import LoadBook
+from limeshelf.services.instances import Listed, ListedKind
 from standins.launcher import System, wait_until
 
 MODELS = (100, 400, 1600)
--- a/limeshelf/admin/operations.py
+++ b/limeshelf/admin/operations.py
@@ -36,9 +36,9 @@
 
     from limeshelf.config.holder import ConfigHolder
     from limeshelf.membership.upstreams import UpstreamDirectory
-    from limeshelf.platform.weights import WeightStoreClient
     from limeshelf.registry import Registry
     from limeshelf.revisions.sync import RevisionSync
+    from limeshelf.services.weights import WeightStoreClient
 
 #: Deployments of one change whose size is asked of the weight store.
 CHECKED_DEPLOYMENTS = 20
--- a/limeshelf/experiment/centres.py
+++ b/limeshelf/experiment/centres.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from limeshelf.config.holder import ConfigHolder
     from limeshelf.experiment.engine import SimulatedEngine
-    from limeshelf.platform.instances import Listed
+    from limeshelf.services.instances import Listed
 
 #: An upstream's state older than this is not trusted.
 STALE_S = 4.0
--- a/limeshelf/experiment/simulation.py
+++ b/limeshelf/experiment/simulation.py
@@ -20,9 +20,9 @@
 from limeshelf.experiment.table import MemoryTable
 from limeshelf.experiment.workload import Arrival, Profile, Variant, arrivals, document
 from limeshelf.peers.messages import UpstreamState
-from limeshelf.platform.instances import Listed, ListedKind
 from limeshelf.routing.candidates import Candidate, engine_candidates
 from limeshelf.routing.policies import RouteQuestion
+from limeshelf.services.instances import Listed, ListedKind
 from limeshelf.upstreams.messages import EngineReport, ItemState, OrderAction
 from limeshelf.util.clock import VirtualClock, virtual_clock
 
--- a/limeshelf/membership/processes.py
+++ b/limeshelf/membership/processes.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from limeshelf.membership.rendezvous import rank
-from limeshelf.platform.instances import Listed, ListedKind
+from limeshelf.services.instances import Listed, ListedKind
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
--- a/limeshelf/membership/upstreams.py
+++ b/limeshelf/membership/upstreams.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from limeshelf.config.items import unversioned
-from limeshelf.platform.instances import Listed, ListedKind, ListedState
+from limeshelf.services.instances import Listed, ListedKind, ListedState
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
--- a/limeshelf/membership/watch.py
+++ b/limeshelf/membership/watch.py
@@ -9,7 +9,7 @@
 from limeshelf.errors import LimeshelfError
 from limeshelf.membership.rendezvous import rank
 from limeshelf.peers.messages import LeavingNotice, UpstreamState, UpstreamStates
-from limeshelf.platform.instances import ListedKind
+from limeshelf.services.instances import ListedKind
 from limeshelf.upstreams.messages import EngineReport, ItemState, PlainReport
 from limeshelf.util.backoff import jittered_s
 from limeshelf.util.clock import boottime_s
--- a/limeshelf/peers/messages.py
+++ b/limeshelf/peers/messages.py
@@ -7,7 +7,7 @@
 import attrs
 
 from limeshelf.config.delta import Change
-from limeshelf.platform.instances import Listed
+from limeshelf.services.instances import Listed
 
 T = TypeVar('T')
 
--- a/limeshelf/placement/placer.py
+++ b/limeshelf/placement/placer.py
@@ -18,7 +18,7 @@
 from limeshelf.placement.policies import placement_policies
 from limeshelf.placement.view import Move, MoveKind
 from limeshelf.placement.worker import EngineWorker, Wish
-from limeshelf.platform.instances import ListedKind
+from limeshelf.services.instances import ListedKind
 from limeshelf.upstreams.messages import OrderAction
 from limeshelf.util.backoff import jittered_s
 from limeshelf.util.clock import boottime_s
@@ -33,7 +33,7 @@
     from limeshelf.metrics.decisions import DecisionLog
     from limeshelf.metrics.statsd import Metrics
     from limeshelf.placement.anchors import AnchorBook
-    from limeshelf.platform.table import TableClient
+    from limeshelf.services.table import TableClient
     from limeshelf.settings.model import PlacerSettings
     from limeshelf.upstreams.pool import UpstreamPool
 
--- a/limeshelf/programs/admin.py
+++ b/limeshelf/programs/admin.py
@@ -15,8 +15,8 @@
 from limeshelf.admin.service import AdminService
 from limeshelf.membership.processes import ADMIN_PROGRAM
 from limeshelf.peers.messages import Reach
-from limeshelf.platform.weights import WeightStoreClient
 from limeshelf.programs.process import EXIT_OK, Process, ProgramService, run_program
+from limeshelf.services.weights import WeightStoreClient
 
 #: Time for running calls at a planned stop.
 CALL_GRACE_S = 5.0
--- a/limeshelf/programs/process.py
+++ b/limeshelf/programs/process.py
@@ -29,12 +29,12 @@
     UpstreamStates,
 )
 from limeshelf.peers.node import PeerNode
-from limeshelf.platform.instances import InstanceListClient
-from limeshelf.platform.objects import ObjectStoreClient
-from limeshelf.platform.table import TableClient
 from limeshelf.programs.logs import set_up_logs
 from limeshelf.revisions.store import RevisionStore
 from limeshelf.revisions.sync import RevisionSync
+from limeshelf.services.instances import InstanceListClient
+from limeshelf.services.objects import ObjectStoreClient
+from limeshelf.services.table import TableClient
 from limeshelf.settings.load import load_settings
 from limeshelf.util.backoff import jittered_s
 from limeshelf.util.identifiers import new_id
--- a/limeshelf/revisions/store.py
+++ b/limeshelf/revisions/store.py
@@ -11,13 +11,13 @@
 
 from limeshelf.config.delta import Change, document_from_json, document_to_json
 from limeshelf.errors import PlatformUnavailable, PlatformUnknown
-from limeshelf.platform.table import Committed, Condition, Write
+from limeshelf.services.table import Committed, Condition, Write
 from limeshelf.util.clock import wall_s
 
 if TYPE_CHECKING:
     from limeshelf.config.document import Document
-    from limeshelf.platform.objects import ObjectStoreClient
-    from limeshelf.platform.table import TableClient
+    from limeshelf.services.objects import ObjectStoreClient
+    from limeshelf.services.table import TableClient
 
 HEAD_KEY = 'config/head'
 REVISION_PREFIX = 'config/revision/'
--- a/limeshelf/revisions/sync.py
+++ b/limeshelf/revisions/sync.py
@@ -32,8 +32,8 @@
     from limeshelf.membership.processes import ProcessDirectory
     from limeshelf.peers.codec import Envelope
     from limeshelf.peers.node import PeerNode
-    from limeshelf.platform.instances import InstanceListClient, Listed
     from limeshelf.revisions.store import RevisionStore
+    from limeshelf.services.instances import InstanceListClient, Listed
 
 #: A starting process gives its peers this long to answer when the platform
 #: does not.
--- a/limeshelf/upstreams/pool.py
+++ b/limeshelf/upstreams/pool.py
@@ -13,7 +13,7 @@
 
     import aiohttp
 
-    from limeshelf.platform.instances import Listed
+    from limeshelf.services.instances import Listed
 
     class HasListed(Protocol):
         """Anything that carries a line of the instance list."""
--- a/tests/membership/test_upstreams.py
+++ b/tests/membership/test_upstreams.py
@@ -8,7 +8,7 @@
 from limeshelf.config.items import unversioned
 from limeshelf.membership.upstreams import UpstreamDirectory
 from limeshelf.peers.messages import UpstreamState
-from limeshelf.platform.instances import Listed, ListedKind
+from limeshelf.services.instances import Listed, ListedKind
 from tests.support.fuzzing import run_machine
 
 IDS = ['u0', 'u1', 'u2']
--- a/tests/placement/test_memory_machine.py
+++ b/tests/placement/test_memory_machine.py
@@ -22,7 +22,7 @@
 from limeshelf.placement.intents import IntentLog
 from limeshelf.placement.ledger import Ledger
 from limeshelf.placement.worker import EngineWorker, Wish
-from limeshelf.platform.instances import Listed, ListedKind
+from limeshelf.services.instances import Listed, ListedKind
 from limeshelf.settings.model import MetricsSettings, PlacerSettings
 from limeshelf.upstreams.messages import OrderAction
 from tests.support.clock import fake_time
--- a/tests/placement/test_reachable_machine.py
+++ b/tests/placement/test_reachable_machine.py
@@ -28,7 +28,7 @@
 from limeshelf.placement.placer import Placer
 from limeshelf.placement.policies import placement_policies
 from limeshelf.placement.view import Move, MoveKind, PlacementView
-from limeshelf.platform.instances import Listed, ListedKind
+from limeshelf.services.instances import Listed, ListedKind
 from limeshelf.settings.model import MetricsSettings, PlacerSettings
 from tests.support.clock import fake_time
 from tests.support.engine import OracleEngine, OraclePool
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -9,10 +9,10 @@
 from limeshelf.config.document import NumberParameter, Policy, PolicyKind, PriorityClass
 from limeshelf.errors import NotRun, RefusalReason, UnknownName
 from limeshelf.membership.upstreams import Upstream
-from limeshelf.platform.instances import Listed, ListedKind
 from limeshelf.registry import Registry
 from limeshelf.routing.candidates import Candidate
 from limeshelf.routing.policies import RouteQuestion, routing_policies
+from limeshelf.services.instances import Listed, ListedKind
 from limeshelf.util.clock import virtual_clock
 
 
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -20,7 +20,7 @@
 from limeshelf.metrics.decisions import DecisionLog
 from limeshelf.metrics.statsd import Metrics
 from limeshelf.peers.messages import UpstreamState
-from limeshelf.platform.instances import Listed, ListedKind
+from limeshelf.services.instances import Listed, ListedKind
 from limeshelf.settings.model import EntrySettings, MetricsSettings
 from limeshelf.upstreams.messages import HeldItem, ItemState
 from limeshelf.upstreams.pool import UpstreamPool
