--- /dev/null
+++ b/limeshelf/calls/call.py
@@ -0,0 +1,82 @@
+"""One call of a caller: what it asks for, until when, and what it may cost."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class RouteKind(enum.StrEnum):
+    """What may be repeated of the calls on a route."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    STREAM = 'stream'
+
+
+@attrs.frozen
+class PromptPart:
+    """A part of a prompt that several calls may share.
+
+    :param part_id: names the part's content.
+    """
+
+    part_id: str
+    tokens: int
+
+
+@attrs.frozen
+class ModelNeed:
+    """What a replica must hold, and has to do, for a call to a model.
+
+    :param adapter: empty where the model itself is asked for.
+    :param output_tokens: the most that will be generated.
+    :param likely_tokens: the caller's guess at the generated tokens.
+    """
+
+    model: str
+    adapter: str
+    prompt_tokens: int
+    output_tokens: int
+    likely_tokens: int
+    parts: tuple[PromptPart, ...]
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the tokens of accelerator memory that the call likely fills."""
+        return self.prompt_tokens + self.likely_tokens
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts that other calls may share, in order."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
+
+@attrs.frozen
+class Call:
+    """One attempt of a caller, read whole.
+
+    :param target: path and query exactly as received.
+    :param headers: those that travel on, in their order and spelling.
+    :param arrived_s: on the steady clock.
+    :param budget_s: how long the caller waits, in seconds; ``None`` if untold.
+    :param model_need: ``None`` for a call to a plain service.
+    :param last_event_id: the last event that the caller has, on resumption.
+    """
+
+    call_id: str
+    method: str
+    host: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    arrived_s: float
+    budget_s: float | None
+    model_need: ModelNeed | None
+    last_event_id: str | None
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition('?')[0]
--- /dev/null
+++ b/limeshelf/calls/routes.py
@@ -0,0 +1,142 @@
+"""Routes, services and limits: what an operator's configuration says of calls."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from limeshelf.calls.call import RouteKind
+
+
+@attrs.frozen
+class WeightedService:
+    """One target of a route with its share of the route's calls."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """Where the calls below a path of a host go, and what they may cost.
+
+    :param targets: services with their weights; one at least.
+    :param timeout_s: the longest time that a call is held.
+    :param objective_s: an answer within this time earns its full worth.
+    :param max_attempts: the most replicas that may run one call.
+    :param priority: rank among the routes; 0 is the most urgent.
+    :param resumable: whether a stream may go on at another replica.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    targets: tuple[WeightedService, ...]
+    timeout_s: float
+    objective_s: float
+    max_attempts: int
+    priority: int
+    resumable: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a call may run more than once."""
+        return self.kind is RouteKind.SAFE or (self.kind is RouteKind.STREAM and self.resumable)
+
+    def draw_service(self) -> str:
+        """Return one of the services, drawn by weight."""
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        weights = [target.weight for target in self.targets]
+        return random.choices(self.targets, weights)[0].service
+
+
+@attrs.frozen
+class ModelSpec:
+    """A model as the configuration describes it.
+
+    :param size_mb: megabytes of its weights.
+    :param load_s: time of a load from the weight store, in seconds.
+    :param adapters: names of its adapters.
+    """
+
+    name: str
+    size_mb: float
+    load_s: float
+    warm_load_s: float
+    adapters: frozenset[str]
+    adapter_mb: float
+
+
+@attrs.frozen
+class EngineSpec:
+    """What the replicas of an engine service can hold.
+
+    :param slots: calls that run at once.
+    :param memory_tokens: tokens of running calls and kept prompts.
+    :param capacity_mb: megabytes for weights and adapters together.
+    :param loads_per_s: loads from the weight store, over all replicas.
+    """
+
+    slots: int
+    memory_tokens: int
+    capacity_mb: float
+    adapter_places: int
+    loads_per_s: float
+    models: dict[str, ModelSpec]
+
+
+@attrs.frozen
+class ServiceSpec:
+    """A service: the replicas behind its name.
+
+    :param max_connections: connections that a replica takes from all callers.
+    :param engine: ``None`` for a plain service.
+    """
+
+    name: str
+    max_connections: int
+    engine: EngineSpec | None
+
+
+@attrs.frozen
+class ClientLimits:
+    """What a caller may send, and how long its connection may rest."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@attrs.frozen
+class ServingConfig:
+    """One whole configuration; a later one takes its place at once.
+
+    :param version: rises with each change.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, ServiceSpec]
+    limits: ClientLimits
+    _by_host: dict[str, list[Route]] = attrs.field(init=False, factory=dict, eq=False)
+
+    def __attrs_post_init__(self) -> None:
+        for route in self.routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route of *host* with the longest prefix of *path*."""
+        for route in self._by_host.get(host.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def engine_services(self) -> list[ServiceSpec]:
+        """Return the services whose replicas hold models."""
+        return [service for service in self.services.values() if service.engine is not None]
--- /dev/null
+++ b/limeshelf/calls/wire.py
@@ -0,0 +1,71 @@
+"""What the sending side needs to say to a replica, and learns from its answer's head."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Protocol
+
+import attrs
+
+if TYPE_CHECKING:
+    from limeshelf.calls.call import Call
+
+
+@attrs.frozen
+class SendFacts:
+    """What goes with a call to a replica beside the call itself.
+
+    :param left_s: time that the replica may work, in seconds.
+    :param replica_id: the incarnation that is meant; no other may run the call.
+    :param last_event_id: go on behind this event, on resumption.
+    """
+
+    left_s: float
+    replica_id: str
+    priority: int
+    last_event_id: str | None
+
+
+@attrs.frozen
+class AnswerFacts:
+    """What the head of a replica's answer says.
+
+    :param call_id: the call that it answers, as the replica tells it.
+    :param stamped: whether it bears the replica's signature.
+    :param encoded: whether the body was encoded on the way.
+    :param not_run: the replica's word that it did not run the call.
+    :param misdirected: another incarnation answered, or what the call needs is
+        not there.
+    :param headers: those that travel on.
+    :param keep_alive_s: how long the replica keeps an idle connection.
+    """
+
+    status: int
+    call_id: str | None
+    stamped: bool
+    encoded: bool
+    not_run: bool
+    misdirected: bool
+    retry_after_s: float | None
+    headers: tuple[tuple[str, str], ...]
+    keep_alive_s: float | None
+    closes: bool
+
+
+class CallWire(Protocol):
+    """The spelling of calls and answers; one implementation a wire."""
+
+    def read_call(
+        self, method: str, target: str, fields: Any, body: bytes, arrived_s: float
+    ) -> Call:
+        """Return the call in a request; raises :exc:`InvalidRequest`."""
+
+    def send_headers(self, call: Call, facts: SendFacts) -> list[tuple[str, str]]:
+        """Return the headers with which a call goes to a replica."""
+
+    def read_answer(self, status: int, fields: Any) -> AnswerFacts:
+        """Return what the head of a replica's answer says."""
+
+    def refusal_headers(
+        self, call_id: str | None, retry_after_s: float | None
+    ) -> list[tuple[str, str]]:
+        """Return the headers of an answer of our own."""
--- /dev/null
+++ b/limeshelf/fleet/adapters.py
@@ -0,0 +1,93 @@
+"""Decides at which replica an adapter is loaded, and which one gives way there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.fleet.demand import ModelKey, ModelLoad
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from limeshelf.calls.routes import EngineSpec
+    from limeshelf.fleet.desk import Lane
+    from limeshelf.replicas.directory import Replica, ReplicaDirectory
+
+#: Adapters that may be on their way to one replica together.
+MAX_COMING = 4
+#: An adapter that was asked for within this time does not give way.
+KEEP_S = 0.6
+
+
+@attrs.frozen
+class AdapterMove:
+    """Load an adapter at a replica, after another one there is unloaded."""
+
+    replica: Replica
+    key: ModelKey
+    evicted: ModelKey | None
+
+
+@attrs.define
+class AdapterPlanner:
+    """Plans adapters of one engine service."""
+
+    service: str
+    engine: EngineSpec
+    directory: ReplicaDirectory
+    loads: dict[ModelKey, ModelLoad]
+
+    def plan(self, key: ModelKey, lanes: dict[str, Lane]) -> AdapterMove | None:
+        """Return the move that brings *key*, if it is not there or coming."""
+        holders = [
+            replica
+            for replica in self.directory.of_service(self.service)
+            if replica.holds(key.model)
+        ]
+        for replica in holders:
+            coming = lanes[replica.replica_id].coming
+            if replica.holds(key.model, key.adapter) or (key.model, key.adapter) in coming:
+                return None
+        options = []
+        for replica in holders:
+            lane = lanes[replica.replica_id]
+            adapters_coming = sum(1 for _, adapter in lane.coming if adapter)
+            if lane.busy_with_model or adapters_coming >= MAX_COMING:
+                continue
+            found, evicted = self._make_room(replica, adapters_coming)
+            if not found:
+                continue
+            cost = (
+                replica.health.is_suspended(),
+                self.directory.load_of(replica).calls / max(1, replica.record.slots)
+                + 0.1 * adapters_coming
+                + (0.05 if evicted else 0.0),
+            )
+            options.append((cost, replica, evicted))
+        if not options:
+            return None
+        options.sort(key=lambda option: option[0])
+        _, replica, evicted = options[0]
+        return AdapterMove(replica, key, evicted)
+
+    def _make_room(self, replica: Replica, coming: int) -> tuple[bool, ModelKey | None]:
+        held = [
+            ModelKey(self.service, model, adapter)
+            for model, adapters in replica.holdings.items()
+            for adapter in adapters
+        ]
+        if len(held) + coming < self.engine.adapter_places:
+            return True, None
+        now_s = boottime_s()
+        idle = [
+            key
+            for key in held
+            if self._load(key).running == 0 and now_s - self._load(key).seen_s > KEEP_S
+        ]
+        if not idle:
+            return False, None
+        return True, min(idle, key=lambda key: self._load(key).seen_s)
+
+    def _load(self, key: ModelKey) -> ModelLoad:
+        return self.loads.get(key) or ModelLoad()
--- /dev/null
+++ b/limeshelf/fleet/desk.py
@@ -0,0 +1,204 @@
+"""The leader's orders: one replica at a time has one order at a time under way."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.fleet.orders import Order, OrderKind, OrderOutcome, ReplicaSilent
+from limeshelf.metrics.journal import log_change
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from limeshelf.fleet.leader import Leadership
+    from limeshelf.fleet.orders import OrderWire
+    from limeshelf.metrics.figures import Figures
+    from limeshelf.replicas.directory import Replica, ReplicaDirectory
+
+#: Looks at a replica while something is on its way there.
+ADAPTER_LOOK_S = 0.03
+MODEL_LOOK_S = 0.25
+#: Reports lag by about this much, so an order's trace shows after it.
+ADAPTER_SETTLE_S = 0.13
+#: An adapter that has not come after this time is given up.
+ADAPTER_LIMIT_S = 2.0
+#: Times a load may take of what the configuration says before it is given up.
+LOAD_LIMIT_FACTOR = 4.0
+#: Tries of one order that other orders got in front of.
+MAX_TRIES = 4
+
+
+@attrs.frozen
+class Task:
+    """Something to load or unload at a replica.
+
+    :param load_s: how long a load likely takes.
+    """
+
+    kind: OrderKind
+    model: str
+    adapter: str = ''
+    load_s: float = 0.0
+
+
+@attrs.define
+class Lane:
+    """The orders to one replica, one after the other.
+
+    :ivar coming: what is on its way there, with the time when it is likely done.
+    """
+
+    coming: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    waiting: int = 0
+
+    @property
+    def busy_with_model(self) -> bool:
+        """Return whether a whole model is on its way."""
+        return any(not adapter for _, adapter in self.coming)
+
+
+class OrderDesk:
+    """Sends orders under the term in force and watches until they are done."""
+
+    def __init__(
+        self,
+        wire: OrderWire,
+        directory: ReplicaDirectory,
+        leadership: Leadership,
+        holder: str,
+        figures: Figures,
+    ) -> None:
+        self._wire = wire
+        self._directory = directory
+        self._leadership = leadership
+        self._holder = holder
+        self._figures = figures
+        self._lanes: dict[str, Lane] = {}
+
+    def lane(self, replica: Replica) -> Lane:
+        """Return the orders to a replica."""
+        return self._lanes.setdefault(replica.replica_id, Lane())
+
+    async def look(self, replica: Replica) -> bool:
+        """Ask a replica for its report; return whether it answered."""
+        try:
+            report = await self._wire.report(replica.record.address, replica.replica_id)
+        except ReplicaSilent:
+            return False
+        self._directory.take_report(replica.replica_id, report)
+        return True
+
+    async def run(self, replica: Replica, tasks: list[Task]) -> bool:
+        """Carry out *tasks* one after the other; return whether all were done."""
+        lane = self.lane(replica)
+        loads = [task for task in tasks if task.kind is OrderKind.LOAD]
+        for task in loads:
+            lane.coming[task.model, task.adapter] = boottime_s() + task.load_s
+        try:
+            async with lane.lock:
+                for task in tasks:
+                    if not await self._carry_out(replica, task):
+                        return False
+            # Adapters may be on their way together, so the lane is free for the
+            # next while these arrive.
+            return await self._until_adapters_came(replica, loads)
+        finally:
+            for task in loads:
+                lane.coming.pop((task.model, task.adapter), None)
+
+    async def _until_adapters_came(self, replica: Replica, loads: list[Task]) -> bool:
+        for task in loads:
+            if task.adapter and not await self._until_done(replica, task):
+                return False
+        return True
+
+    async def _carry_out(self, replica: Replica, task: Task) -> bool:
+        for _ in range(MAX_TRIES):
+            outcome = await self._send(replica, task)
+            if outcome is OrderOutcome.HOLDS_ALREADY and task.adapter:
+                return True
+            if outcome in (OrderOutcome.TAKEN, OrderOutcome.HOLDS_ALREADY):
+                if task.adapter and task.kind is OrderKind.LOAD:
+                    return True
+                return await self._until_done(replica, task)
+            if outcome in (OrderOutcome.FENCED_OFF, OrderOutcome.GONE, OrderOutcome.REJECTED):
+                return False
+            if not await self._settle(replica, task):
+                return False
+            if self._is_done(replica, task):
+                return True
+        return False
+
+    async def _settle(self, replica: Replica, task: Task) -> bool:
+        """Learn how many orders the replica has taken, after one that is in doubt.
+
+        Reports lag, so the number counts only when it stands still.
+        """
+        limit_s = boottime_s() + max(ADAPTER_LIMIT_S, task.load_s * LOAD_LIMIT_FACTOR)
+        while boottime_s() < limit_s and replica.takes_calls:
+            await asyncio.sleep(ADAPTER_SETTLE_S if task.adapter else MODEL_LOOK_S)
+            if await self.look(replica) and replica.report and not replica.report.busy:
+                return True
+        return False
+
+    async def _send(self, replica: Replica, task: Task) -> OrderOutcome:
+        term = self._leadership.term
+        if term is None or not term.may_order() or not replica.takes_calls:
+            return OrderOutcome.FENCED_OFF
+        order = Order(
+            task.kind, task.model, task.adapter, replica.order_number, self._holder, term.fence
+        )
+        status = 0
+        try:
+            answer = await self._wire.order(replica.record.address, replica.replica_id, order)
+            outcome, status = answer.outcome, answer.status
+        except ReplicaSilent:
+            outcome = OrderOutcome.BUSY_OR_STALE
+        self._figures.observe_order(outcome)
+        log_change(
+            'order',
+            replica=replica.replica_id,
+            kind=task.kind,
+            model=task.model,
+            adapter=task.adapter,
+            expected=order.expected_number,
+            fence=order.fence,
+            status=status,
+            outcome=outcome,
+        )
+        if outcome is OrderOutcome.TAKEN or self._unloaded_at_once(task, outcome):
+            replica.order_number = max(replica.order_number, order.expected_number + 1)
+        if outcome is OrderOutcome.FENCED_OFF:
+            self._leadership.end('fenced_off')
+        return outcome
+
+    def _unloaded_at_once(self, task: Task, outcome: OrderOutcome) -> bool:
+        """Return whether an idle adapter went without delay, which counts as an order."""
+        unloads = task.kind is OrderKind.UNLOAD and bool(task.adapter)
+        return unloads and outcome is OrderOutcome.HOLDS_ALREADY
+
+    def _is_done(self, replica: Replica, task: Task) -> bool:
+        there = replica.holds(task.model, task.adapter)
+        return there if task.kind is OrderKind.LOAD else not there
+
+    async def _until_done(self, replica: Replica, task: Task) -> bool:
+        whole = not task.adapter
+        look_s = MODEL_LOOK_S if whole else ADAPTER_LOOK_S
+        limit_s = boottime_s() + max(ADAPTER_LIMIT_S, task.load_s * LOAD_LIMIT_FACTOR)
+        if whole and task.kind is OrderKind.LOAD:
+            # Looks before the load can be done would only cost.
+            await self._wait_for_load(replica, task)
+        while boottime_s() < limit_s and replica.takes_calls:
+            if self._is_done(replica, task):
+                return True
+            await asyncio.sleep(look_s)
+            await self.look(replica)
+        return self._is_done(replica, task)
+
+    async def _wait_for_load(self, replica: Replica, task: Task) -> None:
+        end_s = boottime_s() + 0.8 * task.load_s
+        while boottime_s() < end_s and replica.takes_calls and not self._is_done(replica, task):
+            await asyncio.sleep(MODEL_LOOK_S)
--- /dev/null
+++ b/limeshelf/fleet/orders.py
@@ -0,0 +1,74 @@
+"""Orders to replicas: what they say, how they are answered, and the port that sends them."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+from limeshelf.errors import LimeshelfError
+
+if TYPE_CHECKING:
+    from limeshelf.replicas.record import ReplicaReport
+
+
+class OrderKind(enum.StrEnum):
+    """What a replica is told to do."""
+
+    LOAD = 'load'
+    UNLOAD = 'unload'
+
+
+class OrderOutcome(enum.StrEnum):
+    """How a replica answered an order."""
+
+    TAKEN = 'taken'
+    HOLDS_ALREADY = 'holds_already'
+    BUSY_OR_STALE = 'busy_or_stale'
+    FENCED_OFF = 'fenced_off'
+    GONE = 'gone'
+    REJECTED = 'rejected'
+
+
+@attrs.frozen
+class Order:
+    """One order of a holder under its fence.
+
+    :param adapter: empty where the model itself is meant.
+    :param expected_number: orders that the replica must have taken so far;
+        with it, an order that comes late finds another number and has no effect.
+    """
+
+    kind: OrderKind
+    model: str
+    adapter: str
+    expected_number: int
+    holder: str
+    fence: int
+
+
+@attrs.frozen
+class OrderAnswer:
+    """The outcome of an order with the status that told it."""
+
+    outcome: OrderOutcome
+    status: int
+
+
+@dataclass(eq=False)
+class ReplicaSilent(LimeshelfError):
+    """A replica gave no usable answer; an order may have been taken."""
+
+    replica_id: str
+
+
+class OrderWire(Protocol):
+    """Sends orders to replicas and asks for their reports."""
+
+    async def report(self, address: str, replica_id: str) -> ReplicaReport:
+        """Return a replica's report; raises :exc:`ReplicaSilent`."""
+
+    async def order(self, address: str, replica_id: str, order: Order) -> OrderAnswer:
+        """Send an order; raises :exc:`ReplicaSilent` where it may have been taken."""
--- /dev/null
+++ b/limeshelf/fleet/planner.py
@@ -0,0 +1,198 @@
+"""Decides which copy of which model comes or goes next; a plan, no orders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.fleet.demand import ModelKey, ModelLoad
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from limeshelf.calls.routes import EngineSpec, ModelSpec
+
+#: Calls under way per copy above which a model gets another one.
+CROWDED_CALLS = 6.0
+#: A copy gives way to a model whose calls per copy are this many times its own.
+GIVE_WAY_FACTOR = 2.5
+#: A model that was asked for within this time is not idle.
+IDLE_AFTER_S = 6.0
+#: A waiting call counts as demand for this long.
+WANTED_LIFE_S = 3.0
+#: Calls under way that a waiting call stands for.
+WANTED_CALLS = 4.0
+#: Seconds of arrivals that count as calls under way.
+RATE_WEIGHT_S = 0.5
+
+
+@attrs.define
+class Holder:
+    """A replica as the planner sees it.
+
+    :ivar models: those it holds.
+    :ivar coming: those on their way.
+    :ivar idle: whether it can take an order for a whole model now.
+    :ivar calls: calls under way there.
+    :ivar at_hand: models whose weights lie on the machine.
+    """
+
+    replica_id: str
+    models: set[str]
+    coming: set[str]
+    idle: bool
+    calls: int
+    at_hand: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Move:
+    """Load a model at a replica after the copies there that make room are gone."""
+
+    replica_id: str
+    model: str
+    evicted: tuple[str, ...]
+    from_store: bool
+    reason: str
+
+
+class Planner:
+    """Plans for one engine service.
+
+    :param engine: what a replica of the service can hold.
+    """
+
+    def __init__(
+        self, service: str, engine: EngineSpec, loads: dict[ModelKey, ModelLoad]
+    ) -> None:
+        self._service = service
+        self._engine = engine
+        self._now_s = boottime_s()
+        self._demand = {name: self._demand_of(name, loads) for name in engine.models}
+        self._asked_s = {name: self._last_asked_s(name, loads) for name in engine.models}
+
+    def _keys(self, model: str, loads: dict[ModelKey, ModelLoad]) -> list[ModelLoad]:
+        return [
+            load
+            for key, load in loads.items()
+            if key.service == self._service and key.model == model
+        ]
+
+    def _demand_of(self, model: str, loads: dict[ModelKey, ModelLoad]) -> float:
+        demand = 0.0
+        for load in self._keys(model, loads):
+            demand += load.running + RATE_WEIGHT_S * load.rate
+            if self._now_s - load.wanted_s < WANTED_LIFE_S:
+                demand += WANTED_CALLS
+        return demand
+
+    def _last_asked_s(self, model: str, loads: dict[ModelKey, ModelLoad]) -> float:
+        return max((load.seen_s for load in self._keys(model, loads)), default=0.0)
+
+    def demand(self, model: str) -> float:
+        """Return the demand for a model in calls under way."""
+        return self._demand.get(model, 0.0)
+
+    def next_move(self, holders: list[Holder]) -> Move | None:
+        """Return the move that is worth most now, if any is worth making."""
+        copies = self._copies(holders)
+        missing = sorted(
+            (name for name in self._engine.models if not copies[name]),
+            key=self.demand,
+            reverse=True,
+        )
+        for model in missing:
+            move = self._place(model, holders, copies, 'missing')
+            if move is not None:
+                return move
+        return self._relieve(holders, copies)
+
+    def _copies(self, holders: list[Holder]) -> dict[str, int]:
+        copies = dict.fromkeys(self._engine.models, 0)
+        for holder in holders:
+            for model in holder.models | holder.coming:
+                if model in copies:
+                    copies[model] += 1
+        return copies
+
+    def _relieve(self, holders: list[Holder], copies: dict[str, int]) -> Move | None:
+        crowded = [
+            model
+            for model in self._engine.models
+            if copies[model] and self.demand(model) / copies[model] > CROWDED_CALLS
+        ]
+        crowded.sort(key=lambda model: self.demand(model) / copies[model], reverse=True)
+        for model in crowded:
+            if copies[model] < len(holders):
+                move = self._place(model, holders, copies, 'crowded')
+                if move is not None:
+                    return move
+        return None
+
+    def _place(
+        self, model: str, holders: list[Holder], copies: dict[str, int], reason: str
+    ) -> Move | None:
+        options = []
+        for holder in holders:
+            if not holder.idle or model in holder.models or model in holder.coming:
+                continue
+            evicted = self._make_room(model, holder, copies)
+            if evicted is None:
+                continue
+            at_hand = model in holder.at_hand
+            lost = sum(self.demand(name) / max(1, copies[name]) for name in evicted)
+            cost = (len(evicted), not at_hand, lost, holder.calls)
+            options.append((cost, holder, evicted, at_hand))
+        if not options:
+            return None
+        options.sort(key=lambda option: option[0])
+        _, holder, evicted, at_hand = options[0]
+        return Move(holder.replica_id, model, evicted, not at_hand, reason)
+
+    def _free_mb(self, holder: Holder) -> float:
+        held = holder.models | holder.coming
+        used = sum(self._spec(name).size_mb for name in held if name in self._engine.models)
+        return self._engine.capacity_mb - self._adapters_mb() - used
+
+    def _adapters_mb(self) -> float:
+        """Return what adapters may take at the most, whatever models they belong to."""
+        largest = max((spec.adapter_mb for spec in self._engine.models.values()), default=0.0)
+        return largest * self._engine.adapter_places
+
+    def _spec(self, model: str) -> ModelSpec:
+        return self._engine.models[model]
+
+    def _make_room(
+        self, model: str, holder: Holder, copies: dict[str, int]
+    ) -> tuple[str, ...] | None:
+        """Return the copies to give up at a replica, or ``None`` if it has no room."""
+        needed_mb = self._spec(model).size_mb - self._free_mb(holder)
+        if needed_mb <= 0:
+            return ()
+        own = self.demand(model) / (copies[model] + 1)
+        victims = [name for name in holder.models if self._may_go(name, model, own, copies)]
+        victims.sort(key=lambda name: (copies[name] < 2, self.demand(name) / copies[name]))
+        evicted: list[str] = []
+        for name in victims:
+            evicted.append(name)
+            needed_mb -= self._spec(name).size_mb
+            if needed_mb <= 0:
+                return self._without_surplus(tuple(evicted), -needed_mb)
+        return None
+
+    def _without_surplus(self, evicted: tuple[str, ...], spare_mb: float) -> tuple[str, ...]:
+        """Leave out a copy that need not go after a larger one went."""
+        for name in evicted[:-1]:
+            if self._spec(name).size_mb <= spare_mb:
+                return tuple(other for other in evicted if other != name)
+        return evicted
+
+    def _may_go(self, victim: str, model: str, own: float, copies: dict[str, int]) -> bool:
+        if victim not in self._engine.models:
+            return True
+        if copies[victim] >= 2:
+            after = self.demand(victim) / (copies[victim] - 1)
+            return not copies[model] or own > GIVE_WAY_FACTOR * after
+        # The only copy gives way to one that is waited for, if nobody asks for it.
+        idle = self._now_s - self._asked_s[victim] > IDLE_AFTER_S
+        return idle and not copies[model] and self.demand(model) > 0
--- /dev/null
+++ b/limeshelf/fleet/service.py
@@ -0,0 +1,198 @@
+"""The leader's work: look at the replicas, plan, order, and tell the others."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from limeshelf.fleet.adapters import AdapterPlanner
+from limeshelf.fleet.demand import DemandTotals, ModelKey
+from limeshelf.fleet.desk import OrderDesk, Task
+from limeshelf.fleet.orders import OrderKind
+from limeshelf.fleet.pace import LoadPace
+from limeshelf.fleet.planner import Holder, Planner
+from limeshelf.metrics.journal import log_change
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from limeshelf.calls.routes import EngineSpec, ServingConfig
+    from limeshelf.fleet.leader import Leadership
+    from limeshelf.fleet.planner import Move
+    from limeshelf.replicas.directory import Replica, ReplicaDirectory
+    from limeshelf.util.tasks import TaskSet
+
+STEP_S = 0.2
+#: Every replica is asked for its report this often.
+LOOK_S = 0.6
+#: Adapters load in about this time.
+ADAPTER_LOAD_S = 0.05
+
+
+class FleetService:
+    """Places models and adapters while this process holds the lease.
+
+    :param config: returns the configuration in force.
+    """
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        leadership: Leadership,
+        desk: OrderDesk,
+        tasks: TaskSet,
+        config: Callable[[], ServingConfig | None],
+        window_s: float,
+    ) -> None:
+        self.totals = DemandTotals()
+        self._directory = directory
+        self._leadership = leadership
+        self._desk = desk
+        self._tasks = tasks
+        self._config = config
+        self._pace = LoadPace(window_s)
+        self._term_fence = 0
+        self._looked_s: dict[str, float] = {}
+
+    def leads(self) -> bool:
+        """Return whether this process gives the orders now."""
+        return self._leadership.fence > 0
+
+    async def run(self) -> None:
+        """Plan and order for as long as this process leads; wait otherwise."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            loads = self.totals.step()
+            config = self._config()
+            if not self.leads() or config is None:
+                continue
+            if self._leadership.fence != self._term_fence:
+                await self._begin_term(config)
+            for service in config.engine_services():
+                assert service.engine is not None
+                self._look(service.name)
+                planner = Planner(service.name, service.engine, loads)
+                self._order_moves(service.name, service.engine, planner)
+
+    async def _begin_term(self, config: ServingConfig) -> None:
+        self._term_fence = self._leadership.fence
+        for service in config.engine_services():
+            assert service.engine is not None
+            self._pace.reset(service.engine.loads_per_s)
+            replicas = self._directory.of_service(service.name)
+            await asyncio.gather(*(self._desk.look(replica) for replica in replicas))
+
+    def _look(self, service: str) -> None:
+        now_s = boottime_s()
+        for replica in self._directory.of_service(service):
+            if now_s - self._looked_s.get(replica.replica_id, 0.0) >= LOOK_S:
+                self._looked_s[replica.replica_id] = now_s
+                self._tasks.spawn(self._look_at(replica), 'look')
+
+    async def _look_at(self, replica: Replica) -> None:
+        await self._desk.look(replica)
+
+    def _order_moves(self, service: str, engine: EngineSpec, planner: Planner) -> None:
+        holders = self._holders(service)
+        while True:
+            move = planner.next_move(holders)
+            if move is None:
+                return
+            if move.from_store:
+                if not self._pace.allows(engine.loads_per_s):
+                    return
+                self._pace.note()
+            self._begin(move, engine)
+            for holder in holders:
+                if holder.replica_id == move.replica_id:
+                    holder.idle = False
+                    holder.models -= set(move.evicted)
+                    holder.coming.add(move.model)
+
+    def _holders(self, service: str) -> list[Holder]:
+        holders = []
+        for replica in self._directory.of_service(service):
+            lane = self._desk.lane(replica)
+            report = replica.report
+            at_hand = (report.in_memory | report.on_disk) if report else frozenset()
+            busy = lane.busy_with_model or lane.waiting > 0 or bool(report and report.busy)
+            holders.append(
+                Holder(
+                    replica.replica_id,
+                    set(replica.holdings),
+                    {model for model, adapter in lane.coming if not adapter},
+                    idle=not busy and not replica.health.is_suspended(),
+                    calls=self._directory.load_of(replica).calls,
+                    at_hand=at_hand,
+                )
+            )
+        return holders
+
+    def _begin(self, move: Move, engine: EngineSpec) -> None:
+        replica = self._directory.get(move.replica_id)
+        assert replica is not None
+        spec = engine.models[move.model]
+        log_change(
+            'move',
+            replica=move.replica_id,
+            model=move.model,
+            evicted=move.evicted,
+            reason=move.reason,
+            from_store=move.from_store,
+        )
+        load_s = spec.load_s if move.from_store else spec.warm_load_s
+        tasks = [Task(OrderKind.UNLOAD, name) for name in move.evicted]
+        tasks.append(Task(OrderKind.LOAD, move.model, '', load_s))
+        # Marked here already, so that the next plan counts it.
+        self._desk.lane(replica).coming[move.model, ''] = boottime_s() + load_s
+        self._tasks.spawn(self._run(replica, tasks), 'move')
+
+    async def _run(self, replica: Replica, tasks: list[Task]) -> None:
+        done = await self._desk.run(replica, tasks)
+        if not done:
+            last = tasks[-1]
+            log_change(
+                'move_failed',
+                replica=replica.replica_id,
+                model=last.model,
+                adapter=last.adapter,
+            )
+
+    def want(self, key: ModelKey) -> None:
+        """A call waits for *key*; bring an adapter at once, a model with the next plan."""
+        self.totals.note_want(key)
+        config = self._config()
+        if not self.leads() or config is None or not key.adapter:
+            return
+        service = config.services.get(key.service)
+        if service is None or service.engine is None:
+            return
+        if key.model not in service.engine.models:
+            return
+        lanes = {
+            replica.replica_id: self._desk.lane(replica)
+            for replica in self._directory.of_service(key.service)
+        }
+        planner = AdapterPlanner(key.service, service.engine, self._directory, self.totals.step())
+        move = planner.plan(key, lanes)
+        if move is None:
+            return
+        tasks = []
+        if move.evicted is not None:
+            tasks.append(Task(OrderKind.UNLOAD, move.evicted.model, move.evicted.adapter))
+        tasks.append(Task(OrderKind.LOAD, key.model, key.adapter, ADAPTER_LOAD_S))
+        lanes[move.replica.replica_id].coming[key.model, key.adapter] = boottime_s()
+        self._tasks.spawn(self._run(move.replica, tasks), 'adapter')
+
+    def awaited(self) -> dict[ModelKey, float]:
+        """Return the models on their way, with the time when each is likely there."""
+        awaited: dict[ModelKey, float] = {}
+        for replica in self._directory.all():
+            for (model, adapter), ready_s in self._desk.lane(replica).coming.items():
+                if not adapter:
+                    key = ModelKey(replica.record.service, model)
+                    awaited[key] = min(ready_s, awaited.get(key, ready_s))
+        return awaited
+
+
--- /dev/null
+++ b/limeshelf/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""One path for every call: route, choose, send, relay, go on elsewhere, answer."""
--- /dev/null
+++ b/limeshelf/gateway/answer.py
@@ -0,0 +1,86 @@
+"""The answer to one caller; it is whole, or it visibly is not."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+class Answer(Protocol):
+    """Where the pipeline puts the answer to a call."""
+
+    started: bool
+
+    async def start(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
+        """Send the head of an answer whose length is not known."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    async def finish(self) -> None:
+        """End the body, which makes the answer whole."""
+
+    async def whole(self, status: int, headers: Iterable[tuple[str, str]], body: bytes) -> None:
+        """Send a whole answer."""
+
+    def abort(self) -> None:
+        """Break the connection off, so that the answer never looks whole."""
+
+
+class HttpAnswer:
+    """An answer on an HTTP connection.
+
+    :param closing: whether the caller is told to close the connection.
+    """
+
+    def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+        self.started = False
+        self.aborted = False
+        self.first_byte_s = 0.0
+        self.response: web.StreamResponse | None = None
+        self._request = request
+        self._closing = closing
+
+    async def start(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
+        """Send the head of an answer whose length is not known."""
+        response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        response.enable_chunked_encoding()
+        await self._prepare(response)
+
+    async def _prepare(self, response: web.StreamResponse) -> None:
+        if self._closing:
+            response.force_close()
+        self.started = True
+        self.response = response
+        self.first_byte_s = boottime_s()
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End the body, which makes the answer whole."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    async def whole(self, status: int, headers: Iterable[tuple[str, str]], body: bytes) -> None:
+        """Send a whole answer."""
+        response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
+        await self._prepare(response)
+        await response.write_eof()
+
+    def abort(self) -> None:
+        """Break the connection off, so that the answer never looks whole."""
+        self.aborted = True
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
--- /dev/null
+++ b/limeshelf/gateway/events.py
@@ -0,0 +1,52 @@
+"""Splits a stream of server-sent events at the ends of whole events."""
+
+from __future__ import annotations
+
+import re
+
+import attrs
+
+_END = re.compile(rb'\r?\n\r?\n')
+_ID = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
+#: An event that grows beyond this is no event.
+MAX_EVENT_BYTES = 1 << 20
+
+
+@attrs.define
+class EventSplitter:
+    """Keeps the unfinished rest of a stream back until its event is whole.
+
+    :ivar last_id: id of the last whole event.
+    :ivar events: whole events so far.
+    """
+
+    last_id: str | None = None
+    events: int = 0
+    _rest: bytes = b''
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that *data* completes."""
+        text = self._rest + data
+        end = 0
+        count = 0
+        for found in _END.finditer(text):
+            end = found.end()
+            count += 1
+        if not end:
+            self._rest = text
+            return b''
+        whole, self._rest = text[:end], text[end:]
+        self.events += count
+        ids = _ID.findall(whole)
+        if ids:
+            self.last_id = ids[-1].decode('latin-1')
+        return whole
+
+    @property
+    def unfinished(self) -> bool:
+        """Return whether the stream stands in the middle of an event."""
+        return bool(self._rest.strip())
+
+    def restart(self) -> None:
+        """Forget the unfinished event; another replica sends it whole."""
+        self._rest = b''
--- /dev/null
+++ b/limeshelf/gateway/exchange.py
@@ -0,0 +1,181 @@
+"""One exchange with a replica: send, check that the answer is whole and the call's own."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from limeshelf.gateway.events import EventSplitter
+from limeshelf.replicas.health import Failure
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from limeshelf.calls.call import Call
+    from limeshelf.calls.wire import AnswerFacts, CallWire, SendFacts
+    from limeshelf.gateway.answer import Answer
+    from limeshelf.replicas.connections import ReplicaConnections
+
+MAX_BODY_BYTES = 32 << 20
+CHUNK_BYTES = 1 << 16
+EVENT_STREAM = 'text/event-stream'
+
+
+class Doubt(enum.StrEnum):
+    """Why it is open whether the replica ran the call."""
+
+    CONNECTION_BROKEN = 'connection_broken'
+    SILENT = 'silent'
+    FOREIGN_ANSWER = 'foreign_answer'
+    CUT_SHORT = 'cut_short'
+    TIME_OVER = 'time_over'
+
+
+@dataclass(frozen=True)
+class Delivered:
+    """The whole answer went to the caller, with its status."""
+
+    status: int
+    first_s: float
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """A plain answer that is whole but has not gone to the caller yet."""
+
+    facts: AnswerFacts
+    body: bytes
+    first_s: float
+
+
+@dataclass(frozen=True)
+class NeverRan:
+    """The replica did not run the call and never will.
+
+    :param reached: whether the call reached the replica.
+    :param misdirected: another incarnation answered, or something is missing.
+    """
+
+    reached: bool
+    misdirected: bool = False
+    retry_after_s: float | None = None
+    status: int = 0
+
+
+@dataclass(frozen=True)
+class Broken:
+    """The replica may have run the call, and its answer is not whole.
+
+    :param failure: how the replica's health takes it.
+    """
+
+    doubt: Doubt
+    failure: Failure
+
+
+Result = Delivered | WholeAnswer | NeverRan | Broken
+
+
+class Exchange:
+    """Runs one attempt of a call at one replica.
+
+    :param splitter: keeps the place in a stream across attempts.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        connections: ReplicaConnections,
+        wire: CallWire,
+        answer: Answer,
+        splitter: EventSplitter,
+    ) -> None:
+        self._call = call
+        self._connections = connections
+        self._wire = wire
+        self._answer = answer
+        self._splitter = splitter
+
+    async def run(self, facts: SendFacts, head_limit_s: float) -> Result:
+        """Send the call and bring its answer on.
+
+        :param head_limit_s: time until the head of the answer must be there.
+        """
+        started_s = boottime_s()
+        response: aiohttp.ClientResponse | None = None
+        try:
+            async with asyncio.timeout(head_limit_s):
+                response = await self._connections.send(self._call, facts)
+            return await self._take(response, started_s)
+        except TimeoutError:
+            if response is None:
+                return Broken(Doubt.SILENT, Failure.SILENT)
+            return Broken(Doubt.CUT_SHORT, Failure.BROKEN)
+        except aiohttp.ClientConnectorError:
+            return NeverRan(reached=False)
+        except aiohttp.ConnectionTimeoutError:
+            return NeverRan(reached=False)
+        except aiohttp.ClientPayloadError:
+            return Broken(Doubt.CUT_SHORT, Failure.BROKEN)
+        except (aiohttp.ClientError, OSError, ValueError):
+            return Broken(Doubt.CONNECTION_BROKEN, Failure.BROKEN)
+        finally:
+            if response is not None:
+                response.close()
+
+    async def _take(self, response: aiohttp.ClientResponse, started_s: float) -> Result:
+        facts = self._wire.read_answer(response.status, response.headers)
+        first_s = boottime_s() - started_s
+        if facts.call_id != self._call.call_id and not facts.misdirected:
+            return Broken(Doubt.FOREIGN_ANSWER, Failure.FOREIGN)
+        if facts.not_run:
+            await self._finish(response, facts)
+            return NeverRan(True, facts.misdirected, facts.retry_after_s, facts.status)
+        if not facts.stamped or facts.encoded:
+            return Broken(Doubt.FOREIGN_ANSWER, Failure.FOREIGN)
+        if response.status == 200 and response.content_type == EVENT_STREAM:
+            return await self._relay(response, facts, first_s)
+        body = await self._read_whole(response)
+        self._connections.heed(facts)
+        response.release()
+        return WholeAnswer(facts, body, first_s)
+
+    async def _finish(self, response: aiohttp.ClientResponse, facts: AnswerFacts) -> None:
+        """Read a refusal to its end, so that its connection can be used again."""
+        await self._read_whole(response)
+        self._connections.heed(facts)
+        response.release()
+
+    async def _read_whole(self, response: aiohttp.ClientResponse) -> bytes:
+        parts = []
+        size = 0
+        async for chunk in response.content.iter_any():
+            parts.append(chunk)
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                raise ValueError('answer too long')
+        return b''.join(parts)
+
+    async def _relay(
+        self, response: aiohttp.ClientResponse, facts: AnswerFacts, first_s: float
+    ) -> Result:
+        splitter = self._splitter
+        splitter.restart()
+        async for chunk in response.content.iter_any():
+            whole = splitter.feed(chunk)
+            if not whole:
+                continue
+            if not self._answer.started:
+                await self._answer.start(facts.status, facts.headers)
+            await self._answer.write(whole)
+        if splitter.unfinished:
+            return Broken(Doubt.CUT_SHORT, Failure.BROKEN)
+        if not self._answer.started:
+            await self._answer.start(facts.status, facts.headers)
+        await self._answer.finish()
+        self._connections.heed(facts)
+        response.release()
+        return Delivered(facts.status, first_s)
--- /dev/null
+++ b/limeshelf/platform/configuration.py
@@ -0,0 +1,155 @@
+"""The operator's configuration row, read into the product's routes and services."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limeshelf.calls.call import RouteKind
+from limeshelf.calls.routes import (
+    ClientLimits,
+    EngineSpec,
+    ModelSpec,
+    Route,
+    ServiceSpec,
+    ServingConfig,
+    WeightedService,
+)
+from limeshelf.errors import InvalidDocument, Problem
+
+CONFIG_TABLE = 'op'
+CONFIG_KEY = 'config'
+
+_KINDS = {'safe': RouteKind.SAFE, 'unsafe': RouteKind.UNSAFE, 'streaming': RouteKind.STREAM}
+_MS = 1000.0
+
+
+class _Target(msgspec.Struct, rename='pascal'):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename='pascal'):
+    name: str
+    host: str
+    path_prefix: str
+    route_kind: str
+    timeout_ms: float
+    latency_slo_ms: float = 1000.0
+    priority: int = 5
+    service: str = ''
+    split: list[_Target] = []
+    max_attempts: int = 1
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct, rename='pascal'):
+    name: str
+    weights_mb: float
+    load_time_s: float
+    adapters: int = 0
+    adapter_size_mb: float = 0.0
+    warm_s: float | None = None
+
+
+class _Engine(msgspec.Struct, rename='pascal'):
+    slots: int
+    kv_capacity: int = 0
+    models: list[_Model] = []
+    weights_mb: float = 0.0
+    max_adapters: int = 0
+    loads_per_s: float = 1.0
+
+
+class _Service(msgspec.Struct, rename='pascal'):
+    name: str
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename='pascal'):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 << 20
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Config(msgspec.Struct, rename='pascal'):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_configs = msgspec.json.Decoder(_Config, strict=False)
+
+
+def read_config(value: bytes) -> ServingConfig:
+    """Return the configuration in a row.
+
+    :raises InvalidDocument: it is no configuration.
+    """
+    try:
+        document = _configs.decode(value)
+    except msgspec.MsgspecError as error:
+        raise InvalidDocument([Problem(CONFIG_KEY, str(error))]) from None
+    limits = document.limits
+    return ServingConfig(
+        version=document.version,
+        routes=tuple(_route(route) for route in document.routes),
+        services={service.name: _service(service) for service in document.services},
+        limits=ClientLimits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / _MS,
+            idle_timeout_s=limits.idle_timeout_ms / _MS,
+        ),
+    )
+
+
+def _route(route: _Route) -> Route:
+    targets = [WeightedService(target.service, target.weight) for target in route.split]
+    if not targets:
+        targets = [WeightedService(route.service, 1.0)]
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=_KINDS.get(route.route_kind, RouteKind.UNSAFE),
+        targets=tuple(targets),
+        timeout_s=route.timeout_ms / _MS,
+        objective_s=route.latency_slo_ms / _MS,
+        max_attempts=max(1, route.max_attempts),
+        priority=route.priority,
+        resumable=route.resumable,
+    )
+
+
+def _service(service: _Service) -> ServiceSpec:
+    engine = service.engine
+    return ServiceSpec(
+        name=service.name,
+        max_connections=service.max_conns,
+        engine=None if engine is None else _engine(engine),
+    )
+
+
+def _engine(engine: _Engine) -> EngineSpec:
+    return EngineSpec(
+        slots=engine.slots,
+        memory_tokens=engine.kv_capacity,
+        capacity_mb=engine.weights_mb,
+        adapter_places=engine.max_adapters,
+        loads_per_s=engine.loads_per_s,
+        models={model.name: _model(model) for model in engine.models},
+    )
+
+
+def _model(model: _Model) -> ModelSpec:
+    return ModelSpec(
+        name=model.name,
+        size_mb=model.weights_mb,
+        load_s=model.load_time_s,
+        warm_load_s=model.warm_s if model.warm_s is not None else model.load_time_s,
+        adapters=frozenset(f'a{number}' for number in range(1, model.adapters + 1)),
+        adapter_mb=model.adapter_size_mb,
+    )
--- /dev/null
+++ b/limeshelf/platform/engine.py
@@ -0,0 +1,92 @@
+"""Orders to replicas and their reports."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from limeshelf.errors import InvalidDocument
+from limeshelf.fleet.orders import Order, OrderAnswer, OrderOutcome, ReplicaSilent
+from limeshelf.platform.headers import EXPECT_INSTANCE
+from limeshelf.platform.replicas import read_report
+from limeshelf.replicas.record import ReplicaReport
+from limeshelf.util.sockets import lasting_socket
+
+CONNECT_S = 0.4
+ANSWER_S = 0.8
+_OUTCOMES = {
+    200: OrderOutcome.HOLDS_ALREADY,
+    202: OrderOutcome.TAKEN,
+    409: OrderOutcome.BUSY_OR_STALE,
+    412: OrderOutcome.FENCED_OFF,
+    421: OrderOutcome.GONE,
+}
+
+
+class EngineClient:
+    """Asks and orders replicas; implements :class:`limeshelf.fleet.orders.OrderWire`."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def report(self, address: str, replica_id: str) -> ReplicaReport:
+        """Return a replica's report; raises :exc:`ReplicaSilent`."""
+        status, body = await self._call('GET', address, '/report', replica_id, None)
+        if status != 200:
+            raise ReplicaSilent(replica_id)
+        try:
+            return read_report(body)
+        except InvalidDocument:
+            raise ReplicaSilent(replica_id) from None
+
+    async def order(self, address: str, replica_id: str, order: Order) -> OrderAnswer:
+        """Send an order; raises :exc:`ReplicaSilent` where it may have been taken."""
+        body: dict[str, Any] = {
+            'Op': order.kind.value,
+            'Model': order.model,
+            'ExpectedRevision': order.expected_number,
+            'Holder': order.holder,
+            'FencingToken': order.fence,
+        }
+        if order.adapter:
+            body['Adapter'] = order.adapter
+        status, _ = await self._call('POST', address, '/order', replica_id, body)
+        return OrderAnswer(_OUTCOMES.get(status, OrderOutcome.REJECTED), status)
+
+    async def _call(
+        self, method: str, address: str, path: str, replica_id: str, body: Any
+    ) -> tuple[int, bytes]:
+        headers = {EXPECT_INSTANCE: replica_id}
+        data = None
+        if body is not None:
+            data = msgspec.json.encode(body)
+            headers['Content-Type'] = 'application/json'
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                async with self._open().request(
+                    method, f'http://{address}{path}', data=data, headers=headers
+                ) as answer:
+                    return answer.status, await answer.read()
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            raise ReplicaSilent(replica_id) from None
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0, limit_per_host=2, keepalive_timeout=3.0, socket_factory=lasting_socket
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector,
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+            self._session._retry_connection = False
+        return self._session
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/limeshelf/programs/gateway.py
@@ -0,0 +1,246 @@
+"""``limeshelf-gateway``: takes calls, and places models while it holds the lease."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+import uvloop
+from aiomisc import Service, entrypoint
+
+from limeshelf.errors import InvalidDocument
+from limeshelf.feeds.mirror import TableMirror
+from limeshelf.feeds.rows import Row
+from limeshelf.fleet.demand import DemandMeter
+from limeshelf.fleet.desk import OrderDesk
+from limeshelf.fleet.leader import Leadership
+from limeshelf.fleet.neighbours import MEMBER_TABLE, Neighbours
+from limeshelf.fleet.service import FleetService
+from limeshelf.gateway.budget import RetryRule
+from limeshelf.gateway.choice import Chooser
+from limeshelf.gateway.edge import Edge, Phase
+from limeshelf.gateway.pipeline import Pipeline
+from limeshelf.gateway.pool import ConnectionPool
+from limeshelf.metrics.figures import Figures, FiguresServer
+from limeshelf.metrics.journal import journal, log_change
+from limeshelf.peers.node import PeerNode
+from limeshelf.platform.configuration import CONFIG_KEY, CONFIG_TABLE, read_config
+from limeshelf.platform.engine import EngineClient
+from limeshelf.platform.replicas import REPLICA_TABLE, read_record
+from limeshelf.platform.store import StoreClient
+from limeshelf.platform.wire import PlatformWire
+from limeshelf.replicas.directory import ReplicaDirectory
+from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
+from limeshelf.util.backoff import jittered_s
+from limeshelf.util.clock import boottime_s
+from limeshelf.util.tasks import TaskSet
+
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+#: Time in which the balancer sees that readiness fails.
+NOTICE_S = 2.9
+#: Share of the grace after which running calls are given up.
+LAST_SHARE = 0.84
+LEAD_STEP_S = 0.3
+#: A start without a store and without peers that know waits this long for more.
+HEAR_S = 0.4
+STARTUP_LOOK_S = 0.02
+
+
+class Gateway(Service):  # type: ignore[misc]
+    """One gateway process."""
+
+    settings: GatewaySettings
+
+    async def start(self) -> None:
+        """Listen at once; call ourselves ready when a configuration is in force."""
+        settings = self.settings
+        self.tasks = TaskSet()
+        self.figures = Figures()
+        self.store = StoreClient(settings.store_address)
+        self.directory = ReplicaDirectory(read_record)
+        self.node = PeerNode(settings.ip, settings.peer_port, settings.data_centre)
+        self._make_fleet()
+        self._make_path()
+        await self.node.start()
+        self._add_seeds()
+        self.neighbours.start()
+        await self.edge.start(settings.calls_address, settings.readiness_address)
+        self.figures_server = FiguresServer(self.figures)
+        await self.figures_server.start(settings.ip, settings.figures_port)
+        self._start_tasks()
+        log_change('started', ip=settings.ip, data_centre=settings.data_centre, pid=os.getpid())
+
+    def _make_fleet(self) -> None:
+        settings = self.settings
+        self.meter = DemandMeter(self.directory, lambda key: self.neighbours.want(key))
+        self.leadership = Leadership(
+            self.store, settings.instance_id, settings.placement.lease_s
+        )
+        self.engines = EngineClient()
+        self.desk = OrderDesk(
+            self.engines, self.directory, self.leadership, settings.instance_id, self.figures
+        )
+        self.fleet = FleetService(
+            self.directory,
+            self.leadership,
+            self.desk,
+            self.tasks,
+            lambda: self.pipeline.config,
+            settings.placement.window_s,
+        )
+        self.mirrors = {
+            CONFIG_TABLE: TableMirror(CONFIG_TABLE, self.store, self._take_config),
+            REPLICA_TABLE: TableMirror(REPLICA_TABLE, self.store, self.directory.take_row),
+            MEMBER_TABLE: TableMirror(
+                MEMBER_TABLE, self.store, lambda row: self.neighbours.take_member(row)
+            ),
+        }
+        self.neighbours = Neighbours(
+            settings.instance_id,
+            self.node,
+            self.directory,
+            self.meter,
+            self.fleet,
+            self.leadership,
+            self.mirrors,
+        )
+        self.directory.on_change = self.neighbours.tell_states_now
+
+    def _make_path(self) -> None:
+        settings = self.settings
+        wire = PlatformWire()
+        rule = RetryRule(
+            settings.retries.ratio, settings.retries.slack, settings.retries.window_s
+        )
+        self.pool = ConnectionPool(wire)
+        chooser = Chooser(self.directory, settings.data_centre)
+        self.pipeline = Pipeline(wire, self.directory, chooser, self.pool, self.meter, rule)
+        self.edge = Edge(self.pipeline, wire, self.figures)
+
+    def _add_seeds(self) -> None:
+        for seed in self.settings.seeds:
+            host = seed.rpartition(':')[0]
+            if host != self.settings.ip:
+                self.neighbours.add(f'{host}:{self.settings.peer_port}')
+
+    def _start_tasks(self) -> None:
+        for name, mirror in self.mirrors.items():
+            self.tasks.keep(mirror.run, f'mirror-{name}')
+        self.tasks.keep(self.neighbours.run, 'neighbours')
+        self.tasks.keep(self.neighbours.follow_peers, 'follow-peers')
+        self.tasks.keep(self.neighbours.register, 'register', self.store)
+        self.tasks.keep(self._lead, 'lead')
+        self.tasks.keep(self.fleet.run, 'fleet')
+        self.tasks.keep(self.pool.sweep, 'sweep', self.directory)
+        self.tasks.keep(self._become_ready, 'ready')
+
+    def _take_config(self, row: Row) -> None:
+        if row.key != CONFIG_KEY or row.gone:
+            return
+        try:
+            config = read_config(row.value)
+        except InvalidDocument as error:
+            log_change('config_invalid', row_version=row.version, problem=str(error))
+            return
+        known = self.pipeline.config
+        if known is not None and config.version <= known.version:
+            return
+        self.pipeline.config = config
+        self.neighbours.config_version = config.version
+        log_change(
+            'config', version=config.version, routes=len(config.routes), row_version=row.version
+        )
+        self.directory.wake()
+
+    async def _become_ready(self) -> None:
+        while self.pipeline.config is None or not self.directory.all():
+            await asyncio.sleep(STARTUP_LOOK_S)
+        self.edge.enter(Phase.SERVING)
+
+    async def _lead(self) -> None:
+        while True:
+            await asyncio.sleep(jittered_s(LEAD_STEP_S))
+            self.pipeline.sharers = self.pool.sharers = self.neighbours.count
+            if self.leadership.term is None and self.neighbours.leader_is_heard():
+                continue
+            await self.leadership.step()
+
+    async def drain(self) -> int:
+        """Stop as planned; return the exit code."""
+        began_s = boottime_s()
+        self.edge.enter(Phase.NOTICE)
+        await self.leadership.release()
+        self.neighbours.say_leaving()
+        await asyncio.sleep(NOTICE_S)
+        self.edge.enter(Phase.DRAINING)
+        end_s = began_s + self.settings.grace_s * LAST_SHARE
+        while self.edge.running and boottime_s() < end_s:
+            self.edge.end_idle_connections()
+            await asyncio.sleep(0.05)
+        log_change('stopped', cut_off=self.edge.running)
+        return EXIT_OK
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close everything."""
+        await self.tasks.close()
+        await self.edge.close()
+        await self.pool.close()
+        await self.engines.close()
+        await self.store.close()
+        await self.node.close()
+        await self.figures_server.close()
+
+
+def _run_gateway(settings: GatewaySettings) -> int:
+    journal.open(settings.instance_id)
+    gc.collect()
+    gc.freeze()
+    service = Gateway(settings=settings)
+    with entrypoint(
+        service,
+        log_config=False,
+        pool_size=2,
+        catch_signals=(),
+        loop_factory=uvloop.new_event_loop,
+    ) as loop:
+        return int(loop.run_until_complete(_until_stopped(service)))
+
+
+async def _until_stopped(service: Gateway) -> int:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log_change('reload'))
+    await stopping.wait()
+    return await service.drain()
+
+
+def run(
+    settings: Annotated[Path, typer.Option(help='Settings file of the instance, in JSON.')],
+) -> None:
+    """Take calls and bring them to replicas; place models while holding the lease."""
+    try:
+        loaded = load_gateway_settings(settings)
+    except InvalidDocument as error:
+        for problem in error.problems:
+            sys.stderr.write(f'{settings}: {problem.path}: {problem.message}\n')
+        sys.exit(EXIT_BAD_SETTINGS)
+    sys.exit(_run_gateway(loaded))
+
+
+def main() -> None:
+    """Run the console script."""
+    os.environ['UV_USE_IO_URING'] = '0'
+    typer.run(run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/limeshelf/replicas/connections.py
@@ -0,0 +1,103 @@
+"""Connections to one replica: pooled, bounded, and strict about how an answer ends."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp.client_exceptions import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+from yarl import URL
+
+from limeshelf.util.sockets import lasting_socket
+
+if TYPE_CHECKING:
+    from limeshelf.calls.call import Call
+    from limeshelf.calls.wire import AnswerFacts, CallWire, SendFacts
+
+#: A connection that a replica in reach takes longer than this for is given up.
+CONNECT_S = 0.35
+#: Idle connections are closed after this time, unless the replica closes earlier.
+IDLE_S = 4.0
+#: Distance kept from the replica's own idle limit.
+IDLE_MARGIN_S = 1.0
+SKIPPED_HEADERS = frozenset({'User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type'})
+
+
+class StrictResponseHandler(ResponseHandler):
+    """Tells a reset from an end, and never reuses a connection with surplus bytes.
+
+    The library takes a reset as the end of a body without length
+    (tests/replicas/test_connections.py::test_reset_is_no_end), and hands out an
+    idle connection on which something arrived unasked
+    (tests/replicas/test_connections.py::test_surplus_answer_ends_connection).
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Break the running body if the connection was not ended in order."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f'connection lost: {exc!r}'))
+        super().connection_lost(exc)
+
+    def is_connected(self) -> bool:
+        """Return whether a new exchange may start on this connection."""
+        return super().is_connected() and not self._buffer and not self._tail
+
+
+class ReplicaConnections:
+    """The client side of the connections to one replica.
+
+    :param limit: the most connections that this process opens to it.
+    """
+
+    def __init__(self, address: str, limit: int, wire: CallWire) -> None:
+        self.address = address
+        self.opened = 0
+        self._wire = wire
+        self._connector = aiohttp.TCPConnector(
+            limit=limit, keepalive_timeout=IDLE_S, socket_factory=self._make_socket
+        )
+        self._connector._factory = functools.partial(
+            StrictResponseHandler, loop=asyncio.get_running_loop()
+        )
+        self._session = aiohttp.ClientSession(
+            connector=self._connector,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=SKIPPED_HEADERS,
+        )
+        # The library repeats idempotent methods by itself on a dropped
+        # connection; every repeat here is a decision.
+        self._session._retry_connection = False
+
+    def _make_socket(self, address_info: object) -> object:
+        self.opened += 1
+        return lasting_socket(address_info)
+
+    async def send(self, call: Call, facts: SendFacts) -> aiohttp.ClientResponse:
+        """Send *call* and return the answer as soon as its head is there.
+
+        :raises aiohttp.ClientConnectorError: no byte left this process.
+        :raises aiohttp.ClientError: the replica may have received it.
+        """
+        return await self._session.request(
+            call.method,
+            URL(f'http://{self.address}{call.target}', encoded=True),
+            headers=self._wire.send_headers(call, facts),
+            data=call.body or None,
+            allow_redirects=False,
+        )
+
+    def heed(self, facts: AnswerFacts) -> None:
+        """Keep idle connections for less time than the replica does."""
+        if facts.keep_alive_s is not None:
+            limit_s = max(0.1, facts.keep_alive_s - IDLE_MARGIN_S)
+            self._connector._keepalive_timeout = min(IDLE_S, limit_s)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
--- /dev/null
+++ b/limeshelf/replicas/record.py
@@ -0,0 +1,59 @@
+"""What a replica says of itself: its record in the store and its report."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Holding:
+    """A model that a replica holds, with the adapters that are ready."""
+
+    model: str
+    adapters: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class ReplicaRecord:
+    """A replica as its row in the store tells it.
+
+    :param replica_id: of this incarnation; stands nowhere else.
+    :param slots: calls that it works on at once.
+    :param leaving: it takes no new calls.
+    :param leaves_in_s: time until it is gone, where it says so.
+    :param order_number: orders that it has taken.
+    """
+
+    replica_id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    leaving: bool
+    leaves_in_s: float | None
+    holdings: tuple[Holding, ...]
+    order_number: int
+
+
+@attrs.frozen
+class ReplicaReport:
+    """What a replica answers when asked; some 100 ms old.
+
+    :param busy: an order is under way.
+    :param loading: adapters on their way, as model and adapter.
+    :param queued: calls that wait.
+    :param in_memory: models whose weights lie in the machine's memory.
+    :param on_disk: models whose weights lie on its disk.
+    """
+
+    holdings: tuple[Holding, ...]
+    busy: bool
+    order_number: int
+    loading: tuple[tuple[str, str], ...] = ()
+    queued: int = 0
+    running: int = 0
+    memory_used: int = 0
+    memory_total: int = 0
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    leaving: bool = False
