Expect the order number that a replica reports, not its heartbeat's

Cause: the sequence number in a replica's row counts heartbeats, the one in its report counts orders; every order of the first run was answered 409.

--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -145,11 +145,14 @@
         return False
 
     async def _send(self, replica: Replica, task: Task) -> OrderOutcome:
+        if replica.order_number is None and not await self.look(replica):
+            return OrderOutcome.BUSY_OR_STALE
+        expected = replica.order_number or 0
         term = self._leadership.term
         if term is None or not term.may_order() or not replica.takes_calls:
             return OrderOutcome.FENCED_OFF
         order = Order(
-            task.kind, task.model, task.adapter, replica.order_number, self._holder, term.fence
+            task.kind, task.model, task.adapter, expected, self._holder, term.fence
         )
         status = 0
         try:
@@ -170,7 +173,7 @@
             outcome=outcome,
         )
         if outcome is OrderOutcome.TAKEN or self._unloaded_at_once(task, outcome):
-            replica.order_number = max(replica.order_number, order.expected_number + 1)
+            replica.order_number = max(replica.order_number or 0, expected + 1)
         if outcome is OrderOutcome.FENCED_OFF:
             self._leadership.end('fenced_off')
         return outcome
--- a/limeshelf/fleet/neighbours.py
+++ b/limeshelf/fleet/neighbours.py
@@ -204,7 +204,7 @@
         states = [
             ReplicaState(
                 replica.replica_id,
-                replica.order_number,
+                replica.order_number or 0,
                 [HeldModel(m, sorted(adapters)) for m, adapters in replica.holdings.items()],
                 replica.report.queued if replica.report else 0,
                 replica.report.running if replica.report else 0,
--- a/limeshelf/platform/replicas.py
+++ b/limeshelf/platform/replicas.py
@@ -84,7 +84,7 @@
         leaving=entry.state == DRAINING,
         leaves_in_s=None if entry.remaining_ms is None else entry.remaining_ms / 1000,
         holdings=_holdings(entry.models),
-        order_number=entry.seq_no,
+        beat_number=entry.seq_no,
     )
 
 
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -20,6 +20,8 @@
 
 #: What a peer told of its running calls counts for this long.
 PEER_LOAD_LIFE_S = 2.0
+#: A report goes before heartbeats for this long.
+REPORT_LIFE_S = 2.5
 
 
 @attrs.define
@@ -35,7 +37,7 @@
     """One incarnation of a replica as this process knows it.
 
     :ivar holdings: model to its ready adapters.
-    :ivar order_number: orders taken when :attr:`holdings` was told.
+    :ivar order_number: orders that it has taken; ``None`` until it was asked.
     :ivar gone: it answered as another incarnation, or its record was dropped.
     :ivar own: calls of this process under way there.
     :ivar report: the latest report, with the time of its arrival.
@@ -43,7 +45,7 @@
 
     record: ReplicaRecord
     holdings: dict[str, frozenset[str]]
-    order_number: int
+    order_number: int | None = None
     gone: bool = False
     own: Load = attrs.field(factory=Load)
     health: ReplicaHealth = attrs.field(factory=ReplicaHealth)
@@ -118,7 +120,7 @@
             self._supersede(record)
             holdings = _as_dict(record.holdings)
             self._replicas[record.replica_id] = Replica(
-                record, holdings, record.order_number, leaving=record.leaving
+                record, holdings, leaving=record.leaving
             )
             log_change(
                 'replica_found',
@@ -128,14 +130,15 @@
                 models=sorted(holdings),
             )
             return
+        if record.beat_number < replica.record.beat_number:
+            return
         replica.record = record
         if record.leaving and not replica.leaving:
             replica.leaving = True
             log_change('replica_leaving', replica=record.replica_id, left_s=record.leaves_in_s)
-        # A late heartbeat may tell of a time before the latest report.
-        if record.order_number > replica.order_number or replica.report is None:
+        # A heartbeat may tell of a time before the latest report.
+        if boottime_s() - replica.reported_s > REPORT_LIFE_S:
             replica.holdings = _as_dict(record.holdings)
-            replica.order_number = record.order_number
 
     def _supersede(self, record: ReplicaRecord) -> None:
         """An address belongs to the newest incarnation that was told of there."""
@@ -159,7 +162,7 @@
     def take_report(self, replica_id: str, report: ReplicaReport) -> None:
         """Take what a replica reported, to this process or to a peer."""
         replica = self._replicas.get(replica_id)
-        if replica is None or report.order_number < replica.order_number:
+        if replica is None or report.order_number < (replica.order_number or 0):
             return
         replica.report = report
         replica.reported_s = boottime_s()
--- a/limeshelf/replicas/record.py
+++ b/limeshelf/replicas/record.py
@@ -21,7 +21,7 @@
     :param slots: calls that it works on at once.
     :param leaving: it takes no new calls.
     :param leaves_in_s: time until it is gone, where it says so.
-    :param order_number: orders that it has taken.
+    :param beat_number: rises with each heartbeat; a lower one came late.
     """
 
     replica_id: str
@@ -32,7 +32,7 @@
     leaving: bool
     leaves_in_s: float | None
     holdings: tuple[Holding, ...]
-    order_number: int
+    beat_number: int
 
 
 @attrs.frozen
@@ -40,6 +40,7 @@
     """What a replica answers when asked; some 100 ms old.
 
     :param busy: an order is under way.
+    :param order_number: orders that it has taken.
     :param loading: adapters on their way, as model and adapter.
     :param queued: calls that wait.
     :param in_memory: models whose weights lie in the machine's memory.
