--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -24,6 +24,8 @@
 ADAPTER_SETTLE_S = 0.13
 #: An adapter that has not come after this time is given up.
 ADAPTER_LIMIT_S = 2.0
+#: An unload waits for the calls that run.
+UNLOAD_LIMIT_S = 20.0
 #: Times a load may take of what the configuration says before it is given up.
 LOAD_LIMIT_FACTOR = 4.0
 #: Tries of one order that other orders got in front of.
@@ -97,6 +99,8 @@
         loads = [task for task in tasks if task.kind is OrderKind.LOAD]
         for task in loads:
             lane.coming[task.model, task.adapter] = boottime_s() + task.load_s
+        retired = {task.model for task in tasks if task not in loads and not task.adapter}
+        replica.retiring |= retired
         try:
             async with lane.lock:
                 for task in tasks:
@@ -106,6 +110,7 @@
             # next while these arrive.
             return await self._until_adapters_came(replica, loads)
         finally:
+            replica.retiring -= retired
             for task in loads:
                 lane.coming.pop((task.model, task.adapter), None)
 
@@ -137,7 +142,7 @@
 
         Reports lag, so the number counts only when it stands still.
         """
-        limit_s = boottime_s() + max(ADAPTER_LIMIT_S, task.load_s * LOAD_LIMIT_FACTOR)
+        limit_s = boottime_s() + self._limit_s(task)
         while boottime_s() < limit_s and replica.takes_calls:
             await asyncio.sleep(ADAPTER_SETTLE_S if task.adapter else MODEL_LOOK_S)
             if await self.look(replica) and replica.report and not replica.report.busy:
@@ -190,7 +195,7 @@
     async def _until_done(self, replica: Replica, task: Task) -> bool:
         whole = not task.adapter
         look_s = MODEL_LOOK_S if whole else ADAPTER_LOOK_S
-        limit_s = boottime_s() + max(ADAPTER_LIMIT_S, task.load_s * LOAD_LIMIT_FACTOR)
+        limit_s = boottime_s() + self._limit_s(task)
         if whole and task.kind is OrderKind.LOAD:
             # Looks before the load can be done would only cost.
             await self._wait_for_load(replica, task)
@@ -201,6 +206,11 @@
             await self.look(replica)
         return self._is_done(replica, task)
 
+    def _limit_s(self, task: Task) -> float:
+        if task.kind is OrderKind.UNLOAD and not task.adapter:
+            return UNLOAD_LIMIT_S
+        return max(ADAPTER_LIMIT_S, task.load_s * LOAD_LIMIT_FACTOR)
+
     async def _wait_for_load(self, replica: Replica, task: Task) -> None:
         end_s = boottime_s() + 0.8 * task.load_s
         while boottime_s() < end_s and replica.takes_calls and not self._is_done(replica, task):
--- a/limeshelf/fleet/neighbours.py
+++ b/limeshelf/fleet/neighbours.py
@@ -205,7 +205,11 @@
             ReplicaState(
                 replica.replica_id,
                 replica.order_number or 0,
-                [HeldModel(m, sorted(adapters)) for m, adapters in replica.holdings.items()],
+                [
+                    HeldModel(model, sorted(adapters))
+                    for model, adapters in replica.holdings.items()
+                    if model not in replica.retiring
+                ],
                 replica.report.queued if replica.report else 0,
                 replica.report.running if replica.report else 0,
                 replica.report.memory_used if replica.report else 0,
--- a/limeshelf/fleet/planner.py
+++ b/limeshelf/fleet/planner.py
@@ -13,9 +13,9 @@
     from limeshelf.calls.routes import EngineSpec, ModelSpec
 
 #: Calls under way per copy above which a model gets another one.
-CROWDED_CALLS = 6.0
+CROWDED_CALLS = 4.0
 #: A copy gives way to a model whose calls per copy are this many times its own.
-GIVE_WAY_FACTOR = 2.5
+GIVE_WAY_FACTOR = 1.5
 #: A model that was asked for within this time is not idle.
 IDLE_AFTER_S = 6.0
 #: A waiting call counts as demand for this long.
@@ -24,6 +24,14 @@
 WANTED_CALLS = 4.0
 #: Seconds of arrivals that count as calls under way.
 RATE_WEIGHT_S = 0.5
+#: Calls under way that a copy stands for before any call was seen.
+HINT_CALLS = 5.0
+#: Demand, over all models, below which the copies found at the start count.
+QUIET_CALLS = 3.0
+#: Weights of what speaks against a replica for a new copy, in calls under way.
+CALL_COST = 0.5
+EVICTION_COST = 1.0
+STORE_LOAD_COST = 2.0
 
 
 @attrs.define
@@ -60,15 +68,25 @@
     """Plans for one engine service.
 
     :param engine: what a replica of the service can hold.
+    :param first_copies: copies of each model that the leader found; they tell
+        what was busy before any call was seen.
     """
 
     def __init__(
-        self, service: str, engine: EngineSpec, loads: dict[ModelKey, ModelLoad]
+        self,
+        service: str,
+        engine: EngineSpec,
+        loads: dict[ModelKey, ModelLoad],
+        first_copies: dict[str, int],
     ) -> None:
         self._service = service
         self._engine = engine
         self._now_s = boottime_s()
         self._demand = {name: self._demand_of(name, loads) for name in engine.models}
+        if sum(self._demand.values()) < QUIET_CALLS:
+            for name, copies in first_copies.items():
+                if copies > 1 and name in self._demand:
+                    self._demand[name] += HINT_CALLS * copies
         self._asked_s = {name: self._last_asked_s(name, loads) for name in engine.models}
 
     def _keys(self, model: str, loads: dict[ModelKey, ModelLoad]) -> list[ModelLoad]:
@@ -141,7 +159,9 @@
                 continue
             at_hand = model in holder.at_hand
             lost = sum(self.demand(name) / max(1, copies[name]) for name in evicted)
-            cost = (len(evicted), not at_hand, lost, holder.calls)
+            cost = lost + CALL_COST * holder.calls + EVICTION_COST * len(evicted)
+            if not at_hand:
+                cost += STORE_LOAD_COST
             options.append((cost, holder, evicted, at_hand))
         if not options:
             return None
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -54,6 +54,7 @@
         self._pace = LoadPace(window_s)
         self._term_fence = 0
         self._looked_s: dict[str, float] = {}
+        self._first_copies: dict[str, dict[str, int]] = {}
 
     def leads(self) -> bool:
         """Return whether this process gives the orders now."""
@@ -72,7 +73,8 @@
             for service in config.engine_services():
                 assert service.engine is not None
                 self._look(service.name)
-                planner = Planner(service.name, service.engine, loads)
+                first_copies = self._first_copies.get(service.name, {})
+                planner = Planner(service.name, service.engine, loads, first_copies)
                 self._order_moves(service.name, service.engine, planner)
 
     async def _begin_term(self, config: ServingConfig) -> None:
@@ -82,6 +84,11 @@
             self._pace.reset(service.engine.loads_per_s)
             replicas = self._directory.of_service(service.name)
             await asyncio.gather(*(self._desk.look(replica) for replica in replicas))
+            copies: dict[str, int] = {}
+            for replica in replicas:
+                for model in replica.holdings:
+                    copies[model] = copies.get(model, 0) + 1
+            self._first_copies[service.name] = copies
 
     def _look(self, service: str) -> None:
         now_s = boottime_s()
@@ -120,7 +127,7 @@
             holders.append(
                 Holder(
                     replica.replica_id,
-                    set(replica.holdings),
+                    set(replica.holdings) - replica.retiring,
                     {model for model, adapter in lane.coming if not adapter},
                     idle=not busy and not replica.health.is_suspended(),
                     calls=self._directory.load_of(replica).calls,
--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -36,10 +36,14 @@
 
 @dataclass(frozen=True)
 class Delivered:
-    """The whole answer went to the caller, with its status."""
+    """The whole answer went to the caller, with its status.
+
+    :param longest_pause_s: between two events of a stream.
+    """
 
     status: int
     first_s: float
+    longest_pause_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -164,10 +168,16 @@
     ) -> Result:
         splitter = self._splitter
         splitter.restart()
+        longest_pause_s = 0.0
+        last_s: float | None = None
         async for chunk in response.content.iter_any():
             whole = splitter.feed(chunk)
             if not whole:
                 continue
+            now_s = boottime_s()
+            if last_s is not None:
+                longest_pause_s = max(longest_pause_s, now_s - last_s)
+            last_s = now_s
             if not self._answer.started:
                 await self._answer.start(facts.status, facts.headers)
             await self._answer.write(whole)
@@ -178,4 +188,4 @@
         await self._answer.finish()
         self._connections.heed(facts)
         response.release()
-        return Delivered(facts.status, first_s)
+        return Delivered(facts.status, first_s, longest_pause_s)
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -225,9 +225,26 @@
             result=type(result).__name__,
             detail=str(getattr(result, 'doubt', getattr(result, 'status', ''))),
             left_ms=int(state.left_s * 1000),
+            first_ms=int(getattr(result, 'first_s', 0.0) * 1000),
+            pause_ms=int(getattr(result, 'longest_pause_s', 0.0) * 1000),
+            **self._inputs(state, replica),
             suspended=suspended,
         )
 
+    def _inputs(self, state: CallState, replica: Replica) -> dict[str, object]:
+        """Return what the choice of *replica* rested on, for its line."""
+        need = state.call.model_need
+        load = self._directory.load_of(replica)
+        return {
+            'model': need.model if need else '',
+            'adapter': need.adapter if need else '',
+            'tokens': need.prompt_tokens if need else 0,
+            'calls_there': load.calls,
+            'tokens_there': load.tokens,
+            'report_age_ms': int((boottime_s() - replica.reported_s) * 1000),
+            'config': self.config.version if self.config else 0,
+        }
+
     def _learn_refusal(self, state: CallState, replica: Replica, result: NeverRan) -> bool:
         state.excluded.add(replica.replica_id)
         if not result.reached:
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -39,6 +39,7 @@
     :ivar holdings: model to its ready adapters.
     :ivar order_number: orders that it has taken; ``None`` until it was asked.
     :ivar gone: it answered as another incarnation, or its record was dropped.
+    :ivar retiring: models that are about to be unloaded; they take no new calls.
     :ivar own: calls of this process under way there.
     :ivar report: the latest report, with the time of its arrival.
     """
@@ -52,7 +53,7 @@
     report: ReplicaReport | None = None
     reported_s: float = 0.0
     leaving: bool = False
-    own_adapters: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    retiring: set[str] = attrs.field(factory=set)
     warm_parts: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -68,7 +69,9 @@
     def holds(self, model: str, adapter: str = '') -> bool:
         """Return whether a model, or an adapter of it, is ready there."""
         adapters = self.holdings.get(model)
-        return adapters is not None and (not adapter or adapter in adapters)
+        if adapters is None or model in self.retiring:
+            return False
+        return not adapter or adapter in adapters
 
 
 class ReplicaDirectory:
