Dispatch model calls from one gateway, so that reading stays below the bearable pause

Cause: half of the claim drafts were late, not by their first event (median 145 ms of 1,000) but by pauses above 300 ms: a replica that reads several prompts in the two steps of an event holds up every stream of its batch. Nine gateways that choose on their own cannot see that. The leader now grants replicas ticket by ticket and lets calls wait, most urgent first.

--- a/limeshelf/calls/routes.py
+++ b/limeshelf/calls/routes.py
@@ -24,6 +24,7 @@
     :param targets: services with their weights; one at least.
     :param timeout_s: the longest time that a call is held.
     :param objective_s: an answer within this time earns its full worth.
+    :param pause_s: the longest pause between events that keeps a stream in time.
     :param max_attempts: the most replicas that may run one call.
     :param priority: rank among the routes; 0 is the most urgent.
     :param resumable: whether a stream may go on at another replica.
@@ -39,6 +40,7 @@
     max_attempts: int
     priority: int
     resumable: bool
+    pause_s: float = 0.3
 
     @property
     def repeatable(self) -> bool:
--- /dev/null
+++ b/limeshelf/dispatch/dispatcher.py
@@ -0,0 +1,297 @@
+"""Grants replicas to calls so that no replica reads too much between two events.
+
+Reading a prompt holds up every stream of the replica's batch. The dispatcher
+knows what each replica reads at this moment, keeps that below the pause that
+the streams bear, and lets the other calls wait here, most urgent first.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.dispatch.messages import (
+    DispatchProgress,
+    DispatchQuery,
+    DispatchVerdict,
+    Stage,
+    VerdictKind,
+)
+from limeshelf.dispatch.speed import ReadSpeed
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from limeshelf.calls.routes import EngineSpec, ServingConfig
+    from limeshelf.replicas.directory import Replica, ReplicaDirectory
+
+#: Part of the bearable pause that reading may take; an event can span two steps.
+READ_SHARE = 0.42
+#: Part of a replica's memory that calls may fill before others wait.
+MEMORY_SHARE = 0.9
+OTHER_CENTRE_COST = 0.03
+FAILING_COST = 2.0
+#: Prompt parts count as kept by a replica for this long.
+WARM_PART_LIFE_S = 12.0
+WARM_PARTS_KEPT = 1024
+#: A waiting ticket whose gateway does not ask again is dropped.
+UNASKED_LIFE_S = 1.0
+#: A granted ticket lives this much longer than its call had left.
+GRANT_SLACK_S = 1.0
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """A call that waits for a replica, or has one.
+
+    :ivar asker: peer address of its gateway; empty for this process.
+    :ivar fresh_tokens: prompt tokens that the replica has to read.
+    :ivar read_ms: how long that likely takes; 0 once it is done.
+    :ivar alone: nothing else was read there at the same time.
+    """
+
+    query: DispatchQuery
+    asker: str
+    asked_s: float
+    late_s: float
+    ends_s: float
+    replica: Replica | None = None
+    fresh_tokens: int = 0
+    read_ms: float = 0.0
+    granted_s: float = 0.0
+    alone: bool = True
+
+    def urgency(self, now_s: float) -> tuple[bool, int, float]:
+        """Return the order of service: in time before late, then by rank and time."""
+        return (now_s > self.late_s, self.query.priority, self.late_s)
+
+
+@attrs.define
+class ReplicaUse:
+    """What granted tickets take of a replica."""
+
+    calls: int = 0
+    tokens: int = 0
+    reading_ms: float = 0.0
+    reading: set[str] = attrs.field(factory=set)
+    warm_parts: dict[str, float] = attrs.field(factory=dict)
+
+
+class Dispatcher:
+    """Grants replicas to the tickets of all gateways.
+
+    :param answer: sends a verdict to a gateway, or to this process.
+    """
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        config: Callable[[], ServingConfig | None],
+        answer: Callable[[str, DispatchVerdict], None],
+    ) -> None:
+        self.speed = ReadSpeed()
+        self._directory = directory
+        self._config = config
+        self._answer = answer
+        self._waiting: dict[str, Ticket] = {}
+        self._granted: dict[str, Ticket] = {}
+        self._uses: dict[str, ReplicaUse] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Return how many calls wait for a replica."""
+        return len(self._waiting)
+
+    def take_query(self, query: DispatchQuery, asker: str) -> None:
+        """Take a new ticket, or one that is asked for again."""
+        now_s = boottime_s()
+        granted = self._granted.get(query.ticket_id)
+        if granted is not None and granted.replica is not None:
+            self._tell(granted, VerdictKind.GRANTED)
+            return
+        ticket = self._waiting.get(query.ticket_id)
+        if ticket is None:
+            ticket = Ticket(
+                query,
+                asker,
+                now_s,
+                now_s + query.objective_ms / 1000,
+                now_s + query.left_ms / 1000,
+            )
+            self._waiting[query.ticket_id] = ticket
+        ticket.asked_s = now_s
+        self.pump()
+        if query.ticket_id in self._waiting:
+            if self._holders(query):
+                self._tell(ticket, VerdictKind.QUEUED)
+            else:
+                del self._waiting[query.ticket_id]
+                self._tell(ticket, VerdictKind.ABSENT)
+
+    def take_progress(self, progress: DispatchProgress) -> None:
+        """Take how far a call has come, and let others in if there is room now."""
+        if progress.stage is Stage.ENDED:
+            self._waiting.pop(progress.ticket_id, None)
+            ticket = self._granted.pop(progress.ticket_id, None)
+            if ticket is not None:
+                self._release(ticket)
+        else:
+            ticket = self._granted.get(progress.ticket_id)
+            if ticket is not None:
+                self._note_read(ticket)
+        self.pump()
+
+    def pump(self) -> None:
+        """Grant what can be granted, the most urgent first."""
+        now_s = boottime_s()
+        self._drop_stale(now_s)
+        config = self._config()
+        if config is None:
+            return
+        for ticket in sorted(self._waiting.values(), key=lambda one: one.urgency(now_s)):
+            service = config.services.get(ticket.query.key.service)
+            if service is None or service.engine is None:
+                continue
+            replica = self._choose(ticket.query, service.engine)
+            if replica is not None:
+                self._grant(ticket, replica, now_s)
+
+    def _drop_stale(self, now_s: float) -> None:
+        for ticket_id, ticket in list(self._waiting.items()):
+            if now_s > ticket.ends_s or now_s - ticket.asked_s > UNASKED_LIFE_S:
+                del self._waiting[ticket_id]
+        for ticket_id, ticket in list(self._granted.items()):
+            if now_s > ticket.ends_s + GRANT_SLACK_S:
+                del self._granted[ticket_id]
+                self._release(ticket)
+
+    def _holders(self, query: DispatchQuery) -> list[Replica]:
+        return [
+            replica
+            for replica in self._directory.of_service(query.key.service)
+            if replica.holds(query.key.model, query.key.adapter)
+            and replica.replica_id not in query.excluded
+        ]
+
+    def _use(self, replica: Replica) -> ReplicaUse:
+        return self._uses.setdefault(replica.replica_id, ReplicaUse())
+
+    def _choose(self, query: DispatchQuery, engine: EngineSpec) -> Replica | None:
+        holders = self._holders(query)
+        healthy = [replica for replica in holders if not replica.health.is_suspended()]
+        best: Replica | None = None
+        best_cost = float('inf')
+        for replica in healthy or holders:
+            use = self._use(replica)
+            read_ms = self.speed.read_ms(query.key.model, self._fresh_tokens(query, use))
+            if not self._has_room(query, replica, use, read_ms, engine):
+                continue
+            cost = self._cost(query, replica, use, read_ms, engine)
+            if cost < best_cost:
+                best, best_cost = replica, cost
+        return best
+
+    def _has_room(
+        self,
+        query: DispatchQuery,
+        replica: Replica,
+        use: ReplicaUse,
+        read_ms: float,
+        engine: EngineSpec,
+    ) -> bool:
+        if use.reading and use.reading_ms + read_ms > READ_SHARE * query.pause_ms:
+            return False
+        if use.calls >= replica.record.slots:
+            return False
+        tokens = query.prompt_tokens + query.likely_tokens
+        return not use.calls or use.tokens + tokens <= MEMORY_SHARE * engine.memory_tokens
+
+    def _cost(
+        self,
+        query: DispatchQuery,
+        replica: Replica,
+        use: ReplicaUse,
+        read_ms: float,
+        engine: EngineSpec,
+    ) -> float:
+        cost = (use.reading_ms + read_ms) / max(1, query.pause_ms)
+        cost += use.calls / max(1, replica.record.slots)
+        cost += use.tokens / max(1, engine.memory_tokens)
+        if replica.record.data_centre != query.data_centre:
+            cost += OTHER_CENTRE_COST
+        return cost + FAILING_COST * max(0.0, replica.health.failing - 0.2)
+
+    def _fresh_tokens(self, query: DispatchQuery, use: ReplicaUse) -> int:
+        fresh = query.prompt_tokens
+        oldest_s = boottime_s() - WARM_PART_LIFE_S
+        for part in query.parts:
+            if use.warm_parts.get(_part_key(query, part.part_id), 0.0) < oldest_s:
+                break
+            fresh -= part.tokens
+        return max(1, fresh)
+
+    def _grant(self, ticket: Ticket, replica: Replica, now_s: float) -> None:
+        query = ticket.query
+        use = self._use(replica)
+        ticket.replica = replica
+        ticket.fresh_tokens = self._fresh_tokens(query, use)
+        ticket.read_ms = self.speed.read_ms(query.key.model, ticket.fresh_tokens)
+        ticket.granted_s = now_s
+        self._mark_company(use, ticket)
+        use.calls += 1
+        use.tokens += query.prompt_tokens + query.likely_tokens
+        use.reading_ms += ticket.read_ms
+        use.reading.add(query.ticket_id)
+        self._note_parts(query, use, now_s)
+        del self._waiting[query.ticket_id]
+        self._granted[query.ticket_id] = ticket
+        self._tell(ticket, VerdictKind.GRANTED)
+
+    def _mark_company(self, use: ReplicaUse, ticket: Ticket) -> None:
+        for other_id in use.reading:
+            other = self._granted.get(other_id)
+            if other is not None:
+                other.alone = False
+            ticket.alone = False
+
+    def _note_parts(self, query: DispatchQuery, use: ReplicaUse, now_s: float) -> None:
+        for part in query.parts:
+            key = _part_key(query, part.part_id)
+            use.warm_parts.pop(key, None)
+            use.warm_parts[key] = now_s
+        while len(use.warm_parts) > WARM_PARTS_KEPT:
+            del use.warm_parts[next(iter(use.warm_parts))]
+
+    def _note_read(self, ticket: Ticket) -> None:
+        assert ticket.replica is not None
+        use = self._use(ticket.replica)
+        if ticket.query.ticket_id not in use.reading:
+            return
+        use.reading.discard(ticket.query.ticket_id)
+        use.reading_ms = max(0.0, use.reading_ms - ticket.read_ms) if use.reading else 0.0
+        if ticket.alone:
+            first_ms = (boottime_s() - ticket.granted_s) * 1000
+            self.speed.learn(ticket.query.key.model, ticket.fresh_tokens, first_ms)
+        ticket.read_ms = 0.0
+
+    def _release(self, ticket: Ticket) -> None:
+        if ticket.replica is None:
+            return
+        use = self._use(ticket.replica)
+        use.calls -= 1
+        use.tokens -= ticket.query.prompt_tokens + ticket.query.likely_tokens
+        if ticket.query.ticket_id in use.reading:
+            use.reading.discard(ticket.query.ticket_id)
+            use.reading_ms = max(0.0, use.reading_ms - ticket.read_ms) if use.reading else 0.0
+
+    def _tell(self, ticket: Ticket, kind: VerdictKind) -> None:
+        replica_id = ''
+        if kind is VerdictKind.GRANTED and ticket.replica is not None:
+            replica_id = ticket.replica.replica_id
+        self._answer(ticket.asker, DispatchVerdict(ticket.query.ticket_id, kind, replica_id))
+
+
+def _part_key(query: DispatchQuery, part_id: str) -> str:
+    return f'{query.key.model}/{query.key.adapter}/{part_id}'
--- a/limeshelf/fleet/neighbours.py
+++ b/limeshelf/fleet/neighbours.py
@@ -138,6 +138,13 @@
         leaders = [peer for peer in self.heard() if peer.fence > 0]
         return max(leaders, key=lambda peer: peer.fence, default=None)
 
+    def dispatcher(self) -> str | None:
+        """Return the address of the leader, empty for this process, if one is known."""
+        if self.fleet.leads():
+            return ''
+        leader = self._leader()
+        return leader.address if leader is not None else None
+
     def leader_is_heard(self) -> bool:
         """Return whether another gateway holds the lease and is heard."""
         return self._leader() is not None
--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -14,6 +14,8 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from limeshelf.calls.call import Call
     from limeshelf.calls.wire import AnswerFacts, CallWire, SendFacts
     from limeshelf.gateway.answer import Answer
@@ -87,6 +89,7 @@
     """Runs one attempt of a call at one replica.
 
     :param splitter: keeps the place in a stream across attempts.
+    :param on_first: called when the first event of a stream is there.
     """
 
     def __init__(
@@ -96,12 +99,14 @@
         wire: CallWire,
         answer: Answer,
         splitter: EventSplitter,
+        on_first: Callable[[], None],
     ) -> None:
         self._call = call
         self._connections = connections
         self._wire = wire
         self._answer = answer
         self._splitter = splitter
+        self._on_first = on_first
 
     async def run(self, facts: SendFacts, head_limit_s: float) -> Result:
         """Send the call and bring its answer on.
@@ -175,7 +180,9 @@
             if not whole:
                 continue
             now_s = boottime_s()
-            if last_s is not None:
+            if last_s is None:
+                self._on_first()
+            else:
                 longest_pause_s = max(longest_pause_s, now_s - last_s)
             last_s = now_s
             if not self._answer.started:
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -9,7 +9,10 @@
 
 from limeshelf.calls.call import RouteKind
 from limeshelf.calls.wire import SendFacts
+from limeshelf.dispatch.client import Place, PlaceRequest
+from limeshelf.dispatch.messages import VerdictKind
 from limeshelf.errors import NotRun, RefusalReason
+from limeshelf.fleet.demand import ModelKey
 from limeshelf.gateway.budget import RetryBudget
 from limeshelf.gateway.choice import Chooser, note_warm_parts
 from limeshelf.gateway.events import EventSplitter
@@ -19,9 +22,10 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
-    from limeshelf.calls.call import Call
+    from limeshelf.calls.call import Call, ModelNeed
     from limeshelf.calls.routes import Route, ServiceSpec, ServingConfig
     from limeshelf.calls.wire import CallWire
+    from limeshelf.dispatch.client import DispatchClient
     from limeshelf.fleet.demand import DemandMeter
     from limeshelf.gateway.answer import Answer
     from limeshelf.gateway.budget import RetryRule
@@ -73,6 +77,24 @@
         return self.ends_s - boottime_s()
 
 
+@attrs.frozen
+class Choice:
+    """The replica for an attempt, with the dispatcher's grant if it gave one."""
+
+    replica: Replica
+    place: Place | None
+
+    def note_first(self) -> None:
+        """Say that the first event is there."""
+        if self.place is not None:
+            self.place.read()
+
+    def note_end(self) -> None:
+        """Say that the attempt is over."""
+        if self.place is not None:
+            self.place.ended()
+
+
 class Pipeline:
     """Serves calls with the configuration in force.
 
@@ -86,6 +108,7 @@
         chooser: Chooser,
         pool: ConnectionPool,
         demand: DemandMeter,
+        dispatch: DispatchClient,
         rule: RetryRule,
     ) -> None:
         self.config: ServingConfig | None = None
@@ -95,6 +118,7 @@
         self._chooser = chooser
         self._pool = pool
         self._demand = demand
+        self._dispatch = dispatch
         self._rule = rule
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -128,17 +152,18 @@
 
     async def _attempts(self, state: CallState, answer: Answer) -> None:
         while True:
-            replica = await self._place(state, answer)
-            if replica is None:
+            choice = await self._place(state, answer)
+            if choice is None:
                 return
-            result = await self._attempt(state, replica, answer)
+            result = await self._attempt(state, choice, answer)
             state.last = result
-            self._learn(state, replica, result)
+            self._learn(state, choice.replica, result)
             if await self._settled(state, result, answer):
                 return
 
-    async def _attempt(self, state: CallState, replica: Replica, answer: Answer) -> Result:
+    async def _attempt(self, state: CallState, choice: Choice, answer: Answer) -> Result:
         call = state.call
+        replica = choice.replica
         need = call.model_need
         tokens = need.memory_tokens if need else 0
         state.sends += 1
@@ -149,7 +174,9 @@
             last_event_id=state.splitter.last_id or call.last_event_id,
         )
         connections = self._pool.connections(replica, state.service)
-        exchange = Exchange(call, connections, self._wire, answer, state.splitter)
+        exchange = Exchange(
+            call, connections, self._wire, answer, state.splitter, choice.note_first
+        )
         replica.own.calls += 1
         replica.own.tokens += tokens
         note_warm_parts(replica, call)
@@ -161,6 +188,7 @@
         finally:
             replica.own.calls -= 1
             replica.own.tokens -= tokens
+            choice.note_end()
 
     def _head_limit_s(self, state: CallState) -> float:
         left_s = state.left_s
@@ -258,7 +286,7 @@
             replica.health.failed(Failure.REFUSED)
         return False
 
-    async def _place(self, state: CallState, answer: Answer) -> Replica | None:
+    async def _place(self, state: CallState, answer: Answer) -> Choice | None:
         """Return the replica to try next, or answer the caller and return ``None``."""
         while True:
             if state.left_s <= LEAST_SEND_S:
@@ -267,16 +295,44 @@
             if state.sends and not self._may_send_again(state):
                 await self._give_up(state, answer, RefusalReason.UPSTREAM_REFUSED)
                 return None
-            excluded = frozenset(state.excluded)
-            candidates = self._chooser.candidates(state.call, state.service, excluded)
-            if candidates:
+            choice = await self._choose(state)
+            if choice is not None:
                 if state.sends and not self._budget(state.service.name).try_retry():
+                    choice.note_end()
                     await self._give_up(state, answer, RefusalReason.UPSTREAM_REFUSED)
                     return None
-                return candidates[0].replica
+                return choice
             if not await self._hold(state, answer):
                 return None
 
+    async def _choose(self, state: CallState) -> Choice | None:
+        need = state.call.model_need
+        if need is not None and state.service.engine is not None:
+            answered = await self._dispatch.ask(self._request(state, need))
+            if answered is VerdictKind.ABSENT:
+                return None
+            if isinstance(answered, Place):
+                replica = self._directory.get(answered.replica_id)
+                if replica is not None and replica.takes_calls:
+                    return Choice(replica, answered)
+                answered.ended()
+                state.excluded.add(answered.replica_id)
+        excluded = frozenset(state.excluded)
+        candidates = self._chooser.candidates(state.call, state.service, excluded)
+        return Choice(candidates[0].replica, None) if candidates else None
+
+    def _request(self, state: CallState, need: ModelNeed) -> PlaceRequest:
+        held_s = boottime_s() - state.call.arrived_s
+        return PlaceRequest(
+            key=ModelKey(state.service.name, need.model, need.adapter),
+            need=need,
+            priority=state.route.priority,
+            objective_s=state.route.objective_s - held_s,
+            left_s=state.left_s,
+            pause_s=state.route.pause_s,
+            excluded=frozenset(state.excluded),
+        )
+
     def _may_send_again(self, state: CallState) -> bool:
         return state.refusals <= MAX_REFUSALS
 
--- a/limeshelf/platform/configuration.py
+++ b/limeshelf/platform/configuration.py
@@ -40,6 +40,7 @@
     split: list[_Target] = []
     max_attempts: int = 1
     resumable: bool = False
+    itl_slo_ms: float = 300.0
 
 
 class _Model(msgspec.Struct, rename='pascal'):
@@ -121,6 +122,7 @@
         max_attempts=max(1, route.max_attempts),
         priority=route.priority,
         resumable=route.resumable,
+        pause_s=route.itl_slo_ms / _MS,
     )
 
 
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -14,6 +14,7 @@
 import uvloop
 from aiomisc import Service, entrypoint
 
+from limeshelf.dispatch.client import DispatchClient
 from limeshelf.errors import InvalidDocument
 from limeshelf.feeds.mirror import TableMirror
 from limeshelf.feeds.rows import Row
@@ -71,6 +72,7 @@
         await self.node.start()
         self._add_seeds()
         self.neighbours.start()
+        self.dispatch.start()
         await self.edge.start(settings.calls_address, settings.readiness_address)
         self.figures_server = FiguresServer(self.figures)
         await self.figures_server.start(settings.ip, settings.figures_port)
@@ -121,7 +123,16 @@
         )
         self.pool = ConnectionPool(wire)
         chooser = Chooser(self.directory, settings.data_centre)
-        self.pipeline = Pipeline(wire, self.directory, chooser, self.pool, self.meter, rule)
+        self.dispatch = DispatchClient(
+            self.node,
+            self.directory,
+            lambda: self.pipeline.config,
+            self.neighbours.dispatcher,
+            settings.data_centre,
+        )
+        self.pipeline = Pipeline(
+            wire, self.directory, chooser, self.pool, self.meter, self.dispatch, rule
+        )
         self.edge = Edge(self.pipeline, wire, self.figures)
 
     def _add_seeds(self) -> None:
@@ -136,6 +147,7 @@
         self.tasks.keep(self.neighbours.run, 'neighbours')
         self.tasks.keep(self.neighbours.follow_peers, 'follow-peers')
         self.tasks.keep(self.neighbours.register, 'register', self.store)
+        self.tasks.keep(self.dispatch.run, 'dispatch')
         self.tasks.keep(self._lead, 'lead')
         self.tasks.keep(self.fleet.run, 'fleet')
         self.tasks.keep(self.pool.sweep, 'sweep', self.directory)
