--- a/limeshelf/dispatch/client.py
+++ b/limeshelf/dispatch/client.py
@@ -36,7 +36,7 @@
 OWN_SHARE = 0.4
 #: A call that waits asks again this often, so that a new dispatcher learns of it.
 ASK_AGAIN_S = 0.25
-PUMP_S = 0.05
+PUMP_S = 0.015
 LOCAL = ''
 
 
--- a/limeshelf/dispatch/dispatcher.py
+++ b/limeshelf/dispatch/dispatcher.py
@@ -31,6 +31,10 @@
 READ_SHARE = 0.42
 #: Part of a replica's memory that calls may fill before others wait.
 MEMORY_SHARE = 0.9
+#: Between two prompts at a replica, in milliseconds: a step, and the way there.
+STEP_MS = 20.0
+#: A prompt counts as read after its likely time and this much of it.
+READ_MARGIN = 1.2
 #: Part of the time that replicas read while calls wait; the rest goes to steps.
 READING_DUTY = 0.55
 #: Part of the objective that a wait may take; the rest is reading and the way.
@@ -181,6 +185,7 @@
         """Grant what can be granted, the most urgent first."""
         now_s = boottime_s()
         self._drop_stale(now_s)
+        self._count_reading(now_s)
         config = self._config()
         if config is None:
             return
@@ -192,6 +197,24 @@
             if replica is not None:
                 self._grant(ticket, replica, now_s)
 
+    def _count_reading(self, now_s: float) -> None:
+        """Take out what must have been read by now.
+
+        The first event comes a step and the way after the prompt was read; the
+        next prompt need not wait for the news.
+        """
+        for use in self._uses.values():
+            for ticket_id in list(use.reading):
+                ticket = self._granted.get(ticket_id)
+                if ticket is None:
+                    use.reading.discard(ticket_id)
+                elif (now_s - ticket.granted_s) * 1000 > READ_MARGIN * use.reading_ms + STEP_MS:
+                    self._end_reading(use, ticket)
+
+    def _end_reading(self, use: ReplicaUse, ticket: Ticket) -> None:
+        use.reading.discard(ticket.query.ticket_id)
+        use.reading_ms = max(0.0, use.reading_ms - ticket.read_ms) if use.reading else 0.0
+
     def _drop_stale(self, now_s: float) -> None:
         for ticket_id, ticket in list(self._waiting.items()):
             if now_s > ticket.ends_s or now_s - ticket.asked_s > UNASKED_LIFE_S:
@@ -308,14 +331,11 @@
     def _note_read(self, ticket: Ticket) -> None:
         assert ticket.replica is not None
         use = self._use(ticket.replica)
-        if ticket.query.ticket_id not in use.reading:
-            return
-        use.reading.discard(ticket.query.ticket_id)
-        use.reading_ms = max(0.0, use.reading_ms - ticket.read_ms) if use.reading else 0.0
         if ticket.alone:
             first_ms = (boottime_s() - ticket.granted_s) * 1000
             self.speed.learn(ticket.query.key.model, ticket.fresh_tokens, first_ms)
-        ticket.read_ms = 0.0
+        if ticket.query.ticket_id in use.reading:
+            self._end_reading(use, ticket)
 
     def _release(self, ticket: Ticket) -> None:
         if ticket.replica is None:
@@ -324,8 +344,7 @@
         use.calls -= 1
         use.tokens -= ticket.query.prompt_tokens + ticket.query.likely_tokens
         if ticket.query.ticket_id in use.reading:
-            use.reading.discard(ticket.query.ticket_id)
-            use.reading_ms = max(0.0, use.reading_ms - ticket.read_ms) if use.reading else 0.0
+            self._end_reading(use, ticket)
 
     def _tell(self, ticket: Ticket, kind: VerdictKind, wait_ms: int = 0) -> None:
         replica_id = ''
--- a/limeshelf/dispatch/speed.py
+++ b/limeshelf/dispatch/speed.py
@@ -10,8 +10,8 @@
 NEWEST_SHARE = 0.2
 #: Shorter prompts tell of the way there rather than of reading.
 LEAST_TOKENS = 250
-#: What the way there and the first step take, in milliseconds.
-OVERHEAD_MS = 16.0
+#: What the way there and back, and the two steps of the first event, take, in milliseconds.
+OVERHEAD_MS = 22.0
 
 
 class ReadSpeed:
--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -52,11 +52,13 @@
     """The orders to one replica, one after the other.
 
     :ivar coming: what is on its way there, with the time when it is likely done.
+    :ivar silent: looks in a row that were not answered.
     :ivar sent: loads whose order went out and that may be there before they show.
     """
 
     coming: dict[tuple[str, str], float] = attrs.field(factory=dict)
     sent: set[tuple[str, str]] = attrs.field(factory=set)
+    silent: int = 0
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     waiting: int = 0
 
@@ -98,7 +100,9 @@
         try:
             report = await self._wire.report(replica.record.address, replica.replica_id)
         except ReplicaSilent:
+            self.lane(replica).silent += 1
             return False
+        self.lane(replica).silent = 0
         self._directory.take_report(replica.replica_id, report, settled)
         return True
 
@@ -195,16 +199,24 @@
             status=status,
             outcome=outcome,
         )
-        if outcome is OrderOutcome.TAKEN or self._unloaded_at_once(task, outcome):
+        at_once = self._unloaded_at_once(replica, task, outcome)
+        if outcome is OrderOutcome.TAKEN or at_once:
             replica.order_number = max(replica.order_number or 0, expected + 1)
+        if at_once:
+            self._directory.forget_holding(replica, task.model, task.adapter)
         if outcome is OrderOutcome.FENCED_OFF:
             self._leadership.end('fenced_off')
         return outcome
 
-    def _unloaded_at_once(self, task: Task, outcome: OrderOutcome) -> bool:
-        """Return whether an idle adapter went without delay, which counts as an order."""
-        unloads = task.kind is OrderKind.UNLOAD and bool(task.adapter)
-        return unloads and outcome is OrderOutcome.HOLDS_ALREADY
+    def _unloaded_at_once(self, replica: Replica, task: Task, outcome: OrderOutcome) -> bool:
+        """Return whether an idle adapter went without delay, which counts as an order.
+
+        The same answer to the unload of what is not there counts as none.
+        """
+        if task.kind is not OrderKind.UNLOAD or not task.adapter:
+            return False
+        there = task.adapter in replica.holdings.get(task.model, frozenset())
+        return there and outcome is OrderOutcome.HOLDS_ALREADY
 
     def _is_done(self, replica: Replica, task: Task) -> bool:
         # Not holds(): what is about to go takes no calls but is still there
--- a/limeshelf/fleet/planner.py
+++ b/limeshelf/fleet/planner.py
@@ -17,7 +17,7 @@
 #: A copy gives way to a model whose calls per copy are this many times its own.
 GIVE_WAY_FACTOR = 1.5
 #: A model that was asked for within this time is not idle.
-IDLE_AFTER_S = 6.0
+IDLE_AFTER_S = 2.0
 #: A waiting call counts as demand for this long.
 WANTED_LIFE_S = 3.0
 #: Calls under way that a waiting call stands for.
@@ -83,7 +83,9 @@
         self._engine = engine
         self._now_s = boottime_s()
         self._demand = {name: self._demand_of(name, loads) for name in engine.models}
-        if sum(self._demand.values()) < QUIET_CALLS:
+        #: Nothing was asked for yet: what was found tells what is busy.
+        self._quiet = sum(self._demand.values()) < QUIET_CALLS
+        if self._quiet:
             for name, copies in first_copies.items():
                 if copies > 1 and name in self._demand:
                     self._demand[name] += HINT_CALLS * copies
@@ -97,11 +99,11 @@
         ]
 
     def _demand_of(self, model: str, loads: dict[ModelKey, ModelLoad]) -> float:
-        demand = 0.0
-        for load in self._keys(model, loads):
-            demand += load.running + RATE_WEIGHT_S * load.rate
-            if self._now_s - load.wanted_s < WANTED_LIFE_S:
-                demand += WANTED_CALLS
+        keys = self._keys(model, loads)
+        demand = sum(load.running + RATE_WEIGHT_S * load.rate for load in keys)
+        # Once a model: calls that wait for its adapters are no crowd.
+        if any(self._now_s - load.wanted_s < WANTED_LIFE_S for load in keys):
+            demand += WANTED_CALLS
         return demand
 
     def _last_asked_s(self, model: str, loads: dict[ModelKey, ModelLoad]) -> float:
@@ -112,18 +114,30 @@
         return self._demand.get(model, 0.0)
 
     def next_move(self, holders: list[Holder]) -> Move | None:
-        """Return the move that is worth most now, if any is worth making."""
+        """Return the move that is worth most now, if any is worth making.
+
+        Models that are waited for go first, then crowded ones. A model that
+        nobody asks for comes last: while its weights lie on a machine it is
+        back within a second or two.
+        """
         copies = self._copies(holders)
-        missing = sorted(
-            (name for name in self._engine.models if not copies[name]),
-            key=self.demand,
-            reverse=True,
+        missing = [name for name in self._engine.models if not copies[name]]
+        missing.sort(key=self.demand, reverse=True)
+        asked = [name for name in missing if self.demand(name) > 0]
+        return (
+            self._place_first(asked, holders, copies, 'missing')
+            or self._relieve(holders, copies)
+            or self._place_first(missing, holders, copies, 'missing')
         )
-        for model in missing:
-            move = self._place(model, holders, copies, 'missing')
+
+    def _place_first(
+        self, models: list[str], holders: list[Holder], copies: dict[str, int], reason: str
+    ) -> Move | None:
+        for model in models:
+            move = self._place(model, holders, copies, reason)
             if move is not None:
                 return move
-        return self._relieve(holders, copies)
+        return None
 
     def _copies(self, holders: list[Holder]) -> dict[str, int]:
         copies = dict.fromkeys(self._engine.models, 0)
@@ -140,12 +154,7 @@
             if copies[model] and self.demand(model) / copies[model] > CROWDED_CALLS
         ]
         crowded.sort(key=lambda model: self.demand(model) / copies[model], reverse=True)
-        for model in crowded:
-            if copies[model] < len(holders):
-                move = self._place(model, holders, copies, 'crowded')
-                if move is not None:
-                    return move
-        return None
+        return self._place_first(crowded, holders, copies, 'crowded')
 
     def _place(
         self, model: str, holders: list[Holder], copies: dict[str, int], reason: str
@@ -158,7 +167,7 @@
             if evicted is None:
                 continue
             at_hand = model in holder.at_hand
-            lost = sum(self.demand(name) / max(1, copies[name]) for name in evicted)
+            lost = sum(self._per_copy(name, copies) for name in evicted)
             cost = lost + CALL_COST * holder.calls + EVICTION_COST * len(evicted)
             if not at_hand:
                 cost += STORE_LOAD_COST
@@ -191,7 +200,7 @@
             return ()
         own = self.demand(model) / (copies[model] + 1)
         victims = [name for name in holder.models if self._may_go(name, model, own, copies)]
-        victims.sort(key=lambda name: (copies[name] < 2, self.demand(name) / copies[name]))
+        victims.sort(key=lambda name: (self._per_copy(name, copies), self._asked_s.get(name, 0.0)))
         evicted: list[str] = []
         for name in victims:
             evicted.append(name)
@@ -207,12 +216,17 @@
                 return tuple(other for other in evicted if other != name)
         return evicted
 
+    def _per_copy(self, model: str, copies: dict[str, int]) -> float:
+        return self.demand(model) / max(1, copies.get(model, 0))
+
     def _may_go(self, victim: str, model: str, own: float, copies: dict[str, int]) -> bool:
         if victim not in self._engine.models:
             return True
         if copies[victim] >= 2:
             after = self.demand(victim) / (copies[victim] - 1)
-            return not copies[model] or own > GIVE_WAY_FACTOR * after
-        # The only copy gives way to one that is waited for, if nobody asks for it.
+            wanted = not copies[model] and (self.demand(model) > 0 or self._quiet)
+            return wanted or own > GIVE_WAY_FACTOR * after
+        # The only copy gives way if nobody asks for it; its weights stay on the
+        # machine, so that it comes back soon.
         idle = self._now_s - self._asked_s[victim] > IDLE_AFTER_S
-        return idle and not copies[model] and self.demand(model) > 0
+        return idle and self.demand(victim) == 0 and own > 0 and not self._quiet
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -25,7 +25,9 @@
 
 STEP_S = 0.2
 #: Every replica is asked for its report this often.
-LOOK_S = 0.6
+LOOK_S = 0.5
+#: A replica that left this many looks in a row unanswered counts as lost.
+LOST_AFTER_LOOKS = 2
 #: Adapters load in about this time.
 ADAPTER_LOAD_S = 0.05
 
@@ -122,6 +124,9 @@
         holders = []
         for replica in self._directory.of_service(service):
             lane = self._desk.lane(replica)
+            if lane.silent >= LOST_AFTER_LOOKS:
+                # Nobody reaches it; its models have to come up elsewhere.
+                continue
             report = replica.report
             at_hand = (report.in_memory | report.on_disk) if report else frozenset()
             busy = lane.busy_with_model or lane.waiting > 0 or bool(report and report.busy)
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -361,10 +361,18 @@
             objective_s=state.route.objective_s - held_s,
             left_s=min(state.left_s, state.route.patience_s * PATIENCE_SHARE - held_s),
             pause_s=state.route.pause_s,
-            excluded=frozenset(state.excluded),
+            excluded=frozenset(state.excluded | self._out_of_reach(state)),
             returned=state.returned,
         )
 
+    def _out_of_reach(self, state: CallState) -> set[str]:
+        """Return the replicas that this process cannot use now, whoever else can."""
+        return {
+            replica.replica_id
+            for replica in self._directory.of_service(state.service.name)
+            if replica.health.is_suspended()
+        }
+
     def _may_send_again(self, state: CallState) -> bool:
         return state.refusals <= MAX_REFUSALS
 
--- a/limeshelf/util/sockets.py
+++ b/limeshelf/util/sockets.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 #: Unacknowledged data breaks the connection after this time.
-USER_TIMEOUT_MS = 1500
+USER_TIMEOUT_MS = 800
 #: An idle connection is probed after this time, and this often.
 PROBE_AFTER_S = 2
 PROBE_EVERY_S = 1
