--- a/limeshelf/fleet/adapters.py
+++ b/limeshelf/fleet/adapters.py
@@ -55,7 +55,7 @@
             adapters_coming = sum(1 for _, adapter in lane.coming if adapter)
             if lane.busy_with_model or adapters_coming >= MAX_COMING:
                 continue
-            found, evicted = self._make_room(replica, adapters_coming)
+            found, evicted = self._make_room(replica, lane, adapters_coming)
             if not found:
                 continue
             cost = (
@@ -71,11 +71,14 @@
         _, replica, evicted = options[0]
         return AdapterMove(replica, key, evicted)
 
-    def _make_room(self, replica: Replica, coming: int) -> tuple[bool, ModelKey | None]:
+    def _make_room(
+        self, replica: Replica, lane: Lane, coming: int
+    ) -> tuple[bool, ModelKey | None]:
         held = [
             ModelKey(self.service, model, adapter)
             for model, adapters in replica.holdings.items()
             for adapter in adapters
+            if (model, adapter) not in lane.going and (model, adapter) not in lane.coming
         ]
         if len(held) + coming < self.engine.adapter_places:
             return True, None
--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -52,6 +52,7 @@
     """The orders to one replica, one after the other.
 
     :ivar coming: what is on its way there, with the time when it is likely done.
+    :ivar going: adapters that are about to be unloaded.
     :ivar silent: looks in a row that were not answered.
     :ivar sent: loads whose order went out and that may be there before they show.
     """
@@ -59,6 +60,7 @@
     coming: dict[tuple[str, str], float] = attrs.field(factory=dict)
     sent: set[tuple[str, str]] = attrs.field(factory=set)
     silent: int = 0
+    going: set[tuple[str, str]] = attrs.field(factory=set)
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     waiting: int = 0
 
@@ -247,4 +249,4 @@
     async def _wait_for_load(self, replica: Replica, task: Task) -> None:
         end_s = boottime_s() + 0.8 * task.load_s
         while boottime_s() < end_s and replica.takes_calls and not self._is_done(replica, task):
-            await asyncio.sleep(MODEL_LOOK_S)
+            await self._directory.changed(MODEL_LOOK_S)
--- a/limeshelf/fleet/planner.py
+++ b/limeshelf/fleet/planner.py
@@ -18,6 +18,8 @@
 GIVE_WAY_FACTOR = 1.5
 #: A model that was asked for within this time is not idle.
 IDLE_AFTER_S = 2.0
+#: An adapter that was asked for within this time needs a place.
+ACTIVE_S = 1.5
 #: A waiting call counts as demand for this long.
 WANTED_LIFE_S = 3.0
 #: Calls under way that a waiting call stands for.
@@ -32,6 +34,7 @@
 CALL_COST = 0.5
 EVICTION_COST = 1.0
 STORE_LOAD_COST = 2.0
+RUNNING_COST = 3.0
 
 
 @attrs.define
@@ -82,6 +85,7 @@
         self._service = service
         self._engine = engine
         self._now_s = boottime_s()
+        self._ready: dict[str, int] = {}
         self._demand = {name: self._demand_of(name, loads) for name in engine.models}
         #: Nothing was asked for yet: what was found tells what is busy.
         self._quiet = sum(self._demand.values()) < QUIET_CALLS
@@ -101,11 +105,27 @@
     def _demand_of(self, model: str, loads: dict[ModelKey, ModelLoad]) -> float:
         keys = self._keys(model, loads)
         demand = sum(load.running + RATE_WEIGHT_S * load.rate for load in keys)
+        demand += CROWDED_CALLS * self._active_adapters(model, loads) / self._places
         # Once a model: calls that wait for its adapters are no crowd.
         if any(self._now_s - load.wanted_s < WANTED_LIFE_S for load in keys):
             demand += WANTED_CALLS
         return demand
 
+    @property
+    def _places(self) -> int:
+        return max(1, self._engine.adapter_places)
+
+    def _active_adapters(self, model: str, loads: dict[ModelKey, ModelLoad]) -> int:
+        """Return how many adapters of a model are asked for; they need places."""
+        return sum(
+            1
+            for key, load in loads.items()
+            if key.service == self._service
+            and key.model == model
+            and key.adapter
+            and self._now_s - load.seen_s < ACTIVE_S
+        )
+
     def _last_asked_s(self, model: str, loads: dict[ModelKey, ModelLoad]) -> float:
         return max((load.seen_s for load in self._keys(model, loads)), default=0.0)
 
@@ -121,6 +141,7 @@
         back within a second or two.
         """
         copies = self._copies(holders)
+        self._ready = self._ready_copies(holders)
         missing = [name for name in self._engine.models if not copies[name]]
         missing.sort(key=self.demand, reverse=True)
         asked = [name for name in missing if self.demand(name) > 0]
@@ -147,6 +168,14 @@
                     copies[model] += 1
         return copies
 
+    def _ready_copies(self, holders: list[Holder]) -> dict[str, int]:
+        ready = dict.fromkeys(self._engine.models, 0)
+        for holder in holders:
+            for model in holder.models:
+                if model in ready:
+                    ready[model] += 1
+        return ready
+
     def _relieve(self, holders: list[Holder], copies: dict[str, int]) -> Move | None:
         crowded = [
             model
@@ -168,6 +197,8 @@
                 continue
             at_hand = model in holder.at_hand
             lost = sum(self._per_copy(name, copies) for name in evicted)
+            # An unload waits for its runs, so a copy in use makes room late.
+            lost += RUNNING_COST * sum(1 for name in evicted if self.demand(name) > 1)
             cost = lost + CALL_COST * holder.calls + EVICTION_COST * len(evicted)
             if not at_hand:
                 cost += STORE_LOAD_COST
@@ -222,8 +253,10 @@
     def _may_go(self, victim: str, model: str, own: float, copies: dict[str, int]) -> bool:
         if victim not in self._engine.models:
             return True
-        if copies[victim] >= 2:
-            after = self.demand(victim) / (copies[victim] - 1)
+        # Copies on their way serve nobody yet
+        # (tests/fleet/test_planner.py::test_last_ready_copy_stays).
+        if self._ready[victim] >= 2:
+            after = self.demand(victim) / (self._ready[victim] - 1)
             wanted = not copies[model] and (self.demand(model) > 0 or self._quiet)
             return wanted or own > GIVE_WAY_FACTOR * after
         # The only copy gives way if nobody asks for it; its weights stay on the
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -182,7 +182,11 @@
         return used_mb <= engine.capacity_mb and len(adapters) <= engine.adapter_places
 
     async def _run(self, replica: Replica, tasks: list[Task]) -> None:
-        done = await self._desk.run(replica, tasks)
+        try:
+            done = await self._desk.run(replica, tasks)
+        finally:
+            lane = self._desk.lane(replica)
+            lane.going -= {(task.model, task.adapter) for task in tasks}
         if not done:
             last = tasks[-1]
             log_change(
@@ -215,7 +219,10 @@
         if move.evicted is not None:
             tasks.append(Task(OrderKind.UNLOAD, move.evicted.model, move.evicted.adapter))
         tasks.append(Task(OrderKind.LOAD, key.model, key.adapter, ADAPTER_LOAD_S))
-        lanes[move.replica.replica_id].coming[key.model, key.adapter] = boottime_s()
+        lane = lanes[move.replica.replica_id]
+        lane.coming[key.model, key.adapter] = boottime_s()
+        if move.evicted is not None:
+            lane.going.add((move.evicted.model, move.evicted.adapter))
         self._tasks.spawn(self._run(move.replica, tasks), 'adapter')
 
     def awaited(self) -> dict[ModelKey, float]:
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -391,6 +391,8 @@
                 'refused_until_ready',
                 request=state.call.call_id,
                 route=state.route.name,
+                model=state.call.model_need.model if state.call.model_need else '',
+                adapter=state.call.model_need.adapter if state.call.model_need else '',
                 expected_wait_ms=int(wait_s * 1000),
                 left_ms=int(state.left_s * 1000),
             )
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -49,9 +49,8 @@
 #: Share of the grace after which running calls are given up.
 LAST_SHARE = 0.93
 LEAD_STEP_S = 0.3
-#: A start without a store and without peers that know waits this long for more.
-HEAR_S = 0.4
-STARTUP_LOOK_S = 0.02
+#: A starting process looks at least this often whether it knows enough.
+HEAR_S = 0.1
 
 
 class Gateway(Service):
@@ -169,7 +168,7 @@
 
     async def _become_ready(self) -> None:
         while self.pipeline.config is None or not self.directory.all():
-            await asyncio.sleep(STARTUP_LOOK_S)
+            await self.directory.changed(HEAR_S)
         self.edge.enter(Phase.SERVING)
 
     async def _lead(self) -> None:
--- /dev/null
+++ b/standins/platform/replica.py
@@ -0,0 +1,286 @@
+"""A stand-in for a replica on the platform: calls, streams, orders and reports."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import socket
+import struct
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+
+class Fault(enum.StrEnum):
+    """What a replica does to the calls it gets."""
+
+    NONE = 'none'
+    FULL = 'full'
+    FOREIGN = 'foreign'
+    UNSIGNED = 'unsigned'
+    ENCODED = 'encoded'
+    RESET_MIDWAY = 'reset_midway'
+    RESET_UNFRAMED = 'reset_unframed'
+    RESET_FIRST = 'reset_first'
+    SILENT = 'silent'
+    ERROR = 'error'
+    HALF_EVENT = 'half_event'
+
+
+@attrs.define
+class Seen:
+    """A call as it arrived."""
+
+    call_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@attrs.define
+class Ordered:
+    """An order as it arrived, with the status that it got."""
+
+    op: str
+    model: str
+    adapter: str
+    expected: int | None
+    fence: int
+    status: int
+
+
+def _reset(transport: asyncio.Transport) -> None:
+    """End a connection by a reset, as a crash does, not in order."""
+    raw = transport.get_extra_info('socket')
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    transport.abort()
+
+
+class ReplicaStandIn:
+    """One incarnation of a replica.
+
+    :param replica_id: calls that expect another one get 421.
+    :param events: events of a whole stream.
+    """
+
+    def __init__(self, replica_id: str, models: list[str] | None = None, events: int = 5) -> None:
+        self.replica_id = replica_id
+        self.fault = Fault.NONE
+        #: The fault strikes only this many calls; ``None`` for all.
+        self.fault_calls: int | None = None
+        self.models: dict[str, list[str]] = {name: [] for name in models or []}
+        self.events = events
+        self.event_s = 0.0
+        self.seen: list[Seen] = []
+        self.runs: list[str] = []
+        self.orders: list[Ordered] = []
+        self.order_number = 0
+        self.highest_fence = 0
+        self.load_s = 0.0
+        self.order_fault = Fault.NONE
+        self.order_late_s = 0.0
+        self.abandoned = 0
+        self.address = ''
+        self._busy = False
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, port: int = 0) -> str:
+        """Listen on loopback and return the address."""
+        server = web.Server(self._handle, handler_cancellation=True)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, '127.0.0.1', port).start()
+        self.address = f'127.0.0.1:{self._runner.addresses[0][1]}'
+        return self.address
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def row(self, service: str, state: str = 'ready', beat: int = 1) -> dict[str, Any]:
+        """Return the replica's entry for the store."""
+        return {
+            'Service': service,
+            'Address': self.address,
+            'Zone': 'z1',
+            'Version': 'v1',
+            'Slots': 8,
+            'State': state,
+            'SeqNo': beat,
+            'Models': self._models(),
+        }
+
+    def _models(self) -> list[dict[str, Any]]:
+        return [
+            {'Name': name, 'Version': 1, 'Adapters': adapters}
+            for name, adapters in self.models.items()
+        ]
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        expected = request.headers.get('Limeshelf-Expect-Instance', self.replica_id)
+        call_id = request.headers.get('Limeshelf-Attempt-Id', '')
+        if expected != self.replica_id:
+            return self._refusal(421, call_id)
+        if request.path == '/report':
+            return self._report()
+        if request.path == '/order':
+            return await self._order(request)
+        return await self._call(request, call_id)
+
+    def _report(self) -> web.Response:
+        return web.json_response(
+            {'Models': self._models(), 'IsBusy': self._busy, 'SeqNo': self.order_number}
+        )
+
+    async def _order(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.json()
+        if self.order_fault is Fault.SILENT:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.order_late_s, self._carry_out, body)
+            await asyncio.sleep(3600)
+        return web.Response(status=self._carry_out(body))
+
+    def _carry_out(self, body: dict[str, Any]) -> int:
+        status = self._take_order(body)
+        self.orders.append(
+            Ordered(
+                body['Op'],
+                body['Model'],
+                body.get('Adapter', ''),
+                body.get('ExpectedRevision'),
+                body['FencingToken'],
+                status,
+            )
+        )
+        return status
+
+    def _take_order(self, body: dict[str, Any]) -> int:
+        if body['FencingToken'] < self.highest_fence:
+            return 412
+        self.highest_fence = body['FencingToken']
+        expected = body.get('ExpectedRevision')
+        if self._busy or (expected is not None and expected != self.order_number):
+            return 409
+        model, adapter = body['Model'], body.get('Adapter', '')
+        if body['Op'] == 'unload':
+            return self._unload(model, adapter)
+        if model in self.models and (not adapter or adapter in self.models[model]):
+            return 200
+        self.order_number += 1
+        if adapter:
+            self.models[model].append(adapter)
+        elif self.load_s:
+            self._busy = True
+            asyncio.get_running_loop().call_later(self.load_s, self._loaded, model)
+        else:
+            self.models[model] = []
+        return 202
+
+    def _loaded(self, model: str) -> None:
+        self._busy = False
+        self.models[model] = []
+
+    def _unload(self, model: str, adapter: str) -> int:
+        if adapter:
+            if adapter in self.models.get(model, []):
+                self.models[model].remove(adapter)
+                self.order_number += 1
+            return 200
+        if model not in self.models:
+            return 200
+        del self.models[model]
+        self.order_number += 1
+        return 202
+
+    def _refusal(self, status: int, call_id: str) -> web.Response:
+        headers = {'Limeshelf-Not-Executed': '1', 'Limeshelf-Attempt-Id': call_id}
+        return web.Response(status=status, headers=headers)
+
+    def _struck(self) -> Fault:
+        if self.fault_calls is None:
+            return self.fault
+        if self.fault_calls <= 0:
+            return Fault.NONE
+        self.fault_calls -= 1
+        return self.fault
+
+    async def _call(self, request: web.BaseRequest, call_id: str) -> web.StreamResponse:
+        body = await request.read()
+        self.seen.append(
+            Seen(call_id, request.method, request.raw_path, dict(request.headers), body)
+        )
+        model, _, adapter = request.headers.get('Limeshelf-Model', '').partition('/')
+        missing = model and (
+            model not in self.models or (adapter and adapter not in self.models[model])
+        )
+        if missing:
+            return self._refusal(421, call_id)
+        fault = self._struck()
+        if fault is Fault.FULL:
+            return self._refusal(503, call_id)
+        self.runs.append(call_id)
+        try:
+            return await self._run(request, call_id, fault, bool(model))
+        except asyncio.CancelledError:
+            self.abandoned += 1
+            raise
+
+    async def _run(
+        self, request: web.BaseRequest, call_id: str, fault: Fault, streams: bool
+    ) -> web.StreamResponse:
+        assert request.transport is not None
+        if fault is Fault.SILENT:
+            await asyncio.sleep(3600)
+        if fault is Fault.RESET_FIRST:
+            _reset(request.transport)
+            return web.Response()
+        headers = {'Limeshelf-Attempt-Id': call_id, 'Limeshelf-Server-Stamp': f's.{call_id}'}
+        if fault is Fault.FOREIGN:
+            headers['Limeshelf-Attempt-Id'] = 'another'
+        if fault is Fault.UNSIGNED:
+            del headers['Limeshelf-Server-Stamp']
+        if fault is Fault.ENCODED:
+            headers['Content-Encoding'] = 'x-odd'
+        if fault is Fault.ERROR:
+            return web.Response(status=500, headers=headers, body=b'failed')
+        if fault is Fault.RESET_UNFRAMED:
+            return await self._unframed(request, headers)
+        if streams:
+            return await self._stream(request, headers, fault)
+        return web.Response(headers=headers, body=b'answer of ' + call_id.encode())
+
+    async def _unframed(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        assert request.transport is not None
+        lines = ['HTTP/1.1 200 OK', *(f'{name}: {value}' for name, value in headers.items())]
+        head = '\r\n'.join([*lines, 'Connection: close', '', '']).encode()
+        request.transport.write(head + b'half an ans')
+        await asyncio.sleep(0.05)
+        _reset(request.transport)
+        return web.Response()
+
+    async def _stream(
+        self, request: web.BaseRequest, headers: dict[str, str], fault: Fault
+    ) -> web.StreamResponse:
+        assert request.transport is not None
+        response = web.StreamResponse(headers={**headers, 'Content-Type': 'text/event-stream'})
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        first = int(request.headers.get('Last-Event-Id', '0')) + 1
+        for number in range(first, self.events + 1):
+            if fault is Fault.RESET_MIDWAY and number > first + 1:
+                await response.write(f'id: {number}\nda'.encode())
+                await asyncio.sleep(0.05)
+                _reset(request.transport)
+                return response
+            await response.write(f'id: {number}\ndata: token {number}\n\n'.encode())
+            if self.event_s:
+                await asyncio.sleep(self.event_s)
+        if fault is Fault.HALF_EVENT:
+            await response.write(b'id: 99\nda')
+        await response.write_eof()
+        return response
--- /dev/null
+++ b/tests/dispatch/test_dispatcher.py
@@ -0,0 +1,170 @@
+"""Grants of replicas: what is read at once, who goes first, who is refused."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from limeshelf.calls.routes import EngineSpec, ServiceSpec
+from limeshelf.dispatch.dispatcher import Dispatcher
+from limeshelf.dispatch.messages import (
+    DispatchProgress,
+    DispatchQuery,
+    DispatchVerdict,
+    SharedPart,
+    Stage,
+    VerdictKind,
+)
+from limeshelf.fleet.demand import ModelKey
+from limeshelf.platform.replicas import read_record
+from limeshelf.replicas.directory import ReplicaDirectory
+from limeshelf.replicas.record import Holding, ReplicaRecord
+from limeshelf.util.clock import VirtualClock, virtual_clock
+
+SERVICE = ServiceSpec('lm', 50, EngineSpec(4, 20000, 100.0, 4, 1.0, {}))
+
+
+class Config:
+    def __init__(self) -> None:
+        self.services = {'lm': SERVICE}
+
+
+class World:
+    def __init__(self, clock: VirtualClock, replicas: int) -> None:
+        self.clock = clock
+        self.directory = ReplicaDirectory(read_record)
+        for number in range(replicas):
+            self.directory._take_record(
+                ReplicaRecord(
+                    f'r{number}', 'lm', f'ip:{number}', 'z1', 4, False, None, (Holding('m'),), 1
+                )
+            )
+        self.verdicts: list[DispatchVerdict] = []
+        config: Any = Config()
+        self.dispatcher = Dispatcher(
+            self.directory, lambda: config, lambda asker, verdict: self.verdicts.append(verdict)
+        )
+
+    def ask(self, ticket_id: str, tokens: int = 1000, **changes: Any) -> VerdictKind:
+        fields: dict[str, Any] = {
+            'ticket_id': ticket_id,
+            'key': ModelKey('lm', 'm'),
+            'prompt_tokens': tokens,
+            'likely_tokens': 100,
+            'priority': 1,
+            'objective_ms': 1000,
+            'left_ms': 5000,
+            'pause_ms': 300,
+            'data_centre': 'z1',
+            'parts': [],
+            'excluded': [],
+            **changes,
+        }
+        self.dispatcher.take_query(DispatchQuery(**fields), 'peer')
+        return self.verdicts[-1].kind
+
+    def granted(self) -> list[str]:
+        return [v.ticket_id for v in self.verdicts if v.kind is VerdictKind.GRANTED]
+
+
+@pytest.fixture
+def clock() -> Iterator[VirtualClock]:
+    with virtual_clock() as made:
+        yield made
+
+
+def test_reading_at_one_replica_stays_below_the_pause(clock: VirtualClock) -> None:
+    world = World(clock, 1)
+    assert world.ask('a', 2000) is VerdictKind.GRANTED
+    assert world.ask('b', 2000) is VerdictKind.QUEUED
+    world.dispatcher.take_progress(DispatchProgress('a', Stage.READ))
+    assert world.granted() == ['a', 'b']
+
+
+def test_calls_spread_over_replicas(clock: VirtualClock) -> None:
+    world = World(clock, 3)
+    for name in 'abc':
+        assert world.ask(name, 2000) is VerdictKind.GRANTED
+    assert len({verdict.replica_id for verdict in world.verdicts}) == 3
+
+
+def test_most_urgent_goes_first(clock: VirtualClock) -> None:
+    world = World(clock, 1)
+    world.ask('a', 2000)
+    world.ask('late', 2000, priority=2)
+    world.ask('soon', 2000, priority=0)
+    world.dispatcher.take_progress(DispatchProgress('a', Stage.READ))
+    assert world.granted() == ['a', 'soon']
+
+
+def test_asking_again_changes_nothing(clock: VirtualClock) -> None:
+    world = World(clock, 1)
+    for _ in range(5):
+        assert world.ask('a') is VerdictKind.GRANTED
+    assert world.dispatcher._uses['r0'].calls == 1
+
+
+def test_ended_calls_leave_nothing_behind(clock: VirtualClock) -> None:
+    world = World(clock, 2)
+    for number in range(20):
+        world.ask(f't{number}', left_ms=60000, objective_ms=60000)
+    for number in range(20):
+        world.dispatcher.take_progress(DispatchProgress(f't{number}', Stage.READ))
+        world.dispatcher.take_progress(DispatchProgress(f't{number}', Stage.ENDED))
+    for use in world.dispatcher._uses.values():
+        assert (use.calls, use.tokens, use.reading_ms) == (0, 0, 0.0)
+
+
+def test_gateway_that_died_gives_its_places_back(clock: VirtualClock) -> None:
+    world = World(clock, 1)
+    for name in 'abcd':
+        world.ask(name, 10, left_ms=1000)
+        world.dispatcher.take_progress(DispatchProgress(name, Stage.READ))
+    assert world.ask('e', 10) is VerdictKind.QUEUED
+    clock.advance(2.5)
+    assert world.ask('f', 10) is VerdictKind.GRANTED
+
+
+def test_absent_model_and_excluded_replica(clock: VirtualClock) -> None:
+    world = World(clock, 1)
+    assert world.ask('a', key=ModelKey('lm', 'none')) is VerdictKind.ABSENT
+    assert world.ask('b', excluded=['r0']) is VerdictKind.ABSENT
+
+
+def test_what_would_be_late_is_refused_unless_it_came_back(clock: VirtualClock) -> None:
+    world = World(clock, 1)
+    world.ask('a', 2000)
+    for number in range(6):
+        world.ask(f'q{number}', 2000)
+    assert world.ask('x', 2000) is VerdictKind.REFUSED
+    assert world.verdicts[-1].wait_ms > 0
+    assert world.ask('y', 2000, returned=True) is VerdictKind.QUEUED
+
+
+def test_shared_parts_need_no_second_reading(clock: VirtualClock) -> None:
+    world = World(clock, 1)
+    parts = [SharedPart('p', 1900)]
+    world.ask('a', 2000, parts=parts)
+    clock.advance(0.4)
+    world.dispatcher.take_progress(DispatchProgress('a', Stage.READ))
+    world.ask('b', 2000, parts=parts)
+    assert world.ask('c', 2000, parts=parts) is VerdictKind.GRANTED
+
+
+def test_what_must_have_been_read_lets_the_next_in(clock: VirtualClock) -> None:
+    world = World(clock, 1)
+    world.ask('a', 2000)
+    world.ask('b', 2000)
+    clock.advance(0.5)
+    world.dispatcher.pump()
+    assert world.granted() == ['a', 'b']
+
+
+def test_calls_that_others_told_of_take_slots(clock: VirtualClock) -> None:
+    from limeshelf.replicas.directory import Load
+
+    world = World(clock, 1)
+    world.directory.take_peer_loads('g2', {'r0': Load(4, 400)})
+    assert world.ask('a') is VerdictKind.QUEUED
--- /dev/null
+++ b/tests/fleet/test_desk.py
@@ -0,0 +1,182 @@
+"""Orders to one replica: numbers, fences, late orders and room."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+import pytest
+
+from limeshelf.fleet.desk import OrderDesk, Task
+from limeshelf.fleet.leader import Term
+from limeshelf.fleet.orders import OrderKind
+from limeshelf.metrics.figures import Figures
+from limeshelf.platform.engine import EngineClient
+from limeshelf.platform.replicas import read_record
+from limeshelf.replicas.directory import ReplicaDirectory
+from limeshelf.replicas.record import Holding, ReplicaRecord
+from standins.platform.replica import Fault, ReplicaStandIn
+
+LOAD = OrderKind.LOAD
+UNLOAD = OrderKind.UNLOAD
+
+
+@attrs.define
+class FixedTerm:
+    """A leadership whose term does not change by itself."""
+
+    term: Term | None = None
+
+    def end(self, cause: str) -> None:
+        self.term = None
+
+
+class World:
+    """A desk before one replica."""
+
+    def __init__(self, replica: ReplicaStandIn) -> None:
+        self.stand_in = replica
+        self.directory = ReplicaDirectory(read_record)
+        self.leadership = FixedTerm(Term(5, 1e12, 1))
+        self.client = EngineClient()
+        leadership: Any = self.leadership
+        self.desk = OrderDesk(self.client, self.directory, leadership, 'g-1', Figures())
+
+    async def __aenter__(self) -> World:
+        address = await self.stand_in.start()
+        record = ReplicaRecord(
+            self.stand_in.replica_id,
+            'lm',
+            address,
+            'z1',
+            8,
+            False,
+            None,
+            tuple(Holding(name, frozenset(a)) for name, a in self.stand_in.models.items()),
+            1,
+        )
+        self.directory._take_record(record)
+        self.replica = self.directory.get(record.replica_id)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.client.close()
+        await self.stand_in.close()
+
+
+def play(scenario: Any, replica: ReplicaStandIn) -> None:
+    async def run() -> None:
+        async with World(replica) as world:
+            await scenario(world)
+
+    asyncio.run(run())
+
+
+def test_orders_carry_the_number_that_the_replica_reports() -> None:
+    replica = ReplicaStandIn('e-1', ['m1'])
+    replica.order_number = 7
+
+    async def scenario(world: World) -> None:
+        assert await world.desk.run(world.replica, [Task(UNLOAD, 'm1'), Task(LOAD, 'm2')])
+        assert [(o.op, o.expected, o.status) for o in replica.orders] == [
+            ('unload', 7, 202),
+            ('load', 8, 202),
+        ]
+
+    play(scenario, replica)
+
+
+def test_wrong_number_is_settled() -> None:
+    replica = ReplicaStandIn('e-1', ['m1'])
+
+    async def scenario(world: World) -> None:
+        world.replica.order_number = 3
+        assert await world.desk.run(world.replica, [Task(LOAD, 'm1', 'a1')])
+        assert [o.status for o in replica.orders] == [409, 202]
+
+    play(scenario, replica)
+
+
+def test_load_waits_for_late_unload() -> None:
+    """An unload without an answer is not done before the model is seen to be gone."""
+    replica = ReplicaStandIn('e-1', ['m1'])
+    replica.order_fault = Fault.SILENT
+    replica.order_late_s = 1.5
+    there_at_load: list[bool] = []
+
+    async def scenario(world: World) -> None:
+        world.desk.fits = lambda one, task: there_at_load.append('m1' in one.holdings) or True
+        task = asyncio.create_task(
+            world.desk.run(world.replica, [Task(UNLOAD, 'm1'), Task(LOAD, 'm2', '', 0.1)])
+        )
+        await asyncio.sleep(1.0)
+        replica.order_fault = Fault.NONE
+        assert await task
+        assert there_at_load == [False]
+        loads = [o for o in replica.orders if o.op == 'load' and o.status == 202]
+        assert len(loads) == 1
+
+    play(scenario, replica)
+
+
+def test_load_that_does_not_fit_is_withheld() -> None:
+    replica = ReplicaStandIn('e-1', ['m1'])
+
+    async def scenario(world: World) -> None:
+        world.desk.fits = lambda one, task: False
+        assert not await world.desk.run(world.replica, [Task(LOAD, 'm2')])
+        assert replica.orders == []
+
+    play(scenario, replica)
+
+
+def test_higher_fence_ends_the_term() -> None:
+    replica = ReplicaStandIn('e-1', ['m1'])
+    replica.highest_fence = 6
+
+    async def scenario(world: World) -> None:
+        assert not await world.desk.run(world.replica, [Task(LOAD, 'm2')])
+        assert world.leadership.term is None
+        assert not await world.desk.run(world.replica, [Task(LOAD, 'm3')])
+        assert len(replica.orders) == 1
+
+    play(scenario, replica)
+
+
+def test_idle_adapter_is_gone_at_once_and_counts_once() -> None:
+    replica = ReplicaStandIn('e-1', ['m1'])
+    replica.models['m1'] = ['a1']
+
+    async def scenario(world: World) -> None:
+        tasks = [Task(UNLOAD, 'm1', 'a1'), Task(LOAD, 'm1', 'a2')]
+        assert await world.desk.run(world.replica, tasks)
+        assert await world.desk.run(
+            world.replica, [Task(UNLOAD, 'm1', 'a1'), Task(LOAD, 'm1', 'a3')]
+        )
+        # What is not there any more is no order, and the next number still fits.
+        assert [(o.op, o.status) for o in replica.orders] == [
+            ('unload', 200),
+            ('load', 202),
+            ('unload', 200),
+            ('load', 202),
+        ]
+
+    play(scenario, replica)
+
+
+@pytest.mark.parametrize('late_s', [0.2, 1.2])
+def test_late_load_is_not_carried_out_twice(late_s: float) -> None:
+    replica = ReplicaStandIn('e-1', ['m1'])
+    replica.order_fault = Fault.SILENT
+    replica.order_late_s = late_s
+
+    async def scenario(world: World) -> None:
+        task = asyncio.create_task(world.desk.run(world.replica, [Task(LOAD, 'm2', '', 0.1)]))
+        await asyncio.sleep(0.9)
+        replica.order_fault = Fault.NONE
+        assert await task
+        await asyncio.sleep(late_s)
+        assert [o.status for o in replica.orders].count(202) == 1
+
+    play(scenario, replica)
--- /dev/null
+++ b/tests/fleet/test_leader.py
@@ -0,0 +1,98 @@
+"""One holder of the lease at a time, through lost, late and refused writes."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from limeshelf.fleet.leader import LEASE_KEY, LEASE_TABLE, Leadership
+from limeshelf.platform.store import StoreClient
+from standins.platform.store import StoreStandIn
+
+LEASE_S = 1.2
+
+
+def play(scenario: Any) -> None:
+    async def run() -> None:
+        store = StoreStandIn()
+        client = StoreClient(await store.start())
+        first = Leadership(client, 'g-1', LEASE_S)
+        second = Leadership(client, 'g-2', LEASE_S)
+        try:
+            await scenario(store, first, second)
+        finally:
+            await client.close()
+            await store.close()
+
+    asyncio.run(run())
+
+
+def test_only_one_holds_and_fences_rise() -> None:
+    async def scenario(store: StoreStandIn, first: Leadership, second: Leadership) -> None:
+        await asyncio.gather(first.step(), second.step())
+        assert sorted([first.fence, second.fence]) == [0, 1]
+        holder, other = (first, second) if first.fence else (second, first)
+        await holder.release()
+        await other.step()
+        assert (holder.fence, other.fence) == (0, 2)
+
+    play(scenario)
+
+
+def test_silent_holder_is_followed_after_its_lease() -> None:
+    async def scenario(store: StoreStandIn, first: Leadership, second: Leadership) -> None:
+        await first.step()
+        await second.step()
+        assert second.fence == 0
+        await asyncio.sleep(LEASE_S + 0.2)
+        await second.step()
+        assert second.fence == 2
+        second.note_fence(1)
+        assert second.fence == 2
+        first.note_fence(2)
+        assert first.fence == 0
+
+    play(scenario)
+
+
+def test_holder_goes_on_while_the_store_is_away() -> None:
+    async def scenario(store: StoreStandIn, first: Leadership, second: Leadership) -> None:
+        await first.step()
+        store.faults.status = 503
+        await asyncio.sleep(LEASE_S)
+        await first.step()
+        assert first.fence == 1
+        store.faults.status = 0
+        await first.step()
+        assert first.fence == 1
+        await second.step()
+        assert second.fence == 0
+
+    play(scenario)
+
+
+def test_lost_answer_of_a_take_over_makes_no_second_holder() -> None:
+    async def scenario(store: StoreStandIn, first: Leadership, second: Leadership) -> None:
+        store.faults.lose_answers = True
+        await first.step()
+        store.faults.lose_answers = False
+        assert first.fence == 0
+        await second.step()
+        assert second.fence == 0
+        await first.step()
+        assert first.fence == 2
+        assert store._tables[LEASE_TABLE][LEASE_KEY].version > 1
+
+    play(scenario)
+
+
+def test_overtaken_holder_ends_its_term_at_the_next_renewal() -> None:
+    async def scenario(store: StoreStandIn, first: Leadership, second: Leadership) -> None:
+        await first.step()
+        await asyncio.sleep(LEASE_S + 0.2)
+        await second.step()
+        assert (first.fence, second.fence) == (1, 2)
+        await first.step()
+        assert (first.fence, second.fence) == (0, 2)
+
+    play(scenario)
--- /dev/null
+++ b/tests/gateway/test_edge.py
@@ -0,0 +1,57 @@
+"""The planned stop of a gateway, seen from its callers' connections."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.support.gateway import HOST, GatewayWorld, run
+
+REQUEST = (
+    f'POST /unsafe/x HTTP/1.1\r\nHost: {HOST}\r\nLimeshelf-Attempt-Id: k1\r\n'
+    'Limeshelf-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n'
+).encode()
+
+
+def test_idle_connection_is_closed_at_a_stop() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        writer.write(REQUEST)
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 200')
+        length = int(head.lower().split(b'content-length: ')[1].split(b'\r\n')[0])
+        await reader.readexactly(length)
+        world.gateway.edge.end_idle_connections()
+        async with asyncio.timeout(1):
+            assert await reader.read() == b''
+        writer.close()
+
+    run(scenario)
+
+
+def test_running_stream_ends_whole_at_a_stop() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for replica in world.engines:
+            replica.event_s = 0.3
+        task = asyncio.create_task(world.generate())
+        await world.until(lambda: any(replica.runs for replica in world.engines))
+        await world.gateway.drain()
+        answer = await task
+        assert answer.status == 200
+        assert answer.body.count(b'data:') == 5
+
+    run(scenario)
+
+
+def test_call_on_a_kept_connection_is_answered_while_stopping() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        task = asyncio.create_task(world.gateway.drain())
+        await asyncio.sleep(0.1)
+        writer.write(REQUEST)
+        head = (await reader.readuntil(b'\r\n\r\n')).lower()
+        assert head.startswith(b'http/1.1 200')
+        assert b'connection: close' in head
+        writer.close()
+        task.cancel()
+
+    run(scenario)
--- /dev/null
+++ b/tests/gateway/test_events.py
@@ -0,0 +1,36 @@
+"""Whole events of a stream, however it was cut on the way."""
+
+from __future__ import annotations
+
+import itertools
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limeshelf.gateway.events import EventSplitter
+
+STREAM = b''.join(f'id: {n}\ndata: t{n}\n\n'.encode() for n in range(1, 9))
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(cuts=st.lists(st.integers(0, len(STREAM)), max_size=8), end=st.integers(0, len(STREAM)))
+def test_any_cut_gives_whole_events_in_order(cuts: list[int], end: int) -> None:
+    splitter = EventSplitter()
+    places = sorted({0, end, *(cut for cut in cuts if cut < end)})
+    out = b''
+    for start, stop in itertools.pairwise(places):
+        piece = splitter.feed(STREAM[start:stop])
+        assert not piece or piece.endswith(b'\n\n')
+        out += piece
+    assert STREAM.startswith(out)
+    assert splitter.events == out.count(b'\n\n')
+    assert splitter.last_id == (str(splitter.events) if splitter.events else None)
+    assert splitter.unfinished == (len(out) != end)
+
+
+def test_goes_on_after_a_restart() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda') == b'id: 1\ndata: a\n\n'
+    splitter.restart()
+    assert splitter.feed(b'id: 2\ndata: b\r\n\r\n') == b'id: 2\ndata: b\r\n\r\n'
+    assert splitter.last_id == '2'
--- /dev/null
+++ b/tests/gateway/test_path.py
@@ -0,0 +1,250 @@
+"""Calls on their way through a gateway, before replicas with faults."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from standins.platform.replica import Fault
+from tests.support.gateway import ENGINE, PLAIN, GatewayWorld, configuration, route, run
+
+EVENTS = b''.join(f'id: {n}\ndata: token {n}\n\n'.encode() for n in range(1, 6))
+
+
+def test_call_arrives_unchanged_and_its_answer_returns() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        answer = await world.call('/unsafe/a%2Fb?q=%20', body=b'payload', X_Own='kept')
+        assert answer.status == 200
+        seen = [seen for replica in world.plain for seen in replica.seen]
+        assert len(seen) == 1
+        assert seen[0].target == '/unsafe/a%2Fb?q=%20'
+        assert seen[0].body == b'payload'
+        assert seen[0].headers['X-Own'] == 'kept'
+        assert seen[0].headers['Host'] == 'calls.example'
+        assert 'User-Agent' not in seen[0].headers or 'aiohttp' in seen[0].headers['User-Agent']
+        assert int(seen[0].headers['Limeshelf-Deadline-Ms']) <= 3000
+        assert answer.headers['Limeshelf-Server-Stamp'] == f's.{seen[0].call_id}'
+
+    run(scenario)
+
+
+def test_stream_arrives_whole() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        answer = await world.generate()
+        assert (answer.status, answer.body) == (200, EVENTS)
+
+    run(scenario)
+
+
+def test_unknown_route_and_limits() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        assert (await world.call('/none/x')).status == 404
+        assert (await world.call('/safe/x', body=b'b' * 10001)).status == 413
+        assert (await world.call('/safe/x', X_Long='x' * 5000)).status == 431
+
+    run(scenario)
+
+
+def test_call_without_id_or_with_bad_tokens_is_refused() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        assert (await world.call('/safe/x', Limeshelf_Attempt_Id='')).status == 400
+        answer = await world.call(
+            '/stream/x', Limeshelf_Model='m1', Limeshelf_Token_Count='many,2'
+        )
+        assert answer.status == 400
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    'fault', [Fault.FOREIGN, Fault.UNSIGNED, Fault.ENCODED, Fault.RESET_FIRST]
+)
+def test_safe_call_goes_on_elsewhere(fault: Fault) -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for replica in world.plain:
+            replica.fault = fault
+            replica.fault_calls = 1
+        world.plain[1].fault = Fault.NONE
+        answers = [await world.call('/safe/x') for _ in range(4)]
+        assert [answer.status for answer in answers] == [200] * 4
+        assert all(answer.body.startswith(b'answer of') for answer in answers)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    'fault', [Fault.FOREIGN, Fault.UNSIGNED, Fault.RESET_FIRST, Fault.RESET_UNFRAMED]
+)
+def test_unsafe_call_runs_once_and_is_not_called_unrun(fault: Fault) -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for replica in world.plain:
+            replica.fault = fault
+        answer = await world.call('/unsafe/x')
+        assert answer.status == 502
+        assert sum(len(replica.runs) for replica in world.plain) == 1
+
+    run(scenario)
+
+
+def test_refusals_of_replicas_become_a_promise() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for replica in world.plain:
+            replica.fault = Fault.FULL
+        answer = await world.call('/unsafe/x', Limeshelf_Deadline_Ms='600')
+        assert answer.status == 503
+        assert float(answer.headers['Retry-After']) >= 0
+        assert sum(len(replica.runs) for replica in world.plain) == 0
+
+    run(scenario)
+
+
+def test_replicas_own_failure_returns_unchanged() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for replica in world.plain:
+            replica.fault = Fault.ERROR
+        answer = await world.call('/unsafe/x')
+        assert (answer.status, answer.body) == (500, b'failed')
+        assert answer.headers['Limeshelf-Server-Stamp']
+
+    run(scenario)
+
+
+def test_broken_stream_never_looks_whole() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for replica in world.engines:
+            replica.fault = Fault.RESET_MIDWAY
+        with pytest.raises(aiohttp.ClientError):
+            await world.generate()
+        assert sum(len(replica.runs) for replica in world.engines) == 1
+
+    run(scenario)
+
+
+def test_stream_that_ends_within_an_event_never_looks_whole() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for replica in world.engines:
+            replica.fault = Fault.HALF_EVENT
+        with pytest.raises(aiohttp.ClientError):
+            await world.generate()
+
+    run(scenario)
+
+
+def test_resumable_stream_goes_on_at_the_next_event() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        broken = world.engines[0]
+        broken.fault = Fault.RESET_MIDWAY
+        broken.fault_calls = 1
+        while broken.fault_calls:
+            answer = await world.generate('/resume/x')
+            assert (answer.status, answer.body) == (200, EVENTS)
+        seen = [seen for replica in world.engines for seen in replica.seen]
+        named = [{name.lower(): value for name, value in s.headers.items()} for s in seen]
+        assert [s['last-event-id'] for s in named if 'last-event-id' in s] == ['2']
+
+    run(scenario)
+
+
+def test_time_over_ends_a_call_at_its_route_limit() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        world.configure(configuration(2, route('slow', 'unsafe', PLAIN, TimeoutMs=300)))
+        await world.until(lambda: world.gateway.pipeline.config.version == 2)
+        for replica in world.plain:
+            replica.fault = Fault.SILENT
+        answer = await world.call('/slow/x')
+        assert answer.status == 504
+
+    run(scenario)
+
+
+def test_lost_caller_ends_the_run() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for replica in world.plain:
+            replica.fault = Fault.SILENT
+        task = asyncio.create_task(world.call('/unsafe/x'))
+        await world.until(lambda: any(replica.runs for replica in world.plain))
+        task.cancel()
+        await world.until(lambda: sum(replica.abandoned for replica in world.plain) == 1)
+
+    run(scenario)
+
+
+def test_configuration_follows_and_never_goes_back() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        world.configure(configuration(3, route('new', 'safe', PLAIN)))
+        await world.until(lambda: world.gateway.pipeline.config.version == 3)
+        assert (await world.call('/new/x')).status == 200
+        assert (await world.call('/safe/x')).status == 404
+        world.configure(configuration(2))
+        await asyncio.sleep(0.1)
+        assert world.gateway.pipeline.config.version == 3
+        world.store.put('op', 'config', 'bm8gSlNPTg==')
+        await asyncio.sleep(0.1)
+        assert world.gateway.pipeline.config.version == 3
+
+    run(scenario)
+
+
+def test_leaving_replica_gets_no_new_call() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        world.announce(world.plain[0], 'draining', beat=2)
+        await world.until(lambda: len(world.gateway.directory.of_service(PLAIN)) == 1)
+        # A late heartbeat from before says ready again.
+        world.announce(world.plain[0], 'ready', beat=1)
+        await asyncio.sleep(0.05)
+        for _ in range(5):
+            assert (await world.call('/unsafe/x')).status == 200
+        assert world.plain[0].runs == []
+
+    run(scenario)
+
+
+def test_reused_address_never_runs_anothers_call() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        world.plain[0].replica_id = 'p-9'
+        for _ in range(5):
+            assert (await world.call('/unsafe/x')).status == 200
+        assert world.plain[0].runs == []
+
+    run(scenario)
+
+
+def test_serving_goes_on_without_the_store() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        world.store.faults.status = 503
+        world.store.forget_history()
+        await asyncio.sleep(0.1)
+        assert (await world.call('/safe/x')).status == 200
+        assert (await world.generate()).body == EVENTS
+
+    run(scenario)
+
+
+def test_model_without_a_copy_is_loaded_and_served() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        await world.until(lambda: world.gateway.leadership.fence > 0)
+        await world.until(
+            lambda: any('m3' in replica.models for replica in world.engines), limit_s=8
+        )
+        await world.until(
+            lambda: any(r.holds('m3') for r in world.gateway.directory.of_service(ENGINE))
+        )
+        assert (await world.generate(model='m3')).status == 200
+
+    run(scenario)
+
+
+def test_adapter_is_brought_for_the_call_that_waits() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        await world.until(lambda: world.gateway.leadership.fence > 0)
+        first = await world.generate(model='m1/a1')
+        if first.status == 503:
+            await asyncio.sleep(float(first.headers['Retry-After']))
+            first = await world.generate(model='m1/a1')
+        assert first.status == 200
+        for replica in world.engines:
+            assert sum(len(adapters) for adapters in replica.models.values()) <= 2
+
+    run(scenario)
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,32 @@
+"""Nothing outside the adapter knows the platform's names."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+PACKAGE = Path(__file__).parents[2] / 'limeshelf'
+NAMES = re.compile(
+    r'(^|[^-])Limeshelf-|rows-tx|rows-feed|rows-get|FencingToken|ExpectedRevision'
+    r'|RouteKind\b.*=.*\'RouteKind|PathPrefix|LIMESHELF_BOOT|WeightsMb|LatencySloMs'
+)
+
+
+def test_platform_names_stand_in_the_adapter_only() -> None:
+    found = [
+        f'{path.relative_to(PACKAGE)}:{number}: {line.strip()}'
+        for path in sorted(PACKAGE.rglob('*.py'))
+        if path.parent.name != 'platform'
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if NAMES.search(line)
+    ]
+    assert found == []
+
+
+def test_only_the_program_imports_the_adapter() -> None:
+    importers = {
+        str(path.relative_to(PACKAGE))
+        for path in PACKAGE.rglob('*.py')
+        if path.parent.name != 'platform' and 'limeshelf.platform' in path.read_text()
+    }
+    assert importers == {'programs/gateway.py'}
