--- a/limeshelf/calls/routes.py
+++ b/limeshelf/calls/routes.py
@@ -87,6 +87,7 @@
 
     :param slots: calls that run at once.
     :param memory_tokens: tokens of running calls and kept prompts.
+    :param event_tokens: tokens, each a step of the batch, in an event of a stream.
     :param capacity_mb: megabytes for weights and adapters together.
     :param loads_per_s: loads from the weight store, over all replicas.
     """
@@ -97,6 +98,7 @@
     adapter_places: int
     loads_per_s: float
     models: dict[str, ModelSpec]
+    event_tokens: int = 1
 
 
 @attrs.frozen
--- a/limeshelf/dispatch/dispatcher.py
+++ b/limeshelf/dispatch/dispatcher.py
@@ -27,8 +27,8 @@
     from limeshelf.calls.routes import EngineSpec, ServingConfig
     from limeshelf.replicas.directory import Replica, ReplicaDirectory
 
-#: Part of the bearable pause that reading may take; an event can span two steps.
-READ_SHARE = 0.42
+#: Part of the bearable pause that reading may take in all steps of an event.
+READ_SHARE = 0.84
 #: Part of a replica's memory that calls may fill before others wait.
 MEMORY_SHARE = 0.9
 #: Between two prompts at a replica, in milliseconds: a step, and the way there.
@@ -258,7 +258,8 @@
         read_ms: float,
         engine: EngineSpec,
     ) -> bool:
-        bearable_ms = READ_SHARE * query.pause_ms * self.share
+        # Each step of an event may read a prompt, and the pause spans them all.
+        bearable_ms = READ_SHARE * query.pause_ms * self.share / engine.event_tokens
         if use.reading and use.reading_ms + read_ms > bearable_ms:
             return False
         # What others told covers calls that went another way, or that a
--- a/limeshelf/fleet/demand.py
+++ b/limeshelf/fleet/demand.py
@@ -23,6 +23,8 @@
 ADAPTER_WAIT_S = 0.25
 #: A plain service without replicas is looked for this long.
 PLAIN_WAIT_S = 1.0
+#: A load that takes longer than expected is looked for this much longer.
+OVERDUE_WAIT_S = 0.6
 #: Time until a load begins that nobody has announced.
 ORDER_WAIT_S = 1.0
 
@@ -116,7 +118,7 @@
             return ADAPTER_WAIT_S
         ready_s = self.expected.get(ModelKey(key.service, key.model))
         if ready_s is not None:
-            return max(0.05, ready_s - boottime_s())
+            return max(OVERDUE_WAIT_S, ready_s - boottime_s())
         spec = service.engine.models.get(key.model)
         return ORDER_WAIT_S + (spec.load_s if spec else PLAIN_WAIT_S)
 
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -48,6 +48,8 @@
 #: Callers come back after a third of the time they have left, at the most.
 COME_BACK_SHARE = 0.33
 LEAST_COME_BACK_S = 0.2
+#: A model is told to be ready a little later than it is expected.
+READY_MARGIN = 1.1
 #: Share of a caller's patience after which a waiting call is refused.
 PATIENCE_SHARE = 0.85
 #: A caller that has less than this share of the usual time was here before.
@@ -380,13 +382,16 @@
         """Wait for a replica that can run the call; return false if it was refused."""
         wait_s = self._demand.expected_wait_s(state.call, state.service)
         held_s = boottime_s() - state.call.arrived_s
-        in_time_s = state.route.objective_s * HOLD_SHARE - held_s
+        bearable_s = state.route.objective_s * HOLD_SHARE - held_s
+        if state.returned:
+            # Who was refused before is served late rather than refused again.
+            bearable_s = state.route.patience_s * PATIENCE_SHARE - held_s
         come_back_s = state.left_s * COME_BACK_SHARE
         if state.excluded and wait_s <= 0:
             # All that could run it refused; they may take it a little later.
             state.excluded.clear()
             wait_s = LOOK_S
-        if wait_s > in_time_s and not answer.started:
+        if wait_s > bearable_s and not answer.started:
             log_request(
                 'refused_until_ready',
                 request=state.call.call_id,
@@ -397,7 +402,10 @@
                 left_ms=int(state.left_s * 1000),
             )
             await self._give_up(
-                state, answer, RefusalReason.NO_READY_REPLICA, min(wait_s, come_back_s)
+                state,
+                answer,
+                RefusalReason.NO_READY_REPLICA,
+                min(max(LEAST_COME_BACK_S, wait_s * READY_MARGIN), come_back_s),
             )
             return False
         self._demand.want(state.call, state.service)
--- a/limeshelf/platform/configuration.py
+++ b/limeshelf/platform/configuration.py
@@ -59,6 +59,7 @@
     weights_mb: float = 0.0
     max_adapters: int = 0
     loads_per_s: float = 1.0
+    stride: int = 1
 
 
 class _Service(msgspec.Struct, rename='pascal'):
@@ -143,6 +144,7 @@
         adapter_places=engine.max_adapters,
         loads_per_s=engine.loads_per_s,
         models={model.name: _model(model) for model in engine.models},
+        event_tokens=max(1, engine.stride),
     )
 
 
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+import attrs
 import pytest
 
 from limeshelf.calls.routes import EngineSpec, ServiceSpec
@@ -23,12 +24,14 @@
 from limeshelf.replicas.record import Holding, ReplicaRecord
 from limeshelf.util.clock import VirtualClock, virtual_clock
 
-SERVICE = ServiceSpec('lm', 50, EngineSpec(4, 20000, 100.0, 4, 1.0, {}))
+SERVICE = ServiceSpec('lm', 50, EngineSpec(4, 20000, 100.0, 4, 1.0, {}, 2))
 
 
 class Config:
-    def __init__(self) -> None:
-        self.services = {'lm': SERVICE}
+    def __init__(self, event_tokens: int = 2) -> None:
+        assert SERVICE.engine is not None
+        engine = attrs.evolve(SERVICE.engine, event_tokens=event_tokens)
+        self.services = {'lm': attrs.evolve(SERVICE, engine=engine)}
 
 
 class World:
@@ -168,3 +171,13 @@
     world = World(clock, 1)
     world.directory.take_peer_loads('g2', {'r0': Load(4, 400)})
     assert world.ask('a') is VerdictKind.QUEUED
+
+
+def test_more_steps_in_an_event_leave_less_to_read_in_each(clock: VirtualClock) -> None:
+    world = World(clock, 1)
+    world.dispatcher._config = lambda: Config(event_tokens=4)  # type: ignore[assignment,return-value]
+    world.ask('a', 600)
+    assert world.ask('b', 600) is VerdictKind.QUEUED
+    world.dispatcher._config = lambda: Config(event_tokens=2)  # type: ignore[assignment,return-value]
+    world.dispatcher.pump()
+    assert world.granted() == ['a', 'b']
