Ask the socket how a connection ended; order only after an own look

MIXED: the loop reports a reset that arrives together with data as an end (the poll tells hang-up, and the read of the error is skipped), so a body without length that was reset looked whole. LIMIT: a new leader ordered by what its predecessor had told, which lacks a load under way.

--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -28,6 +28,8 @@
 ADAPTER_LIMIT_S = 2.0
 #: An unload waits for the calls that run.
 UNLOAD_LIMIT_S = 20.0
+#: A look counts as fresh for this long.
+FRESH_S = 1.5
 #: Times a load may take of what the configuration says before it is given up.
 LOAD_LIMIT_FACTOR = 4.0
 #: Tries of one order that other orders got in front of.
@@ -53,6 +55,7 @@
 
     :ivar coming: what is on its way there, with the time when it is likely done.
     :ivar going: adapters that are about to be unloaded.
+    :ivar looked_s: when the replica last answered this process's own look.
     :ivar silent: looks in a row that were not answered.
     :ivar sent: loads whose order went out and that may be there before they show.
     """
@@ -60,10 +63,19 @@
     coming: dict[tuple[str, str], float] = attrs.field(factory=dict)
     sent: set[tuple[str, str]] = attrs.field(factory=set)
     silent: int = 0
+    looked_s: float = 0.0
     going: set[tuple[str, str]] = attrs.field(factory=set)
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     waiting: int = 0
 
+    @property
+    def is_fresh(self) -> bool:
+        """Return whether this process itself saw lately what the replica does.
+
+        What a predecessor told may lack a load that is still under way.
+        """
+        return boottime_s() - self.looked_s < FRESH_S
+
     @property
     def busy_with_model(self) -> bool:
         """Return whether a whole model is on its way."""
@@ -104,7 +116,9 @@
         except ReplicaSilent:
             self.lane(replica).silent += 1
             return False
-        self.lane(replica).silent = 0
+        lane = self.lane(replica)
+        lane.silent = 0
+        lane.looked_s = boottime_s()
         self._directory.take_report(replica.replica_id, report, settled)
         return True
 
@@ -169,7 +183,10 @@
         return False
 
     async def _send(self, replica: Replica, task: Task) -> OrderOutcome:
-        if replica.order_number is None and not await self.look(replica):
+        known = replica.order_number is not None and self.lane(replica).is_fresh
+        if not known and not await self.look(replica):
+            return OrderOutcome.BUSY_OR_STALE
+        if replica.report is not None and replica.report.busy:
             return OrderOutcome.BUSY_OR_STALE
         expected = replica.order_number or 0
         if task.kind is OrderKind.LOAD and not self.fits(replica, task):
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -135,7 +135,7 @@
                     replica.replica_id,
                     set(replica.holdings) - replica.retiring,
                     {model for model, adapter in lane.coming if not adapter},
-                    idle=not busy and not replica.health.is_suspended(),
+                    idle=lane.is_fresh and not busy and not replica.health.is_suspended(),
                     calls=self._directory.load_of(replica).calls,
                     at_hand=at_hand,
                 )
--- a/limeshelf/replicas/connections.py
+++ b/limeshelf/replicas/connections.py
@@ -30,17 +30,29 @@
 class StrictResponseHandler(ResponseHandler):
     """Tells a reset from an end, and never reuses a connection with surplus bytes.
 
-    The library takes a reset as the end of a body without length
-    (tests/replicas/test_connections.py::test_reset_is_no_end), and hands out an
-    idle connection on which something arrived unasked
-    (tests/replicas/test_connections.py::test_surplus_answer_ends_connection).
+    The library takes a reset as the end of a body without length, and the loop
+    reports a reset that comes together with data as an end (both in
+    tests/gateway/test_path.py::test_unsafe_call_runs_once_and_is_not_called_unrun).
+    It also hands out an idle connection on which something arrived unasked.
     """
 
+    def eof_received(self) -> None:
+        """Break the running body if what looks like an end was a reset."""
+        transport = self.transport
+        raw = transport.get_extra_info('socket') if transport is not None else None
+        if raw is not None and raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._break_body('reset')
+        super().eof_received()
+
+    def _break_body(self, cause: str) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f'connection lost: {cause}'))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Break the running body if the connection was not ended in order."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f'connection lost: {exc!r}'))
+        if exc is not None:
+            self._break_body(repr(exc))
         super().connection_lost(exc)
 
     def is_connected(self) -> bool:
--- a/standins/platform/replica.py
+++ b/standins/platform/replica.py
@@ -22,6 +22,7 @@
     ENCODED = 'encoded'
     RESET_MIDWAY = 'reset_midway'
     RESET_UNFRAMED = 'reset_unframed'
+    RESET_AT_ONCE = 'reset_at_once'
     RESET_FIRST = 'reset_first'
     SILENT = 'silent'
     ERROR = 'error'
@@ -247,19 +248,22 @@
         if fault is Fault.ERROR:
             return web.Response(status=500, headers=headers, body=b'failed')
         if fault is Fault.RESET_UNFRAMED:
-            return await self._unframed(request, headers)
+            return await self._unframed(request, headers, 0.05)
+        if fault is Fault.RESET_AT_ONCE:
+            return await self._unframed(request, headers, 0.0)
         if streams:
             return await self._stream(request, headers, fault)
         return web.Response(headers=headers, body=b'answer of ' + call_id.encode())
 
     async def _unframed(
-        self, request: web.BaseRequest, headers: dict[str, str]
+        self, request: web.BaseRequest, headers: dict[str, str], pause_s: float
     ) -> web.StreamResponse:
         assert request.transport is not None
         lines = ['HTTP/1.1 200 OK', *(f'{name}: {value}' for name, value in headers.items())]
         head = '\r\n'.join([*lines, 'Connection: close', '', '']).encode()
         request.transport.write(head + b'half an ans')
-        await asyncio.sleep(0.05)
+        if pause_s:
+            await asyncio.sleep(pause_s)
         _reset(request.transport)
         return web.Response()
 
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -75,7 +75,14 @@
 
 
 @pytest.mark.parametrize(
-    'fault', [Fault.FOREIGN, Fault.UNSIGNED, Fault.RESET_FIRST, Fault.RESET_UNFRAMED]
+    'fault',
+    [
+        Fault.FOREIGN,
+        Fault.UNSIGNED,
+        Fault.RESET_FIRST,
+        Fault.RESET_UNFRAMED,
+        Fault.RESET_AT_ONCE,
+    ],
 )
 def test_unsafe_call_runs_once_and_is_not_called_unrun(fault: Fault) -> None:
     async def scenario(world: GatewayWorld) -> None:
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 import attrs
+import uvloop
 
 from limeshelf.programs.gateway import Gateway
 from limeshelf.settings.gateway import GatewaySettings, PlacementSettings, RetrySettings
@@ -213,4 +214,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await scenario(world)
 
-    asyncio.run(play())
+    # The loop that the program runs on; it reports the end of connections
+    # in its own way.
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(play())
