--- a/limeshelf/fleet/demand.py
+++ b/limeshelf/fleet/demand.py
@@ -43,12 +43,14 @@
     :ivar started: calls that began since the process started.
     :ivar running: calls under way, those that wait included.
     :ivar wanted: times that a call found no replica for it.
+    :ivar objective_ms: the shortest objective of the calls; 0 before any.
     """
 
     key: ModelKey
     started: int = 0
     running: int = 0
     wanted: int = 0
+    objective_ms: int = 0
 
 
 @attrs.frozen
@@ -77,13 +79,15 @@
         return list(self._by_key.values())
 
     @contextlib.contextmanager
-    def track(self, call: Call, service: str) -> Iterator[None]:
+    def track(self, call: Call, service: str, objective_s: float) -> Iterator[None]:
         """Count a call while it is under way."""
         key = key_of(call, service)
         if key is None:
             yield
             return
         demand = self._by_key.setdefault(key, KeyDemand(key))
+        objective_ms = int(objective_s * 1000)
+        demand.objective_ms = min(demand.objective_ms or objective_ms, objective_ms)
         demand.started += 1
         demand.running += 1
         try:
@@ -103,6 +107,11 @@
         self._by_key.setdefault(key, KeyDemand(key)).wanted += 1
         self._on_want(key)
 
+    def is_announced(self, call: Call, service: ServiceSpec) -> bool:
+        """Return whether the leader told when the call's model will be there."""
+        key = key_of(call, service.name)
+        return key is None or ModelKey(key.service, key.model) in self.expected
+
     def expected_wait_s(self, call: Call, service: ServiceSpec) -> float:
         """Return the time until a replica can likely run the call, in seconds.
 
@@ -142,12 +151,14 @@
     :ivar rate: calls that begin a second, averaged over some seconds.
     :ivar running: calls under way.
     :ivar wanted_s: when a call last found no replica.
+    :ivar objective_s: the shortest objective of its calls; 0 before any.
     """
 
     rate: float = 0.0
     running: float = 0.0
     wanted_s: float = 0.0
     seen_s: float = 0.0
+    objective_s: float = 0.0
 
 
 #: Time constant of the averaged rates.
--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -127,7 +127,7 @@
         lane = self.lane(replica)
         loads = [task for task in tasks if task.kind is OrderKind.LOAD]
         for task in loads:
-            lane.coming[task.model, task.adapter] = boottime_s() + task.load_s
+            lane.coming.setdefault((task.model, task.adapter), boottime_s() + task.load_s)
         retired = {task.model for task in tasks if task not in loads and not task.adapter}
         replica.retiring |= retired
         try:
--- a/limeshelf/fleet/planner.py
+++ b/limeshelf/fleet/planner.py
@@ -16,6 +16,9 @@
 CROWDED_CALLS = 4.0
 #: A copy gives way to a model whose calls per copy are this many times its own.
 GIVE_WAY_FACTOR = 1.5
+#: Calls bear that their model is loaded again if their objective is this many
+#: times the load from the machine's memory.
+WARM_LOADS = 2.5
 #: A model that was asked for within this time is not idle.
 IDLE_AFTER_S = 2.0
 #: An adapter that was asked for within this time needs a place.
@@ -93,6 +96,8 @@
             for name, copies in first_copies.items():
                 if copies > 1 and name in self._demand:
                     self._demand[name] += HINT_CALLS * copies
+        self._first_copies = first_copies
+        self._objectives = {name: self._objective_s(name, loads) for name in engine.models}
         self._asked_s = {name: self._last_asked_s(name, loads) for name in engine.models}
 
     def _keys(self, model: str, loads: dict[ModelKey, ModelLoad]) -> list[ModelLoad]:
@@ -111,6 +116,10 @@
             demand += WANTED_CALLS
         return demand
 
+    def _objective_s(self, model: str, loads: dict[ModelKey, ModelLoad]) -> float:
+        told = [load.objective_s for load in self._keys(model, loads) if load.objective_s]
+        return min(told, default=0.0)
+
     @property
     def _places(self) -> int:
         return max(1, self._engine.adapter_places)
@@ -262,4 +271,16 @@
         # The only copy gives way if nobody asks for it; its weights stay on the
         # machine, so that it comes back soon.
         idle = self._now_s - self._asked_s[victim] > IDLE_AFTER_S
-        return idle and self.demand(victim) == 0 and own > 0 and not self._quiet
+        parks = idle and self.demand(victim) == 0 and own > 0 and not self._quiet
+        return parks and self._bears_a_load(victim)
+
+    def _bears_a_load(self, model: str) -> bool:
+        """Return whether calls to a model can wait until it is loaded again.
+
+        Of a model that nobody has asked for yet, the copies found at the start
+        tell: what stood there is likely asked for by those who cannot wait.
+        """
+        objective_s = self._objectives.get(model, 0.0)
+        if not objective_s:
+            return not self._first_copies.get(model)
+        return objective_s >= WARM_LOADS * self._spec(model).warm_load_s
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -24,6 +24,8 @@
     from limeshelf.util.tasks import TaskSet
 
 STEP_S = 0.2
+#: An unload before a load takes about this long.
+UNLOAD_S = 0.6
 #: Every replica is asked for its report this often.
 LOOK_S = 0.5
 #: A replica that left this many looks in a row unanswered counts as lost.
@@ -57,6 +59,9 @@
         self._term_fence = 0
         self._looked_s: dict[str, float] = {}
         self._first_copies: dict[str, dict[str, int]] = {}
+        self._wanted = asyncio.Event()
+        #: Told when a load was ordered, so that waiting calls hear of it.
+        self.on_move: Callable[[], None] = lambda: None
         desk.fits = self._fits
 
     def leads(self) -> bool:
@@ -66,7 +71,7 @@
     async def run(self) -> None:
         """Plan and order for as long as this process leads; wait otherwise."""
         while True:
-            await asyncio.sleep(STEP_S)
+            await self._until_due()
             loads = self.totals.step()
             config = self._config()
             if not self.leads() or config is None:
@@ -80,6 +85,15 @@
                 planner = Planner(service.name, service.engine, loads, first_copies)
                 self._order_moves(service.name, service.engine, planner)
 
+    async def _until_due(self) -> None:
+        """Wait for the next plan; a model that is waited for brings it forward."""
+        try:
+            async with asyncio.timeout(STEP_S):
+                await self._wanted.wait()
+        except TimeoutError:
+            return
+        self._wanted.clear()
+
     async def _begin_term(self, config: ServingConfig) -> None:
         self._term_fence = self._leadership.fence
         for service in config.engine_services():
@@ -155,10 +169,12 @@
             from_store=move.from_store,
         )
         load_s = spec.load_s if move.from_store else spec.warm_load_s
+        ready_s = boottime_s() + load_s + (UNLOAD_S if move.evicted else 0.0)
         tasks = [Task(OrderKind.UNLOAD, name) for name in move.evicted]
         tasks.append(Task(OrderKind.LOAD, move.model, '', load_s))
         # Marked here already, so that the next plan counts it.
-        self._desk.lane(replica).coming[move.model, ''] = boottime_s() + load_s
+        self._desk.lane(replica).coming[move.model, ''] = ready_s
+        self.on_move()
         self._tasks.spawn(self._run(replica, tasks), 'move')
 
     def _fits(self, replica: Replica, task: Task) -> bool:
@@ -200,6 +216,8 @@
         """A call waits for *key*; bring an adapter at once, a model with the next plan."""
         self.totals.note_want(key)
         config = self._config()
+        if not self._is_there(key):
+            self._wanted.set()
         if not self.leads() or config is None or not key.adapter:
             return
         service = config.services.get(key.service)
@@ -225,6 +243,12 @@
             lane.going.add((move.evicted.model, move.evicted.adapter))
         self._tasks.spawn(self._run(move.replica, tasks), 'adapter')
 
+    def _is_there(self, key: ModelKey) -> bool:
+        replicas = self._directory.of_service(key.service)
+        lanes = [self._desk.lane(replica) for replica in replicas]
+        coming = any((key.model, '') in lane.coming for lane in lanes)
+        return coming or any(replica.holds(key.model) for replica in replicas)
+
     def awaited(self) -> dict[ModelKey, float]:
         """Return the models on their way, with the time when each is likely there."""
         awaited: dict[ModelKey, float] = {}
--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -119,14 +119,14 @@
             async with asyncio.timeout(head_limit_s):
                 response = await self._connections.send(self._call, facts)
             return await self._take(response, started_s)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            # Before TimeoutError, whose kind the second one is
+            # (tests/gateway/test_path.py::test_replica_that_takes_no_connection).
+            return NeverRan(reached=False)
         except TimeoutError:
             if response is None:
                 return Broken(Doubt.SILENT, Failure.SILENT)
             return Broken(Doubt.CUT_SHORT, Failure.BROKEN)
-        except aiohttp.ClientConnectorError:
-            return NeverRan(reached=False)
-        except aiohttp.ConnectionTimeoutError:
-            return NeverRan(reached=False)
         except aiohttp.ClientPayloadError:
             return Broken(Doubt.CUT_SHORT, Failure.BROKEN)
         except (aiohttp.ClientError, OSError, ValueError):
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -48,6 +48,10 @@
 #: Callers come back after a third of the time they have left, at the most.
 COME_BACK_SHARE = 0.33
 LEAST_COME_BACK_S = 0.2
+#: Time in which the leader tells when a missing model will be there, at the most
+#: this share of the objective, so that a refusal still comes early.
+NEWS_S = 0.5
+NEWS_SHARE = 0.2
 #: A model is told to be ready a little later than it is expected.
 READY_MARGIN = 1.1
 #: Share of a caller's patience after which a waiting call is refused.
@@ -154,7 +158,7 @@
         ends_s = call.arrived_s + allowed_s - ANSWER_MARGIN_S
         state = CallState(call, route, service, ends_s)
         self._budget(service.name).note_call()
-        with self._demand.track(call, service.name):
+        with self._demand.track(call, service.name, route.objective_s):
             await self._attempts(state, answer)
 
     def _budget(self, service: str) -> RetryBudget:
@@ -391,6 +395,10 @@
             # All that could run it refused; they may take it a little later.
             state.excluded.clear()
             wait_s = LOOK_S
+        news_due = not self._demand.is_announced(state.call, state.service)
+        if news_due and held_s < min(NEWS_S, NEWS_SHARE * state.route.objective_s):
+            # The leader hears of the need now; its answer tells how long it takes.
+            wait_s = min(wait_s, bearable_s)
         if wait_s > bearable_s and not answer.started:
             log_request(
                 'refused_until_ready',
--- a/limeshelf/gateway/pool.py
+++ b/limeshelf/gateway/pool.py
@@ -5,7 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from limeshelf.replicas.connections import ReplicaConnections
+from limeshelf.metrics.journal import log_change
+from limeshelf.replicas.connections import CONNECT_S, ReplicaConnections
 
 if TYPE_CHECKING:
     from limeshelf.calls.routes import ServiceSpec
@@ -16,6 +17,8 @@
 USED_SHARE = 0.9
 LEAST_CONNECTIONS = 4
 SWEEP_S = 2.0
+#: Replicas out of reach are looked at this often, when their pause is over.
+PROBE_LOOK_S = 0.1
 
 
 class ConnectionPool:
@@ -45,7 +48,28 @@
                 if replica is None or (replica.gone and replica.own.calls == 0):
                     await self._by_replica.pop(replica_id).close()
 
+    async def probe(self, directory: ReplicaDirectory) -> None:
+        """See, again and again, whether replicas out of reach can be reached."""
+        while True:
+            await asyncio.sleep(PROBE_LOOK_S)
+            due = [replica for replica in directory.all() if replica.health.probe_due]
+            await asyncio.gather(*(_probe(replica) for replica in due))
+
     async def close(self) -> None:
         """Close all connections."""
         for connections in self._by_replica.values():
             await connections.close()
+
+
+async def _probe(replica: Replica) -> None:
+    """Make a connection and close it; a real call would be lost behind a cut."""
+    host, _, port = replica.record.address.rpartition(':')
+    try:
+        async with asyncio.timeout(CONNECT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        replica.health.probed(reached=False)
+        return
+    writer.close()
+    replica.health.probed(reached=True)
+    log_change('replica_reached', replica=replica.replica_id)
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -111,6 +111,7 @@
             self.mirrors,
         )
         self.directory.on_change = self.neighbours.tell_states_now
+        self.fleet.on_move = self.neighbours.tell_states_now
 
     def _make_path(self) -> None:
         settings = self.settings
@@ -146,6 +147,7 @@
         self.tasks.keep(self._lead, 'lead')
         self.tasks.keep(self.fleet.run, 'fleet')
         self.tasks.keep(self.pool.sweep, 'sweep', self.directory)
+        self.tasks.keep(self.pool.probe, 'probe', self.directory)
         self.tasks.keep(self._become_ready, 'ready')
 
     def _take_config(self, row: Row) -> None:
--- a/tests/fleet/test_planner.py
+++ b/tests/fleet/test_planner.py
@@ -112,3 +112,17 @@
 def test_move_is_typed() -> None:
     with pytest.raises(AttributeError):
         Move('r1', 'm', (), True, 'missing').model = 'n'  # type: ignore[misc]
+
+
+def test_model_of_callers_that_cannot_wait_is_not_parked() -> None:
+    now_s = boottime_s() - 60.0
+    loads = {
+        ModelKey('lm', 'hot'): ModelLoad(running=30, rate=30, seen_s=boottime_s()),
+        ModelKey('lm', 'other'): ModelLoad(seen_s=now_s, objective_s=1.0),
+        ModelKey('lm', 'small'): ModelLoad(seen_s=now_s, objective_s=6.0),
+        ModelKey('lm', 'rare'): ModelLoad(seen_s=now_s, objective_s=6.0),
+    }
+    holders = [holder('r1', 'hot', 'big'), holder('r2', 'small', 'other', 'rare')]
+    move = Planner('lm', engine(), loads, {}).next_move(holders)
+    assert move is not None
+    assert (move.model, set(move.evicted)) == ('hot', {'small', 'rare'})
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import aiohttp
 import pytest
@@ -255,3 +256,33 @@
             assert sum(len(adapters) for adapters in replica.models.values()) <= 2
 
     run(scenario)
+
+
+def test_replica_that_takes_no_connection() -> None:
+    """No byte left, so the call goes on elsewhere, or is refused with a promise."""
+
+    async def scenario(world: GatewayWorld) -> None:
+        deaf = socket.socket()
+        deaf.bind(('127.0.0.1', 0))
+        deaf.listen(0)
+        address = f'127.0.0.1:{deaf.getsockname()[1]}'
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(('127.0.0.1', deaf.getsockname()[1]))
+        for replica in world.plain:
+            replica.address = address
+            world.announce(replica, beat=2)
+        await world.until(
+            lambda: all(
+                r.record.address == address for r in world.gateway.directory.of_service(PLAIN)
+            )
+        )
+        answer = await world.call('/unsafe/x', Limeshelf_Deadline_Ms='1500')
+        assert answer.status == 503
+        replicas = world.gateway.directory.of_service(PLAIN)
+        assert all(replica.health.awaits_probe for replica in replicas)
+        for one in [deaf, *fillers]:
+            one.close()
+
+    run(scenario)
