Claim replicas by the new fence; keep the room of loads in doubt; refuse what waits at a stop

The copies found at the start were counted before all records had come, so models that were busy counted as rare and were parked.

--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -28,6 +28,8 @@
 ADAPTER_LIMIT_S = 2.0
 #: An unload waits for the calls that run.
 UNLOAD_LIMIT_S = 20.0
+#: The name of no adapter, for an order that changes nothing.
+NO_ADAPTER = 'none'
 #: A look counts as fresh for this long.
 FRESH_S = 1.5
 #: Times a load may take of what the configuration says before it is given up.
@@ -55,6 +57,8 @@
 
     :ivar coming: what is on its way there, with the time when it is likely done.
     :ivar going: adapters that are about to be unloaded.
+    :ivar doubts: loads that got no answer, with the number that they expected;
+        each may come late until the replica has taken another order.
     :ivar looked_s: when the replica last answered this process's own look.
     :ivar silent: looks in a row that were not answered.
     :ivar sent: loads whose order went out and that may be there before they show.
@@ -62,6 +66,7 @@
 
     coming: dict[tuple[str, str], float] = attrs.field(factory=dict)
     sent: set[tuple[str, str]] = attrs.field(factory=set)
+    doubts: dict[tuple[str, str], int] = attrs.field(factory=dict)
     silent: int = 0
     looked_s: float = 0.0
     going: set[tuple[str, str]] = attrs.field(factory=set)
@@ -119,9 +124,39 @@
         lane = self.lane(replica)
         lane.silent = 0
         lane.looked_s = boottime_s()
+        if not report.busy:
+            lane.doubts = {
+                load: expected
+                for load, expected in lane.doubts.items()
+                if expected >= report.order_number
+            }
         self._directory.take_report(replica.replica_id, report, settled)
         return True
 
+    async def claim(self, replica: Replica, model: str) -> None:
+        """Show the term's fence to a replica by an order that changes nothing.
+
+        From then on the replica refuses what a predecessor ordered
+        (tests/fleet/test_desk.py::test_claim_shuts_a_predecessor_out).
+        """
+        term = self._leadership.term
+        if term is None or not await self.look(replica):
+            return
+        order = Order(
+            OrderKind.UNLOAD,
+            model,
+            NO_ADAPTER,
+            replica.order_number or 0,
+            self._holder,
+            term.fence,
+        )
+        try:
+            answer = await self._wire.order(replica.record.address, replica.replica_id, order)
+        except ReplicaSilent:
+            return
+        if answer.outcome is OrderOutcome.FENCED_OFF:
+            self._leadership.end('fenced_off')
+
     async def run(self, replica: Replica, tasks: list[Task]) -> bool:
         """Carry out *tasks* one after the other; return whether all were done."""
         lane = self.lane(replica)
@@ -182,42 +217,63 @@
                 return True
         return False
 
-    async def _send(self, replica: Replica, task: Task) -> OrderOutcome:
+    async def _obstacle(self, replica: Replica, task: Task) -> OrderOutcome | None:
+        """Return why an order cannot go out now, or ``None`` if it can."""
         known = replica.order_number is not None and self.lane(replica).is_fresh
         if not known and not await self.look(replica):
             return OrderOutcome.BUSY_OR_STALE
         if replica.report is not None and replica.report.busy:
             return OrderOutcome.BUSY_OR_STALE
-        expected = replica.order_number or 0
         if task.kind is OrderKind.LOAD and not self.fits(replica, task):
             log_change(
                 'order_withheld', replica=replica.replica_id, model=task.model, cause='no_room'
             )
             return OrderOutcome.REJECTED
+        return None
+
+    async def _send(self, replica: Replica, task: Task) -> OrderOutcome:
+        obstacle = await self._obstacle(replica, task)
+        if obstacle is not None:
+            return obstacle
         term = self._leadership.term
         if term is None or not term.may_order() or not replica.takes_calls:
             return OrderOutcome.FENCED_OFF
-        if task.kind is OrderKind.LOAD:
-            self.lane(replica).sent.add((task.model, task.adapter))
+        expected = replica.order_number or 0
         order = Order(task.kind, task.model, task.adapter, expected, self._holder, term.fence)
+        lane = self.lane(replica)
+        if task.kind is OrderKind.LOAD:
+            lane.sent.add((task.model, task.adapter))
         status = 0
         try:
             answer = await self._wire.order(replica.record.address, replica.replica_id, order)
             outcome, status = answer.outcome, answer.status
         except ReplicaSilent:
             outcome = OrderOutcome.BUSY_OR_STALE
+            if task.kind is OrderKind.LOAD:
+                lane.doubts[task.model, task.adapter] = expected
+        self._log_order(replica, order, status, outcome)
+        self._note_outcome(replica, task, expected, outcome)
+        return outcome
+
+    def _log_order(
+        self, replica: Replica, order: Order, status: int, outcome: OrderOutcome
+    ) -> None:
         self._figures.observe_order(outcome)
         log_change(
             'order',
             replica=replica.replica_id,
-            kind=task.kind,
-            model=task.model,
-            adapter=task.adapter,
+            kind=order.kind,
+            model=order.model,
+            adapter=order.adapter,
             expected=order.expected_number,
             fence=order.fence,
             status=status,
             outcome=outcome,
         )
+
+    def _note_outcome(
+        self, replica: Replica, task: Task, expected: int, outcome: OrderOutcome
+    ) -> None:
         at_once = self._unloaded_at_once(replica, task, outcome)
         if outcome is OrderOutcome.TAKEN or at_once:
             replica.order_number = max(replica.order_number or 0, expected + 1)
@@ -225,7 +281,6 @@
             self._directory.forget_holding(replica, task.model, task.adapter)
         if outcome is OrderOutcome.FENCED_OFF:
             self._leadership.end('fenced_off')
-        return outcome
 
     def _unloaded_at_once(self, replica: Replica, task: Task, outcome: OrderOutcome) -> bool:
         """Return whether an idle adapter went without delay, which counts as an order.
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -24,6 +24,10 @@
     from limeshelf.util.tasks import TaskSet
 
 STEP_S = 0.2
+#: After a process's start, records of replicas come in for this long.
+START_SETTLE_S = 1.5
+#: Between the claim of the replicas by a new fence and the first plan.
+CLAIM_SETTLE_S = 0.25
 #: An unload before a load takes about this long.
 UNLOAD_S = 0.6
 #: Every replica is asked for its report this often.
@@ -59,6 +63,8 @@
         self._term_fence = 0
         self._looked_s: dict[str, float] = {}
         self._first_copies: dict[str, dict[str, int]] = {}
+        self._first_seen: set[str] = set()
+        self._started_s = boottime_s()
         self._wanted = asyncio.Event()
         #: Told when a load was ordered, so that waiting calls hear of it.
         self.on_move: Callable[[], None] = lambda: None
@@ -80,7 +86,11 @@
                 await self._begin_term(config)
             for service in config.engine_services():
                 assert service.engine is not None
+                self._note_first_copies(service.name)
                 self._look(service.name)
+                if boottime_s() - self._started_s < START_SETTLE_S:
+                    # Records of replicas are still coming in.
+                    continue
                 first_copies = self._first_copies.get(service.name, {})
                 planner = Planner(service.name, service.engine, loads, first_copies)
                 self._order_moves(service.name, service.engine, planner)
@@ -100,12 +110,21 @@
             assert service.engine is not None
             self._pace.reset(service.engine.loads_per_s)
             replicas = self._directory.of_service(service.name)
-            await asyncio.gather(*(self._desk.look(replica) for replica in replicas))
-            copies: dict[str, int] = {}
-            for replica in replicas:
-                for model in replica.holdings:
-                    copies[model] = copies.get(model, 0) + 1
-            self._first_copies[service.name] = copies
+            model = next(iter(service.engine.models), '')
+            await asyncio.gather(*(self._desk.claim(replica, model) for replica in replicas))
+        # What a predecessor ordered late has come by now, or never will; reports
+        # lag by some 100 ms.
+        await asyncio.sleep(CLAIM_SETTLE_S)
+
+    def _note_first_copies(self, service: str) -> None:
+        """Count what replicas hold when they are first seen; they tell what is busy."""
+        copies = self._first_copies.setdefault(service, {})
+        for replica in self._directory.of_service(service):
+            if replica.replica_id in self._first_seen:
+                continue
+            self._first_seen.add(replica.replica_id)
+            for model in replica.holdings:
+                copies[model] = copies.get(model, 0) + 1
 
     def _look(self, service: str) -> None:
         now_s = boottime_s()
@@ -186,8 +205,9 @@
             return False
         lane = self._desk.lane(replica)
         adapters = {(m, a) for m, held in replica.holdings.items() for a in held}
-        adapters |= {(model, adapter) for model, adapter in lane.sent if adapter}
-        models = set(replica.holdings) | {m for m, adapter in lane.sent if not adapter}
+        possible = lane.sent | set(lane.doubts)
+        adapters |= {(model, adapter) for model, adapter in possible if adapter}
+        models = set(replica.holdings) | {m for m, adapter in possible if not adapter}
         if task.adapter:
             adapters.add((task.model, task.adapter))
         else:
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -59,6 +59,7 @@
 #: A caller that has less than this share of the usual time was here before.
 RETURNED_SHARE = 0.97
 DEFAULT_BUDGET_S = 30.0
+STOPPING_RETRY_S = 0.05
 STATUS_SERVER_ERROR = 500
 
 
@@ -139,6 +140,8 @@
         self._dispatch = dispatch
         self._rule = rule
         self._budgets: dict[str, RetryBudget] = {}
+        self._placing: set[asyncio.Task[object]] = set()
+        self._stopping = False
 
     async def serve(self, call: Call, answer: Answer) -> None:
         """Bring the call to a replica and its answer to the caller."""
@@ -170,7 +173,7 @@
 
     async def _attempts(self, state: CallState, answer: Answer) -> None:
         while True:
-            choice = await self._place(state, answer)
+            choice = await self._place_or_stop(state, answer)
             if choice is None:
                 return
             result = await self._attempt(state, choice, answer)
@@ -306,6 +309,30 @@
             replica.health.failed(Failure.REFUSED)
         return False
 
+    async def _place_or_stop(self, state: CallState, answer: Answer) -> Choice | None:
+        """Return the replica to try next; a planned stop ends the wait for one."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._placing.add(task)
+        try:
+            if self._stopping:
+                raise asyncio.CancelledError
+            return await self._place(state, answer)
+        except asyncio.CancelledError:
+            if not self._stopping:
+                raise
+            task.uncancel()
+            await self._give_up(state, answer, RefusalReason.STOPPING, STOPPING_RETRY_S)
+            return None
+        finally:
+            self._placing.discard(task)
+
+    def stop_placing(self) -> None:
+        """Refuse the calls that still wait for a replica; other gateways take them."""
+        self._stopping = True
+        for task in list(self._placing):
+            task.cancel()
+
     async def _place(self, state: CallState, answer: Answer) -> Choice | None:
         """Return the replica to try next, or answer the caller and return ``None``."""
         while True:
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -189,6 +189,7 @@
         self.neighbours.say_leaving()
         await asyncio.sleep(NOTICE_S)
         self.edge.enter(Phase.DRAINING)
+        self.pipeline.stop_placing()
         end_s = began_s + self.settings.grace_s * LAST_SHARE
         while self.edge.running and boottime_s() < end_s:
             self.edge.end_idle_connections()
--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -180,3 +180,36 @@
         assert [o.status for o in replica.orders].count(202) == 1
 
     play(scenario, replica)
+
+
+def test_claim_shuts_a_predecessor_out() -> None:
+    replica = ReplicaStandIn('e-1', ['m1'])
+
+    async def scenario(world: World) -> None:
+        await world.desk.claim(world.replica, 'm1')
+        assert replica.highest_fence == 5
+        assert (replica.order_number, replica.models) == (0, {'m1': []})
+        late = {'Op': 'load', 'Model': 'm2', 'ExpectedRevision': 0, 'FencingToken': 4}
+        assert replica._carry_out(late) == 412
+
+    play(scenario, replica)
+
+
+def test_load_in_doubt_keeps_its_room_until_another_order_was_taken() -> None:
+    replica = ReplicaStandIn('e-1', ['m1'])
+    replica.order_fault = Fault.SILENT
+    replica.order_late_s = 30.0
+
+    async def scenario(world: World) -> None:
+        lane = world.desk.lane(world.replica)
+        task = asyncio.create_task(world.desk.run(world.replica, [Task(LOAD, 'm2', '', 0.1)]))
+        await asyncio.sleep(1.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert lane.sent == set()
+        assert ('m2', '') in lane.doubts
+        replica.order_number += 1
+        await world.desk.look(world.replica)
+        assert lane.doubts == {}
+
+    play(scenario, replica)
--- a/tests/gateway/test_edge.py
+++ b/tests/gateway/test_edge.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from tests.support.gateway import HOST, GatewayWorld, run
+from tests.support.gateway import HOST, GatewayWorld, configuration, route, run
 
 REQUEST = (
     f'POST /unsafe/x HTTP/1.1\r\nHost: {HOST}\r\nLimeshelf-Attempt-Id: k1\r\n'
@@ -55,3 +55,20 @@
         task.cancel()
 
     run(scenario)
+
+
+def test_call_that_waits_for_a_replica_is_refused_at_a_stop() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for replica in world.plain:
+            world.store.drop('servers', replica.replica_id)
+        await world.until(lambda: not world.gateway.directory.of_service('app'))
+        world.configure(configuration(2, route('long', 'unsafe', 'app', LatencySloMs=60000)))
+        await world.until(lambda: world.gateway.pipeline.config.version == 2)
+        task = asyncio.create_task(world.call('/long/x'))
+        await world.until(lambda: world.gateway.pipeline._placing)
+        world.gateway.pipeline.stop_placing()
+        answer = await task
+        assert answer.status == 503
+        assert 'Retry-After' in answer.headers
+
+    run(scenario)
