Claim a replica again when it is back in reach; drop held-up orders with their connection

A replica that did not answer is now claimed anew and planned for only after a look 0.2 s later, and orders go over sockets whose close forgets what was not delivered.

--- a/limeshelf/fleet/adapters.py
+++ b/limeshelf/fleet/adapters.py
@@ -53,7 +53,7 @@
         for replica in holders:
             lane = lanes[replica.replica_id]
             adapters_coming = sum(1 for _, adapter in lane.coming if adapter)
-            if lane.busy_with_model or adapters_coming >= MAX_COMING:
+            if not lane.is_fresh or lane.busy_with_model or adapters_coming >= MAX_COMING:
                 continue
             found, evicted = self._make_room(replica, lane, adapters_coming)
             if not found:
--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -30,6 +30,8 @@
 UNLOAD_LIMIT_S = 20.0
 #: The name of no adapter, for an order that changes nothing.
 NO_ADAPTER = 'none'
+#: A look this long after the claim shows what came before it; reports lag.
+CLAIM_SETTLE_S = 0.2
 #: A look counts as fresh for this long.
 FRESH_S = 1.5
 #: Times a load may take of what the configuration says before it is given up.
@@ -59,6 +61,8 @@
     :ivar going: adapters that are about to be unloaded.
     :ivar doubts: loads that got no answer, with the number that they expected;
         each may come late until the replica has taken another order.
+    :ivar claimed_fence: the fence that was shown to the replica; 0 after it was
+        out of reach, when orders that a cut held up may arrive.
     :ivar looked_s: when the replica last answered this process's own look.
     :ivar silent: looks in a row that were not answered.
     :ivar sent: loads whose order went out and that may be there before they show.
@@ -69,6 +73,8 @@
     doubts: dict[tuple[str, str], int] = attrs.field(factory=dict)
     silent: int = 0
     looked_s: float = 0.0
+    claimed_fence: int = 0
+    claimed_s: float = 0.0
     going: set[tuple[str, str]] = attrs.field(factory=set)
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     waiting: int = 0
@@ -79,7 +85,8 @@
 
         What a predecessor told may lack a load that is still under way.
         """
-        return boottime_s() - self.looked_s < FRESH_S
+        settled_s = self.claimed_s + CLAIM_SETTLE_S
+        return boottime_s() - self.looked_s < FRESH_S and self.looked_s > settled_s
 
     @property
     def busy_with_model(self) -> bool:
@@ -119,7 +126,9 @@
         try:
             report = await self._wire.report(replica.record.address, replica.replica_id)
         except ReplicaSilent:
-            self.lane(replica).silent += 1
+            lane = self.lane(replica)
+            lane.silent += 1
+            lane.claimed_fence = 0
             return False
         lane = self.lane(replica)
         lane.silent = 0
@@ -156,6 +165,10 @@
             return
         if answer.outcome is OrderOutcome.FENCED_OFF:
             self._leadership.end('fenced_off')
+            return
+        lane = self.lane(replica)
+        lane.claimed_fence = term.fence
+        lane.claimed_s = boottime_s()
 
     async def run(self, replica: Replica, tasks: list[Task]) -> bool:
         """Carry out *tasks* one after the other; return whether all were done."""
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -87,7 +87,7 @@
             for service in config.engine_services():
                 assert service.engine is not None
                 self._note_first_copies(service.name)
-                self._look(service.name)
+                self._look(service.name, next(iter(service.engine.models), ''))
                 if boottime_s() - self._started_s < START_SETTLE_S:
                     # Records of replicas are still coming in.
                     continue
@@ -126,15 +126,20 @@
             for model in replica.holdings:
                 copies[model] = copies.get(model, 0) + 1
 
-    def _look(self, service: str) -> None:
+    def _look(self, service: str, model: str) -> None:
         now_s = boottime_s()
         for replica in self._directory.of_service(service):
             if now_s - self._looked_s.get(replica.replica_id, 0.0) >= LOOK_S:
                 self._looked_s[replica.replica_id] = now_s
-                self._tasks.spawn(self._look_at(replica), 'look')
+                self._tasks.spawn(self._look_at(replica, model), 'look')
 
-    async def _look_at(self, replica: Replica) -> None:
-        await self._desk.look(replica)
+    async def _look_at(self, replica: Replica, model: str) -> None:
+        if not await self._desk.look(replica):
+            return
+        if self._desk.lane(replica).claimed_fence != self._leadership.fence:
+            # New in this term, or back in reach: what was ordered before may
+            # arrive just now (tests/fleet/test_desk.py::test_replica_back_in_reach).
+            await self._desk.claim(replica, model)
 
     def _order_moves(self, service: str, engine: EngineSpec, planner: Planner) -> None:
         holders = self._holders(service)
@@ -162,13 +167,17 @@
                 continue
             report = replica.report
             at_hand = (report.in_memory | report.on_disk) if report else frozenset()
+            claimed = lane.claimed_fence == self._leadership.fence
             busy = lane.busy_with_model or lane.waiting > 0 or bool(report and report.busy)
             holders.append(
                 Holder(
                     replica.replica_id,
                     set(replica.holdings) - replica.retiring,
                     {model for model, adapter in lane.coming if not adapter},
-                    idle=lane.is_fresh and not busy and not replica.health.is_suspended(),
+                    idle=lane.is_fresh
+                    and claimed
+                    and not busy
+                    and not replica.health.is_suspended(),
                     calls=self._directory.load_of(replica).calls,
                     at_hand=at_hand,
                 )
--- a/limeshelf/platform/engine.py
+++ b/limeshelf/platform/engine.py
@@ -13,7 +13,7 @@
 from limeshelf.platform.headers import EXPECT_INSTANCE
 from limeshelf.platform.replicas import read_report
 from limeshelf.replicas.record import ReplicaReport
-from limeshelf.util.sockets import lasting_socket
+from limeshelf.util.sockets import forgetting_socket
 
 CONNECT_S = 0.4
 ANSWER_S = 0.8
@@ -76,7 +76,7 @@
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
             connector = aiohttp.TCPConnector(
-                limit=0, limit_per_host=2, keepalive_timeout=3.0, socket_factory=lasting_socket
+                limit=0, limit_per_host=2, keepalive_timeout=3.0, socket_factory=forgetting_socket
             )
             self._session = aiohttp.ClientSession(
                 connector=connector,
--- a/limeshelf/util/sockets.py
+++ b/limeshelf/util/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from typing import Any
 
 #: Unacknowledged data breaks the connection after this time.
@@ -13,6 +14,16 @@
 PROBES = 2
 
 
+def forgetting_socket(address_info: Any) -> socket.socket:
+    """Return a lasting socket whose close drops what a cut holds up.
+
+    An order that was given up must not arrive when the cut heals.
+    """
+    made = lasting_socket(address_info)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    return made
+
+
 def lasting_socket(address_info: Any) -> socket.socket:
     """Return a stream socket for *address_info* that does not hang behind a cut."""
     family, kind, protocol, _, _ = address_info
--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -213,3 +213,26 @@
         assert lane.doubts == {}
 
     play(scenario, replica)
+
+
+def test_replica_back_in_reach() -> None:
+    """What a cut held up arrives as it heals, so a look right then says little."""
+    replica = ReplicaStandIn('e-1', ['m1'])
+
+    async def scenario(world: World) -> None:
+        lane = world.desk.lane(world.replica)
+        await world.desk.claim(world.replica, 'm1')
+        assert lane.claimed_fence == 5
+        assert not lane.is_fresh
+        await asyncio.sleep(0.25)
+        await world.desk.look(world.replica)
+        assert lane.is_fresh
+        address, world.replica.record = (
+            world.replica.record,
+            attrs.evolve(world.replica.record, address='127.0.0.1:9'),
+        )
+        assert not await world.desk.look(world.replica)
+        assert lane.claimed_fence == 0
+        world.replica.record = address
+
+    play(scenario, replica)
