Do not believe the late word of a predecessor about replicas

Ruled out: late orders (claimed and settled for). A leader now believes its own looks only, the others no lower fence than the last.

--- a/limeshelf/fleet/neighbours.py
+++ b/limeshelf/fleet/neighbours.py
@@ -99,8 +99,7 @@
     mirrors: dict[str, TableMirror]
     config_version: int = 0
     _by_address: dict[str, Neighbour] = attrs.field(factory=dict)
-    _states_told_s: float = 0.0
-    _states_told: list[ReplicaState] = attrs.field(factory=list)
+    _states_fence: int = 0
 
     def start(self) -> None:
         """Take messages."""
@@ -272,6 +271,11 @@
     def _take_states(self, envelope: Envelope) -> None:
         message: ReplicaStates = envelope.message
         self.leadership.note_fence(message.fence)
+        if self.fleet.leads() or message.fence < self._states_fence:
+            # A predecessor's word that a cut held up is older than what is known
+            # (tests/fleet/test_neighbours.py::test_late_word_of_a_predecessor).
+            return
+        self._states_fence = message.fence
         for state in message.states:
             report = ReplicaReport(
                 holdings=tuple(Holding(h.model, frozenset(h.adapters)) for h in state.held),
