--- a/limeshelf/fleet/adapters.py
+++ b/limeshelf/fleet/adapters.py
@@ -52,7 +52,8 @@
         options = []
         for replica in holders:
             lane = lanes[replica.replica_id]
-            adapters_coming = sum(1 for _, adapter in lane.coming if adapter)
+            loading = set(replica.report.loading) if replica.report else set()
+            adapters_coming = sum(1 for _, adapter in loading | set(lane.coming) if adapter)
             if not lane.is_fresh or lane.busy_with_model or adapters_coming >= MAX_COMING:
                 continue
             found, evicted = self._make_room(replica, lane, adapters_coming)
--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -25,7 +25,7 @@
 #: Reports lag by about this much, so an order's trace shows after it.
 ADAPTER_SETTLE_S = 0.16
 #: An adapter that has not come after this time is given up.
-ADAPTER_LIMIT_S = 2.0
+ADAPTER_LIMIT_S = 4.0
 #: An unload waits for the calls that run.
 UNLOAD_LIMIT_S = 20.0
 #: The name of no adapter, for an order that changes nothing.
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -215,6 +215,10 @@
         lane = self._desk.lane(replica)
         adapters = {(m, a) for m, held in replica.holdings.items() for a in held}
         possible = lane.sent | set(lane.doubts)
+        if replica.report is not None:
+            # An adapter that was given up may still be on its way
+            # (tests/fleet/test_service.py::test_adapter_on_its_way_takes_a_place).
+            possible |= set(replica.report.loading)
         adapters |= {(model, adapter) for model, adapter in possible if adapter}
         models = set(replica.holdings) | {m for m, adapter in possible if not adapter}
         if task.adapter:
