--- a/limeshelf/calls/call.py
+++ b/limeshelf/calls/call.py
@@ -7,7 +7,7 @@
 import attrs
 
 
-class RouteKind(enum.StrEnum):
+class CallKind(enum.StrEnum):
     """What may be repeated of the calls on a route."""
 
     SAFE = 'safe'
--- a/limeshelf/calls/routes.py
+++ b/limeshelf/calls/routes.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from limeshelf.calls.call import RouteKind
+from limeshelf.calls.call import CallKind
 
 
 @attrs.frozen
@@ -33,7 +33,7 @@
     name: str
     host: str
     path_prefix: str
-    kind: RouteKind
+    kind: CallKind
     targets: tuple[WeightedService, ...]
     timeout_s: float
     objective_s: float
@@ -54,7 +54,7 @@
     @property
     def repeatable(self) -> bool:
         """Return whether a call may run more than once."""
-        return self.kind is RouteKind.SAFE or (self.kind is RouteKind.STREAM and self.resumable)
+        return self.kind is CallKind.SAFE or (self.kind is CallKind.STREAM and self.resumable)
 
     def draw_service(self) -> str:
         """Return one of the services, drawn by weight."""
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -5,24 +5,22 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import attrs
-
-from limeshelf.calls.call import RouteKind
+from limeshelf.calls.call import CallKind
 from limeshelf.calls.wire import SendFacts
-from limeshelf.dispatch.client import NoPlace, Place, PlaceRequest
+from limeshelf.dispatch.client import NoPlace, PlaceRequest
 from limeshelf.errors import NotRun, RefusalReason
 from limeshelf.fleet.demand import ModelKey
 from limeshelf.gateway.budget import RetryBudget
 from limeshelf.gateway.choice import Chooser, note_warm_parts
-from limeshelf.gateway.events import EventSplitter
 from limeshelf.gateway.exchange import Broken, Delivered, Doubt, Exchange, NeverRan, WholeAnswer
+from limeshelf.gateway.state import CallState, Choice
 from limeshelf.metrics.journal import log_request
 from limeshelf.replicas.health import Failure
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
     from limeshelf.calls.call import Call, ModelNeed
-    from limeshelf.calls.routes import Route, ServiceSpec, ServingConfig
+    from limeshelf.calls.routes import ServingConfig
     from limeshelf.calls.wire import CallWire
     from limeshelf.dispatch.client import DispatchClient
     from limeshelf.fleet.demand import DemandMeter
@@ -56,64 +54,11 @@
 READY_MARGIN = 1.1
 #: Share of a caller's patience after which a waiting call is refused.
 PATIENCE_SHARE = 0.85
-#: A caller that has less than this share of the usual time was here before.
-RETURNED_SHARE = 0.97
 DEFAULT_BUDGET_S = 30.0
 STOPPING_RETRY_S = 0.05
 STATUS_SERVER_ERROR = 500
 
 
-@attrs.define
-class CallState:
-    """How far a call has come.
-
-    :ivar runs: replicas that run it or may have run it.
-    :ivar refusals: replicas that said they did not run it.
-    :ivar waited_s: time from its arrival to the latest send.
-    """
-
-    call: Call
-    route: Route
-    service: ServiceSpec
-    ends_s: float
-    splitter: EventSplitter = attrs.field(factory=EventSplitter)
-    runs: int = 0
-    sends: int = 0
-    refusals: int = 0
-    excluded: set[str] = attrs.field(factory=set)
-    last: Result | None = None
-    waited_s: float = 0.0
-
-    @property
-    def returned(self) -> bool:
-        """Return whether the caller has likely been refused before."""
-        budget_s = self.call.budget_s
-        return budget_s is not None and budget_s < RETURNED_SHARE * self.route.timeout_s
-
-    @property
-    def left_s(self) -> float:
-        """Return the time that is left for the call, in seconds."""
-        return self.ends_s - boottime_s()
-
-
-@attrs.frozen
-class Choice:
-    """The replica for an attempt, with the dispatcher's grant if it gave one."""
-
-    replica: Replica
-    place: Place | None
-
-    def note_first(self) -> None:
-        """Say that the first event is there."""
-        if self.place is not None:
-            self.place.read()
-
-    def note_end(self) -> None:
-        """Say that the attempt is over."""
-        if self.place is not None:
-            self.place.ended()
-
-
 class Pipeline:
     """Serves calls with the configuration in force.
 
@@ -216,7 +161,7 @@
         left_s = state.left_s
         if not state.route.repeatable or state.runs + 1 >= state.route.max_attempts:
             return left_s
-        if state.route.kind is RouteKind.STREAM:
+        if state.route.kind is CallKind.STREAM:
             return max(LEAST_TRY_S, min(left_s, 2 * state.route.objective_s))
         return max(LEAST_TRY_S, left_s * FIRST_TRY_SHARE)
 
--- a/limeshelf/platform/configuration.py
+++ b/limeshelf/platform/configuration.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from limeshelf.calls.call import RouteKind
+from limeshelf.calls.call import CallKind
 from limeshelf.calls.routes import (
     ClientLimits,
     EngineSpec,
@@ -19,7 +19,7 @@
 CONFIG_TABLE = 'op'
 CONFIG_KEY = 'config'
 
-_KINDS = {'safe': RouteKind.SAFE, 'unsafe': RouteKind.UNSAFE, 'streaming': RouteKind.STREAM}
+_KINDS = {'safe': CallKind.SAFE, 'unsafe': CallKind.UNSAFE, 'streaming': CallKind.STREAM}
 _MS = 1000.0
 
 
@@ -116,7 +116,7 @@
         name=route.name,
         host=route.host,
         path_prefix=route.path_prefix,
-        kind=_KINDS.get(route.route_kind, RouteKind.UNSAFE),
+        kind=_KINDS.get(route.route_kind, CallKind.UNSAFE),
         targets=tuple(targets),
         timeout_s=route.timeout_ms / _MS,
         objective_s=route.latency_slo_ms / _MS,
--- a/limeshelf/platform/engine.py
+++ b/limeshelf/platform/engine.py
@@ -12,11 +12,15 @@
 from limeshelf.fleet.orders import Order, OrderAnswer, OrderOutcome, ReplicaSilent
 from limeshelf.platform.headers import EXPECT_INSTANCE
 from limeshelf.platform.replicas import read_report
+from limeshelf.platform.sessions import open_session
 from limeshelf.replicas.record import ReplicaReport
 from limeshelf.util.sockets import forgetting_socket
 
 CONNECT_S = 0.4
 ANSWER_S = 0.8
+IDLE_S = 3.0
+#: Connections to one replica.
+LIMIT = 2
 _OUTCOMES = {
     200: OrderOutcome.HOLDS_ALREADY,
     202: OrderOutcome.TAKEN,
@@ -75,15 +79,7 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0, limit_per_host=2, keepalive_timeout=3.0, socket_factory=forgetting_socket
-            )
-            self._session = aiohttp.ClientSession(
-                connector=connector,
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
-                cookie_jar=aiohttp.DummyCookieJar(),
-            )
-            self._session._retry_connection = False
+            self._session = open_session(CONNECT_S, IDLE_S, forgetting_socket, LIMIT)
         return self._session
 
     async def close(self) -> None:
--- /dev/null
+++ b/limeshelf/platform/sessions.py
@@ -0,0 +1,39 @@
+"""HTTP sessions towards the platform's services and replicas."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+
+def open_session(
+    connect_s: float,
+    idle_s: float,
+    make_socket: Callable[[Any], socket.socket],
+    limit_per_host: int = 0,
+) -> aiohttp.ClientSession:
+    """Return a session that repeats nothing by itself.
+
+    :param connect_s: longest time for a new connection.
+    :param idle_s: an unused connection is closed after this time.
+    :param limit_per_host: connections to one address; 0 for no limit.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=limit_per_host,
+        keepalive_timeout=idle_s,
+        socket_factory=make_socket,
+    )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+    # Whether a call is repeated is decided by the caller.
+    session._retry_connection = False
+    return session
--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -11,12 +11,14 @@
 
 from limeshelf.errors import PlatformUnavailable, PlatformUnknown
 from limeshelf.feeds.rows import ConditionFailed, HistoryGone, Page, Row
+from limeshelf.platform.sessions import open_session
 from limeshelf.util.sockets import lasting_socket
 
 STORE = 'store'
 #: Longest wait for an answer, beyond what the call itself waits for.
 ANSWER_S = 1.2
 CONNECT_S = 0.6
+IDLE_S = 20.0
 STATUS_CONDITION = 412
 STATUS_HISTORY_GONE = 410
 
@@ -134,16 +136,7 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=20.0, socket_factory=lasting_socket
-            )
-            self._session = aiohttp.ClientSession(
-                connector=connector,
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
-                cookie_jar=aiohttp.DummyCookieJar(),
-            )
-            # Whether a call is repeated is decided by the caller.
-            self._session._retry_connection = False
+            self._session = open_session(CONNECT_S, IDLE_S, lasting_socket)
         return self._session
 
     async def close(self) -> None:
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -8,7 +8,7 @@
 PACKAGE = Path(__file__).parents[2] / 'limeshelf'
 NAMES = re.compile(
     r'(^|[^-])Limeshelf-|rows-tx|rows-feed|rows-get|FencingToken|ExpectedRevision'
-    r'|RouteKind\b.*=.*\'RouteKind|PathPrefix|LIMESHELF_BOOT|WeightsMb|LatencySloMs'
+    r'|RouteKind|PathPrefix|LIMESHELF_BOOT|WeightsMb|LatencySloMs'
 )
 
 
