--- a/tests/feeds/test_mirror.py
+++ b/tests/feeds/test_mirror.py
@@ -14,7 +14,7 @@
 from limeshelf.feeds.mirror import TableMirror
 from limeshelf.feeds.rows import ConditionFailed, HistoryGone, Page, Row
 from limeshelf.platform.store import StoreClient
-from standins.platform.store import StoreStandIn
+from standins.users_platform.store import StoreStandIn
 
 
 def text(value: str) -> str:
--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -16,7 +16,7 @@
 from limeshelf.platform.replicas import read_record
 from limeshelf.replicas.directory import ReplicaDirectory
 from limeshelf.replicas.record import Holding, ReplicaRecord
-from standins.platform.replica import Fault, ReplicaStandIn
+from standins.users_platform.replica import Fault, ReplicaStandIn
 
 LOAD = OrderKind.LOAD
 UNLOAD = OrderKind.UNLOAD
--- a/tests/fleet/test_leader.py
+++ b/tests/fleet/test_leader.py
@@ -7,7 +7,7 @@
 
 from limeshelf.fleet.leader import LEASE_KEY, LEASE_TABLE, Leadership
 from limeshelf.platform.store import StoreClient
-from standins.platform.store import StoreStandIn
+from standins.users_platform.store import StoreStandIn
 
 LEASE_S = 1.2
 
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from standins.platform.replica import Fault
+from standins.users_platform.replica import Fault
 from tests.support.gateway import ENGINE, PLAIN, GatewayWorld, configuration, route, run
 
 EVENTS = b''.join(f'id: {n}\ndata: token {n}\n\n'.encode() for n in range(1, 6))
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -16,8 +16,8 @@
 
 from limeshelf.programs.gateway import Gateway
 from limeshelf.settings.gateway import GatewaySettings, PlacementSettings, RetrySettings
-from standins.platform.replica import ReplicaStandIn
-from standins.platform.store import StoreStandIn
+from standins.users_platform.replica import ReplicaStandIn
+from standins.users_platform.store import StoreStandIn
 
 HOST = 'calls.example'
 ENGINE = 'lm'
