Take the objectives that gateways tell into the sums of demand

Cause: every digest told the shortest objective of a model's calls, but the sums of the leader never took it, so the planner knew no objective, held every found model for one whose callers cannot wait, and never parked an idle last copy.

Ruled out: the rate of loads from the weight store (at most 8 of 10.5 allowed in any 5 s); a dispatcher that grants too little (the one replica took 19 to 20 calls a second all the while).

--- a/limeshelf/fleet/demand.py
+++ b/limeshelf/fleet/demand.py
@@ -189,6 +189,7 @@
             if not first or demand.started <= 3:
                 news = max(0, demand.started - seen.started)
                 self._new[demand.key] = self._new.get(demand.key, 0) + news
+            self._take_objective(demand)
             if (demand.wanted != seen.wanted and not first) or demand.running:
                 load = self._loads.setdefault(demand.key, ModelLoad())
                 load.seen_s = now_s
@@ -196,6 +197,12 @@
                     load.wanted_s = now_s
             seen.started, seen.wanted = demand.started, demand.wanted
 
+    def _take_objective(self, demand: KeyDemand) -> None:
+        if demand.objective_ms:
+            load = self._loads.setdefault(demand.key, ModelLoad())
+            objective_s = demand.objective_ms / 1000
+            load.objective_s = min(load.objective_s or objective_s, objective_s)
+
     def note_want(self, key: ModelKey) -> None:
         """Note that a call found no replica for *key* just now."""
         load = self._loads.setdefault(key, ModelLoad())
