Claim a replica by an order about something that exists

Cause: the order by which a new leader shows its fence unloaded an adapter called "none".

Change: the claim unloads an adapter that the model has and the replica does not hold, or, where no model has adapters, a model that it does not hold.

The stand-in now refuses an order about an unknown adapter and does not take its fence, which makes the test of the claim fail on the old code.

--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from limeshelf.calls.routes import EngineSpec
     from limeshelf.fleet.leader import Leadership
     from limeshelf.fleet.orders import OrderWire
     from limeshelf.metrics.figures import Figures
@@ -28,8 +29,6 @@
 ADAPTER_LIMIT_S = 4.0
 #: An unload waits for the calls that run.
 UNLOAD_LIMIT_S = 20.0
-#: The name of no adapter, for an order that changes nothing.
-NO_ADAPTER = 'none'
 #: A look this long after the claim shows what came before it; reports lag.
 CLAIM_SETTLE_S = 0.2
 #: A look counts as fresh for this long.
@@ -94,6 +93,22 @@
         return any(not adapter for _, adapter in self.coming)
 
 
+def harmless_task(replica: Replica, engine: EngineSpec) -> Task:
+    """Return the unload of something that exists and that a replica does not hold.
+
+    A replica cannot take an order about what does not exist, so whether it notes
+    the fence of one is open.
+    """
+    loading = set(replica.report.loading) if replica.report else set()
+    for model, spec in engine.models.items():
+        held = replica.holdings.get(model, frozenset())
+        for adapter in sorted(spec.adapters - held):
+            if (model, adapter) not in loading:
+                return Task(OrderKind.UNLOAD, model, adapter)
+    absent = [model for model in engine.models if model not in replica.holdings]
+    return Task(OrderKind.UNLOAD, next(iter(absent), next(iter(engine.models))))
+
+
 class OrderDesk:
     """Sends orders under the term in force and watches until they are done."""
 
@@ -142,7 +157,7 @@
         self._directory.take_report(replica.replica_id, report, settled)
         return True
 
-    async def claim(self, replica: Replica, model: str) -> None:
+    async def claim(self, replica: Replica, engine: EngineSpec) -> None:
         """Show the term's fence to a replica by an order that changes nothing.
 
         From then on the replica refuses what a predecessor ordered
@@ -151,14 +166,9 @@
         term = self._leadership.term
         if term is None or not await self.look(replica):
             return
-        order = Order(
-            OrderKind.UNLOAD,
-            model,
-            NO_ADAPTER,
-            replica.order_number or 0,
-            self._holder,
-            term.fence,
-        )
+        task = harmless_task(replica, engine)
+        expected = replica.order_number or 0
+        order = Order(task.kind, task.model, task.adapter, expected, self._holder, term.fence)
         try:
             answer = await self._wire.order(replica.record.address, replica.replica_id, order)
         except ReplicaSilent:
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -91,8 +91,10 @@
                 await self._begin_term(config)
             for service in config.engine_services():
                 assert service.engine is not None
+                if not service.engine.models:
+                    continue
                 self._note_first_copies(service.name)
-                self._look(service.name, next(iter(service.engine.models), ''))
+                self._look(service.name, service.engine)
                 if boottime_s() - self._started_s < START_SETTLE_S:
                     # Records of replicas are still coming in.
                     continue
@@ -114,10 +116,12 @@
         self._term_fence = self._leadership.fence
         for service in config.engine_services():
             assert service.engine is not None
+            if not service.engine.models:
+                continue
             self._pace.reset(service.engine.loads_per_s)
             replicas = self._directory.of_service(service.name)
-            model = next(iter(service.engine.models), '')
-            await asyncio.gather(*(self._desk.claim(replica, model) for replica in replicas))
+            claims = (self._desk.claim(replica, service.engine) for replica in replicas)
+            await asyncio.gather(*claims)
         # What a predecessor ordered late has come by now, or never will; reports
         # lag by some 100 ms.
         await asyncio.sleep(CLAIM_SETTLE_S)
@@ -132,20 +136,20 @@
             for model in replica.holdings:
                 copies[model] = copies.get(model, 0) + 1
 
-    def _look(self, service: str, model: str) -> None:
+    def _look(self, service: str, engine: EngineSpec) -> None:
         now_s = boottime_s()
         for replica in self._directory.of_service(service):
             if now_s - self._looked_s.get(replica.replica_id, 0.0) >= LOOK_S:
                 self._looked_s[replica.replica_id] = now_s
-                self._tasks.spawn(self._look_at(replica, model), 'look')
+                self._tasks.spawn(self._look_at(replica, engine), 'look')
 
-    async def _look_at(self, replica: Replica, model: str) -> None:
+    async def _look_at(self, replica: Replica, engine: EngineSpec) -> None:
         if not await self._desk.look(replica):
             return
         if self._desk.lane(replica).claimed_fence != self._leadership.fence:
             # New in this term, or back in reach: what was ordered before may
             # arrive just now (tests/fleet/test_desk.py::test_replica_back_in_reach).
-            await self._desk.claim(replica, model)
+            await self._desk.claim(replica, engine)
 
     def _order_moves(self, service: str, engine: EngineSpec, planner: Planner) -> None:
         holders = self._holders(service)
--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import re
 import socket
 import struct
 from typing import Any
@@ -11,6 +12,9 @@
 import attrs
 from aiohttp import web
 
+#: Adapters are named so; an order about another one is not taken, fence and all.
+KNOWN_ADAPTER = re.compile(r'a\d+')
+
 
 class Fault(enum.StrEnum):
     """What a replica does to the calls it gets."""
@@ -159,6 +163,8 @@
         return status
 
     def _take_order(self, body: dict[str, Any]) -> int:
+        if not KNOWN_ADAPTER.fullmatch(body.get('Adapter') or 'a1'):
+            return 400
         if body['FencingToken'] < self.highest_fence:
             return 412
         self.highest_fence = body['FencingToken']
--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from limeshelf.calls.routes import EngineSpec, ModelSpec
 from limeshelf.fleet.desk import OrderDesk, Task
 from limeshelf.fleet.leader import Term
 from limeshelf.fleet.orders import OrderKind
@@ -18,6 +19,10 @@
 from limeshelf.replicas.record import Holding, ReplicaRecord
 from standins.users_platform.replica import Fault, ReplicaStandIn
 
+MODELS = {
+    name: ModelSpec(name, 70.0, 5.0, 1.0, frozenset({'a1', 'a2'}), 1.0) for name in ('m1', 'm2')
+}
+ENGINE = EngineSpec(8, 1000, 150.0, 2, 1.0, MODELS)
 LOAD = OrderKind.LOAD
 UNLOAD = OrderKind.UNLOAD
 
@@ -183,10 +188,11 @@
 
 
 def test_claim_shuts_a_predecessor_out() -> None:
+    """The order names something that exists, or the replica does not take it."""
     replica = ReplicaStandIn('e-1', ['m1'])
 
     async def scenario(world: World) -> None:
-        await world.desk.claim(world.replica, 'm1')
+        await world.desk.claim(world.replica, ENGINE)
         assert replica.highest_fence == 5
         assert (replica.order_number, replica.models) == (0, {'m1': []})
         late = {'Op': 'load', 'Model': 'm2', 'ExpectedRevision': 0, 'FencingToken': 4}
@@ -221,7 +227,7 @@
 
     async def scenario(world: World) -> None:
         lane = world.desk.lane(world.replica)
-        await world.desk.claim(world.replica, 'm1')
+        await world.desk.claim(world.replica, ENGINE)
         assert lane.claimed_fence == 5
         assert not lane.is_fresh
         await asyncio.sleep(0.25)
