Let two relays a data centre pass words on, and few gateways ask the store

Cause: every gateway told every other its loads and demand four times a second and followed three tables of the store by itself.

Change: the two heaviest gateways of a data centre are its relays, by rows of the store and by who is heard (members.py). Gateways tell these alone, with what was asked for lately only; the first relay passes the digests on to the leader and to other relays, and the leader's word of replicas to its own gateways, changed replicas at once and all of them each second. The first relay follows the store; the others go by its words, whose versions join without a gap, and ask the store themselves, the next by rank first, as soon as these are old (sharing.py, mirror.py).

Ruled out: only lengthening periods (the messages still grow with the square); all but relays without any store (a relay cut from it would hold the others back; so age decides, not the role).

--- a/limeshelf/fleet/demand.py
+++ b/limeshelf/fleet/demand.py
@@ -25,6 +25,8 @@
 PLAIN_WAIT_S = 1.0
 #: A load that takes longer than expected is looked for this much longer.
 OVERDUE_WAIT_S = 0.6
+#: A key that was asked for within this time is told of.
+RECENT_S = 3.0
 #: Time until a load begins that nobody has announced.
 ORDER_WAIT_S = 1.0
 
@@ -75,10 +77,16 @@
         self._on_want = on_want
         self._by_key: dict[ModelKey, KeyDemand] = {}
         self._told_s: dict[ModelKey, float] = {}
+        self._asked_s: dict[ModelKey, float] = {}
 
-    def demands(self) -> list[KeyDemand]:
-        """Return what was seen so far, by key."""
-        return list(self._by_key.values())
+    def recent(self) -> list[KeyDemand]:
+        """Return what was seen so far of the keys that were asked for lately."""
+        oldest_s = boottime_s() - RECENT_S
+        return [
+            demand
+            for key, demand in self._by_key.items()
+            if demand.running or self._asked_s.get(key, 0.0) >= oldest_s
+        ]
 
     @contextlib.contextmanager
     def track(self, call: Call, service: str, objective_s: float) -> Iterator[None]:
@@ -97,6 +105,7 @@
             yield
         finally:
             demand.running -= 1
+            self._asked_s[key] = boottime_s()
 
     def want(self, call: Call, service: ServiceSpec) -> None:
         """Say that no replica holds what the call needs."""
@@ -107,6 +116,7 @@
         if now_s - self._told_s.get(key, 0.0) < WANT_AGAIN_S:
             return
         self._told_s[key] = now_s
+        self._asked_s[key] = now_s
         self._by_key.setdefault(key, KeyDemand(key)).wanted += 1
         self._on_want(key)
 
--- a/limeshelf/fleet/messages.py
+++ b/limeshelf/fleet/messages.py
@@ -13,8 +13,8 @@
     """What a process has under way at a replica."""
 
     replica_id: str
-    calls: int
-    tokens: int
+    calls: int = 0
+    tokens: int = 0
     suspended: bool = False
 
 
@@ -56,31 +56,64 @@
     gone: bool
 
 
-class TableRows(msgspec.Struct, array_like=True):
-    """Rows of one table."""
+class TableWord(msgspec.Struct, array_like=True):
+    """What changed in a table between two versions, as the sender knows it.
+
+    :ivar after: the rows that changed after this version are told.
+    :ivar upto: the version up to which the sender has followed the table.
+    :ivar age_ms: how long ago the store confirmed that to somebody.
+    """
 
     table: str
+    after: int
+    upto: int
+    age_ms: int
     rows: list[TableRow]
 
 
 @add_message('gateway-digest')
 @attrs.frozen
 class GatewayDigest:
-    """What a gateway tells all others some times a second.
+    """What a gateway tells the relays of its data centre some times a second.
 
+    :param weight: how much the gateway can carry beside its calls.
+    :param number: rises with each digest; a lower one came late.
     :param fence: of the lease that it holds; 0 if it holds none.
-    :param reached: whether it follows the store at this moment.
+    :param demands: of the models that were asked for lately.
     """
 
     instance_id: str
     address: str
+    data_centre: str
+    weight: float
+    number: int
     config_version: int
     fence: int
-    reached: bool
     loads: list[ReplicaLoad]
     demands: list[KeyDemand]
 
 
+@add_message('digest-bundle')
+@attrs.frozen
+class DigestBundle:
+    """The digests of a data centre, from its relay to the leader and other relays."""
+
+    digests: list[GatewayDigest]
+
+
+@add_message('fleet-summary')
+@attrs.frozen
+class FleetSummary:
+    """What a relay tells the gateways of its data centre of the whole fleet.
+
+    :param gateways: how many there are, over all data centres.
+    :param loads: what all of them have under way at each replica.
+    """
+
+    gateways: int
+    loads: list[ReplicaLoad]
+
+
 @add_message('gateway-leaving')
 @attrs.frozen
 class GatewayLeaving:
@@ -100,11 +133,15 @@
 @add_message('replica-states')
 @attrs.frozen
 class ReplicaStates:
-    """Reports of replicas, and the loads under way, from the leader."""
+    """Reports of replicas, and the loads under way, from the leader.
+
+    :param whole: whether all replicas are told, or just those that changed.
+    """
 
     fence: int
     states: list[ReplicaState]
     awaited: list[AwaitedLoad]
+    whole: bool = True
 
 
 @add_message('rows-query')
@@ -118,9 +155,9 @@
     versions: dict[str, int]
 
 
-@add_message('rows-reply')
+@add_message('table-words')
 @attrs.frozen
-class RowsReply:
-    """What a peer knows of the store beyond the asked versions."""
+class TableWords:
+    """News of the store's tables, told unasked or as the answer to a query."""
 
-    tables: list[TableRows]
+    words: list[TableWord]
--- a/limeshelf/fleet/neighbours.py
+++ b/limeshelf/fleet/neighbours.py
@@ -1,39 +1,34 @@
-"""What gateways tell one another: loads, demand, reports, and rows of the store."""
+"""What gateways tell one another: loads, demand, reports of replicas."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 from typing import TYPE_CHECKING
 
 import attrs
 import msgspec
 
 from limeshelf.errors import PlatformUnavailable, PlatformUnknown
-from limeshelf.feeds.rows import ConditionFailed, Row
+from limeshelf.feeds.rows import ConditionFailed
+from limeshelf.fleet.digests import DigestBook
+from limeshelf.fleet.members import MEMBER_TABLE, SILENT_S, Members, MemberValue
 from limeshelf.fleet.messages import (
     AwaitedLoad,
+    DigestBundle,
+    FleetSummary,
     GatewayDigest,
     GatewayLeaving,
-    HeldModel,
     ModelWanted,
     ReplicaLoad,
-    ReplicaState,
     ReplicaStates,
-    RowsQuery,
-    RowsReply,
-    TableRow,
-    TableRows,
 )
+from limeshelf.fleet.states import report_of, state_of
 from limeshelf.metrics.journal import log_change
-from limeshelf.replicas.directory import Load
-from limeshelf.replicas.record import Holding, ReplicaReport
 from limeshelf.util.backoff import full_jitter_s, jittered_s
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
-    from limeshelf.feeds.mirror import TableMirror
-    from limeshelf.feeds.rows import RowTable
+    from limeshelf.feeds.rows import Row, RowTable
     from limeshelf.fleet.demand import DemandMeter, ModelKey
     from limeshelf.fleet.leader import Leadership
     from limeshelf.fleet.service import FleetService
@@ -42,149 +37,130 @@
     from limeshelf.replicas.directory import ReplicaDirectory
 
 DIGEST_S = 0.25
-#: Reports are told at least this often while this process leads.
+#: Reports of all replicas are told this often by the leader.
 STATES_S = 1.0
-#: A peer that was not heard for this long is not counted.
-SILENT_S = 2.5
-#: A silent peer is still tried this often.
-TRY_SILENT_S = 2.0
-QUERY_S = 0.3
-MEMBER_TABLE = 'members'
-
-
-class MemberValue(msgspec.Struct):
-    """A gateway's row in the table of members."""
-
-    address: str
-
+#: Changes of replicas that come closer together than this are told together.
+STATES_GAP_S = 0.05
+#: Messages to other data centres go out with every so many digests.
+FAR_EVERY = 2
+#: Who is no relay contends for the lease only after nobody led for this long.
+CONTEND_AFTER_S = 1.5
 
 _members = msgspec.json.Decoder(MemberValue)
 
 
 @attrs.define
-class Neighbour:
-    """Another gateway, by its peer address.
+class LeaderWord:
+    """Who leads, by its latest word.
 
-    :ivar heard_s: when it was last heard; 0 if never.
+    :ivar fence: of its lease.
     """
 
-    address: str
-    instance_id: str = ''
-    heard_s: float = 0.0
-    tried_s: float = 0.0
-    config_version: int = 0
+    address: str = ''
     fence: int = 0
-    reached: bool = False
+    heard_s: float = 0.0
 
     @property
     def is_heard(self) -> bool:
-        """Return whether it was heard lately."""
-        return boottime_s() - self.heard_s < SILENT_S
+        """Return whether the leader was heard lately."""
+        return bool(self.fence) and boottime_s() - self.heard_s < SILENT_S
 
 
 @attrs.define
 class Neighbours:
     """Sends this gateway's messages and takes those of the others.
 
-    :param mirrors: tables whose rows are passed on to peers that ask.
     :param config_version: of the configuration in force here.
     """
 
     instance_id: str
     node: PeerNode
+    members: Members
     directory: ReplicaDirectory
     meter: DemandMeter
     fleet: FleetService
     leadership: Leadership
-    mirrors: dict[str, TableMirror]
     config_version: int = 0
-    _by_address: dict[str, Neighbour] = attrs.field(factory=dict)
+    _book: DigestBook = attrs.field(factory=DigestBook)
+    _leader: LeaderWord = attrs.field(factory=LeaderWord)
+    _turn: int = 0
+    _told_gateways: int = 0
+    _told_loads: dict[str, ReplicaLoad] = attrs.field(factory=dict)
     _states_fence: int = 0
+    _states_due_s: float = 0.0
+    _changed: set[str] = attrs.field(factory=set)
+    _news: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _led_s: float = attrs.field(factory=boottime_s)
 
     def start(self) -> None:
         """Take messages."""
         self.node.add_handler(GatewayDigest, self._take_digest)
+        self.node.add_handler(DigestBundle, self._take_bundle)
+        self.node.add_handler(FleetSummary, self._take_summary)
         self.node.add_handler(GatewayLeaving, self._take_leaving)
         self.node.add_handler(ModelWanted, self._take_wanted)
         self.node.add_handler(ReplicaStates, self._take_states)
-        self.node.add_handler(RowsQuery, self._answer_query)
-        self.node.add_handler(RowsReply, self._take_rows)
-
-    def add(self, address: str) -> None:
-        """Add a gateway that may be there."""
-        if address != self.node.address:
-            self._by_address.setdefault(address, Neighbour(address))
 
     def take_member(self, row: Row) -> None:
         """Take a row of the table of members."""
         if row.gone:
             return
         try:
-            self.add(_members.decode(row.value).address)
+            value = _members.decode(row.value)
         except msgspec.MsgspecError:
             log_change('member_row_invalid', key=row.key)
-
-    def heard(self) -> list[Neighbour]:
-        """Return the gateways that were heard lately."""
-        return [peer for peer in self._by_address.values() if peer.is_heard]
+            return
+        self.members.add(value.address, value.data_centre, value.weight)
 
     @property
     def count(self) -> int:
         """Return how many gateways there are, this one included."""
-        return len(self.heard()) + 1
-
-    def _leader(self) -> Neighbour | None:
-        leaders = [peer for peer in self.heard() if peer.fence > 0]
-        return max(leaders, key=lambda peer: peer.fence, default=None)
+        if self.members.is_relay:
+            return len(self._book.fresh()) + 1
+        return max(1, self._told_gateways)
 
     def dispatcher(self) -> str | None:
         """Return the address of the leader, empty for this process, if one is known."""
         if self.fleet.leads():
             return ''
-        leader = self._leader()
-        return leader.address if leader is not None else None
+        return self._leader.address if self._leader.is_heard else None
 
-    def leader_is_heard(self) -> bool:
-        """Return whether another gateway holds the lease and is heard."""
-        return self._leader() is not None
+    def may_contend(self) -> bool:
+        """Return whether this gateway should try to take the lease."""
+        now_s = boottime_s()
+        if self._leader.is_heard:
+            self._led_s = now_s
+            return False
+        return self.members.is_relay or now_s - self._led_s > CONTEND_AFTER_S
 
     def want(self, key: ModelKey) -> None:
         """Tell the leader that a call waits for *key*."""
         if self.fleet.leads():
             self.fleet.want(key)
-            return
-        leader = self._leader()
-        if leader is not None:
-            self.node.send(leader.address, ModelWanted(key))
+        elif self._leader.is_heard:
+            self.node.send(self._leader.address, ModelWanted(key))
 
     def say_leaving(self) -> None:
         """Tell all that this gateway stops."""
-        self.node.send_all(
-            [peer.address for peer in self.heard()], GatewayLeaving(self.instance_id)
-        )
+        addresses = [member.address for member in self.members.others()]
+        self.node.send_all(addresses, GatewayLeaving(self.instance_id))
 
     async def run(self) -> None:
         """Tell the others, some times a second."""
         while True:
-            self._tell_digest()
-            if self.fleet.leads():
-                self._tell_states()
+            self._turn += 1
+            digest = self._own_digest()
+            self.fleet.totals.take(self.instance_id, digest.demands)
+            own = self.members.own
+            relays = self.members.own_relays()
+            self.node.send_all(self.members.reachable(relays), digest)
+            if own in relays:
+                self._tell_summary()
+            if relays[:1] == [own]:
+                self._tell_bundle(digest)
             await asyncio.sleep(jittered_s(DIGEST_S))
 
-    def _addresses(self) -> list[str]:
-        now_s = boottime_s()
-        addresses = []
-        for peer in self._by_address.values():
-            if not peer.is_heard:
-                if now_s - peer.tried_s < TRY_SILENT_S:
-                    continue
-                peer.tried_s = now_s
-            addresses.append(peer.address)
-        return addresses
-
-    def _tell_digest(self) -> None:
-        demands = self.meter.demands()
-        self.fleet.totals.take(self.instance_id, demands)
+    def _own_digest(self) -> GatewayDigest:
         loads = [
             ReplicaLoad(
                 replica.replica_id,
@@ -195,79 +171,140 @@
             for replica in self.directory.all()
             if replica.own.calls or replica.health.is_suspended()
         ]
-        digest = GatewayDigest(
+        own = self.members.own
+        return GatewayDigest(
             self.instance_id,
-            self.node.address,
+            own.address,
+            own.data_centre,
+            own.weight,
+            # Rises also when the process starts again.
+            int(boottime_s() * 1000),
             self.config_version,
             self.leadership.fence,
-            all(mirror.reached for mirror in self.mirrors.values()),
             loads,
-            demands,
-        )
-        self.node.send_all(self._addresses(), digest)
-
-    def _tell_states(self) -> None:
-        states = [
-            ReplicaState(
-                replica.replica_id,
-                replica.order_number or 0,
-                [
-                    HeldModel(model, sorted(adapters))
-                    for model, adapters in replica.holdings.items()
-                    if model not in replica.retiring
-                ],
-                replica.report.queued if replica.report else 0,
-                replica.report.running if replica.report else 0,
-                replica.report.memory_used if replica.report else 0,
-                replica.leaving,
-            )
-            for replica in self.directory.all()
-            if replica.report is not None
-        ]
-        awaited = self.fleet.awaited()
-        self.meter.expected = awaited
-        now_s = boottime_s()
-        message = ReplicaStates(
-            self.leadership.fence,
-            states,
-            [AwaitedLoad(key, int((ready_s - now_s) * 1000)) for key, ready_s in awaited.items()],
+            self.meter.recent(),
         )
-        self.node.send_all([peer.address for peer in self.heard()], message)
 
-    def tell_states_now(self) -> None:
-        """Tell the others at once that something has changed at a replica."""
-        if self.fleet.leads():
-            self._tell_states()
+    def _tell_summary(self) -> None:
+        """Tell the gateways of this data centre what all others do."""
+        totals = self._book.loads()
+        for replica in self.directory.all():
+            if replica.own.calls:
+                total = totals.setdefault(replica.replica_id, ReplicaLoad(replica.replica_id))
+                total.calls += replica.own.calls
+                total.tokens += replica.own.tokens
+        summary = FleetSummary(self.count, list(totals.values()))
+        self.node.send_all(self.members.reachable(self.members.centre_mates()), summary)
+
+    def _tell_bundle(self, own: GatewayDigest) -> None:
+        """Tell the leader, and now and then other relays, of this data centre."""
+        digests = [own, *self._book.fresh(self.members.own.data_centre)]
+        targets = set()
+        if self._leader.is_heard and not self.fleet.leads():
+            targets.add(self._leader.address)
+        if self._turn % FAR_EVERY == 0:
+            for centre in self.members.centres() - {self.members.own.data_centre}:
+                targets.update(self.members.reachable(self.members.relays(centre)))
+        self.node.send_all(sorted(targets), DigestBundle(digests))
 
     def _take_digest(self, envelope: Envelope) -> None:
         digest: GatewayDigest = envelope.message
-        self.add(digest.address)
-        peer = self._by_address.get(digest.address)
-        if peer is None:
-            return
-        if not peer.is_heard:
+        if self.members.hear(digest.address, digest.data_centre):
             log_change('peer_heard', peer=digest.instance_id, address=digest.address)
-        peer.instance_id = digest.instance_id
-        peer.heard_s = boottime_s()
-        peer.config_version = digest.config_version
-        peer.fence = digest.fence
-        peer.reached = digest.reached
+        self.members.add(digest.address, digest.data_centre, digest.weight)
+        self._note_digest(digest)
+
+    def _take_bundle(self, envelope: Envelope) -> None:
+        self.members.hear(envelope.sender, envelope.data_centre)
+        for digest in envelope.message.digests:
+            if digest.instance_id != self.instance_id:
+                self.members.add(digest.address, digest.data_centre, digest.weight)
+                self._note_digest(digest)
+
+    def _note_digest(self, digest: GatewayDigest) -> None:
+        if not self._book.take(digest):
+            return
         if digest.fence:
             self.leadership.note_fence(digest.fence)
-        loads = {load.replica_id: Load(load.calls, load.tokens) for load in digest.loads}
-        self.directory.take_peer_loads(digest.instance_id, loads)
+            self._note_leader(digest.address, digest.fence)
+        self.directory.take_peer_loads(digest.instance_id, digest.loads)
         self.fleet.totals.take(digest.instance_id, digest.demands)
 
+    def _note_leader(self, address: str, fence: int) -> None:
+        if fence >= self._leader.fence and address != self.members.own.address:
+            self._leader = LeaderWord(address, fence, boottime_s())
+
+    def _take_summary(self, envelope: Envelope) -> None:
+        summary: FleetSummary = envelope.message
+        self.members.hear(envelope.sender, envelope.data_centre)
+        if self.members.is_relay or self.fleet.leads():
+            # These know the digests themselves.
+            return
+        self._told_gateways = summary.gateways
+        self.directory.take_total_loads(summary.loads)
+
     def _take_leaving(self, envelope: Envelope) -> None:
-        for peer in self._by_address.values():
-            if peer.address == envelope.sender:
-                peer.heard_s = 0.0
-                peer.fence = 0
+        self.members.forget(envelope.sender)
+        if envelope.sender == self._leader.address:
+            self._leader.heard_s = 0.0
 
     def _take_wanted(self, envelope: Envelope) -> None:
         wanted: ModelWanted = envelope.message
         self.fleet.want(wanted.key)
 
+    async def tell_states(self) -> None:
+        """While this process leads, tell what the replicas report."""
+        while True:
+            await self._until_news()
+            if not self.fleet.leads():
+                self._changed.clear()
+                continue
+            whole = boottime_s() >= self._states_due_s
+            if whole:
+                self._states_due_s = boottime_s() + STATES_S
+            self._send_states(whole)
+
+    async def _until_news(self) -> None:
+        try:
+            async with asyncio.timeout(DIGEST_S):
+                await self._news.wait()
+        except TimeoutError:
+            return
+        self._news.clear()
+        await asyncio.sleep(STATES_GAP_S)
+
+    def _send_states(self, whole: bool) -> None:
+        changed, self._changed = self._changed, set()
+        states = [
+            state_of(replica)
+            for replica in self.directory.all()
+            if replica.report is not None and (whole or replica.replica_id in changed)
+        ]
+        self.meter.expected = self.fleet.awaited()
+        now_s = boottime_s()
+        awaited = [
+            AwaitedLoad(key, int((ready_s - now_s) * 1000))
+            for key, ready_s in self.meter.expected.items()
+        ]
+        message = ReplicaStates(self.leadership.fence, states, awaited, whole)
+        self.node.send_all(self._states_targets(), message)
+
+    def _states_targets(self) -> list[str]:
+        """Return who hears of replicas from the leader: its own centre, and the relays."""
+        targets = set(self.members.reachable(self.members.centre_mates()))
+        for centre in self.members.centres() - {self.members.own.data_centre}:
+            targets.update(self.members.reachable(self.members.relays(centre)))
+        return sorted(targets)
+
+    def note_change(self, replica_id: str) -> None:
+        """Note that a replica holds something else than before."""
+        self._changed.add(replica_id)
+        self._news.set()
+
+    def note_move(self) -> None:
+        """Note that a load was ordered, so that waiting calls hear of it."""
+        self._news.set()
+
     def _take_states(self, envelope: Envelope) -> None:
         message: ReplicaStates = envelope.message
         self.leadership.note_fence(message.fence)
@@ -276,62 +313,27 @@
             # (tests/fleet/test_neighbours.py::test_late_word_of_a_predecessor).
             return
         self._states_fence = message.fence
+        self._note_leader(envelope.sender, message.fence)
+        self._pass_on(envelope)
         for state in message.states:
-            report = ReplicaReport(
-                holdings=tuple(Holding(h.model, frozenset(h.adapters)) for h in state.held),
-                busy=False,
-                order_number=state.order_number,
-                queued=state.queued,
-                running=state.running,
-                memory_used=state.memory_used,
-                leaving=state.leaving,
-            )
-            self.directory.take_report(state.replica_id, report)
+            self.directory.take_report(state.replica_id, report_of(state))
         now_s = boottime_s()
         self.meter.expected = {
             awaited.key: now_s + awaited.left_ms / 1000 for awaited in message.awaited
         }
 
-    async def follow_peers(self) -> None:
-        """While the store is out of reach, ask the peers for what they know of it."""
-        while True:
-            await asyncio.sleep(jittered_s(QUERY_S))
-            if all(mirror.in_touch for mirror in self.mirrors.values()):
-                continue
-            peers = [peer for peer in self.heard() if peer.reached] or self.heard()
-            if not peers:
-                # At a start nobody was heard yet; the seeds may know.
-                peers = list(self._by_address.values())
-            if peers:
-                versions = {name: mirror.highest for name, mirror in self.mirrors.items()}
-                self.node.send(random.choice(peers).address, RowsQuery(versions))
-
-    def _answer_query(self, envelope: Envelope) -> None:
-        query: RowsQuery = envelope.message
-        tables = []
-        for name, mirror in self.mirrors.items():
-            after = query.versions.get(name, 0)
-            rows = [
-                TableRow(row.key, row.value, row.version, row.gone)
-                for row in mirror.all_rows()
-                if row.version > after
-            ]
-            if rows:
-                tables.append(TableRows(name, rows))
-        self.add(envelope.sender)
-        if tables:
-            self.node.send(envelope.sender, RowsReply(tables))
-
-    def _take_rows(self, envelope: Envelope) -> None:
-        reply: RowsReply = envelope.message
-        for table in reply.tables:
-            mirror = self.mirrors.get(table.table)
-            if mirror is not None:
-                mirror.take(Row(row.key, row.value, row.version, row.gone) for row in table.rows)
+    def _pass_on(self, envelope: Envelope) -> None:
+        """Bring the leader's word from another data centre to this one's gateways."""
+        own = self.members.own
+        if envelope.data_centre == own.data_centre or not self.members.is_first_relay:
+            return
+        mates = self.members.reachable(self.members.centre_mates())
+        self.node.forward_all(mates, envelope)
 
     async def register(self, store: RowTable) -> None:
         """Write this gateway's row, so that the others find it."""
-        value = msgspec.json.encode(MemberValue(self.node.address))
+        own = self.members.own
+        value = msgspec.json.encode(MemberValue(own.address, own.data_centre, own.weight))
         attempt = 0
         while True:
             try:
--- /dev/null
+++ b/limeshelf/fleet/states.py
@@ -0,0 +1,43 @@
+"""A replica's report as the leader tells it to the other gateways."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limeshelf.fleet.messages import HeldModel, ReplicaState
+from limeshelf.replicas.record import Holding, ReplicaReport
+
+if TYPE_CHECKING:
+    from limeshelf.replicas.directory import Replica
+
+
+def state_of(replica: Replica) -> ReplicaState:
+    """Return what a replica reported; what is about to go is left out."""
+    report = replica.report
+    held = [
+        HeldModel(model, sorted(adapters))
+        for model, adapters in replica.holdings.items()
+        if model not in replica.retiring
+    ]
+    return ReplicaState(
+        replica.replica_id,
+        replica.order_number or 0,
+        held,
+        report.queued if report else 0,
+        report.running if report else 0,
+        report.memory_used if report else 0,
+        replica.leaving,
+    )
+
+
+def report_of(state: ReplicaState) -> ReplicaReport:
+    """Return the report in the leader's word of a replica."""
+    return ReplicaReport(
+        holdings=tuple(Holding(held.model, frozenset(held.adapters)) for held in state.held),
+        busy=False,
+        order_number=state.order_number,
+        queued=state.queued,
+        running=state.running,
+        memory_used=state.memory_used,
+        leaving=state.leaving,
+    )
--- a/limeshelf/peers/node.py
+++ b/limeshelf/peers/node.py
@@ -82,6 +82,14 @@
         for address in addresses:
             self.send_frame(address, frame)
 
+    def forward_all(self, addresses: list[str], envelope: Envelope) -> None:
+        """Queue a message of another process, which stays its sender."""
+        if not addresses:
+            return
+        frame = encode(envelope)
+        for address in addresses:
+            self.send_frame(address, frame)
+
     def send_frame(self, address: str, frame: bytes) -> None:
         """Queue an encoded message."""
         link = self._links.get(address)
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -16,13 +16,15 @@
 
 from limeshelf.dispatch.client import DispatchClient
 from limeshelf.errors import InvalidDocument
-from limeshelf.feeds.mirror import TableMirror
+from limeshelf.feeds.mirror import FollowRule, TableMirror
 from limeshelf.feeds.rows import Row
 from limeshelf.fleet.demand import DemandMeter
 from limeshelf.fleet.desk import OrderDesk
 from limeshelf.fleet.leader import Leadership
-from limeshelf.fleet.neighbours import MEMBER_TABLE, Neighbours
+from limeshelf.fleet.members import MEMBER_TABLE, Member, Members
+from limeshelf.fleet.neighbours import Neighbours
 from limeshelf.fleet.service import FleetService
+from limeshelf.fleet.sharing import RowSharing
 from limeshelf.gateway.budget import RetryRule
 from limeshelf.gateway.choice import Chooser
 from limeshelf.gateway.edge import Edge, Phase
@@ -66,11 +68,15 @@
         self.store = StoreClient(settings.store_address)
         self.directory = ReplicaDirectory(read_record)
         self.node = PeerNode(settings.ip, settings.peer_port, settings.data_centre)
+        await self.node.start()
+        own = Member(self.node.address, settings.data_centre, settings.weight)
+        self.members = Members(own)
+        self.sharing = RowSharing(self.node, self.members)
         self._make_fleet()
         self._make_path()
-        await self.node.start()
         self._add_seeds()
         self.neighbours.start()
+        self.sharing.start()
         self.dispatch.start()
         await self.edge.start(settings.calls_address, settings.readiness_address)
         self.figures_server = FiguresServer(self.figures)
@@ -95,24 +101,28 @@
             settings.placement.window_s,
             lambda model, tokens: self.dispatch.dispatcher.speed.read_ms(model, tokens),
         )
-        self.mirrors = {
-            CONFIG_TABLE: TableMirror(CONFIG_TABLE, self.store, self._take_config),
-            REPLICA_TABLE: TableMirror(REPLICA_TABLE, self.store, self.directory.take_row),
-            MEMBER_TABLE: TableMirror(
-                MEMBER_TABLE, self.store, lambda row: self.neighbours.take_member(row)
-            ),
-        }
         self.neighbours = Neighbours(
             settings.instance_id,
             self.node,
+            self.members,
             self.directory,
             self.meter,
             self.fleet,
             self.leadership,
-            self.mirrors,
         )
-        self.directory.on_change = self.neighbours.tell_states_now
-        self.fleet.on_move = self.neighbours.tell_states_now
+        self.directory.on_change = self.neighbours.note_change
+        self.fleet.on_move = self.neighbours.note_move
+        self.mirrors = {
+            name: TableMirror(
+                name, self.store, listener, rule, self.sharing.patience_s, self.sharing.tell_page
+            )
+            for name, listener, rule in (
+                (CONFIG_TABLE, self._take_config, FollowRule(wait_s=0.7)),
+                (REPLICA_TABLE, self.directory.take_row, FollowRule(wait_s=0.7, pace_s=0.3)),
+                (MEMBER_TABLE, self.neighbours.take_member, FollowRule(stale_s=10.0)),
+            )
+        }
+        self.sharing.mirrors.update(self.mirrors)
 
     def _make_path(self) -> None:
         settings = self.settings
@@ -136,13 +146,14 @@
         for seed in self.settings.seeds:
             host = seed.rpartition(':')[0]
             if host != self.settings.ip:
-                self.neighbours.add(f'{host}:{self.settings.peer_port}')
+                self.members.add(f'{host}:{self.settings.peer_port}')
 
     def _start_tasks(self) -> None:
         for name, mirror in self.mirrors.items():
             self.tasks.keep(mirror.run, f'mirror-{name}')
         self.tasks.keep(self.neighbours.run, 'neighbours')
-        self.tasks.keep(self.neighbours.follow_peers, 'follow-peers')
+        self.tasks.keep(self.neighbours.tell_states, 'states')
+        self.tasks.keep(self.sharing.run, 'sharing')
         self.tasks.keep(self.neighbours.register, 'register', self.store)
         self.tasks.keep(self.dispatch.run, 'dispatch')
         self.tasks.keep(self._lead, 'lead')
@@ -178,7 +189,7 @@
         while True:
             await asyncio.sleep(jittered_s(LEAD_STEP_S))
             self.pipeline.sharers = self.pool.sharers = self.neighbours.count
-            if self.leadership.term is None and self.neighbours.leader_is_heard():
+            if self.leadership.term is None and not self.neighbours.may_contend():
                 continue
             await self.leadership.step()
 
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
@@ -14,7 +14,7 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from limeshelf.feeds.rows import Row
 
@@ -22,6 +22,8 @@
 PEER_LOAD_LIFE_S = 2.0
 #: A report goes before heartbeats for this long.
 REPORT_LIFE_S = 2.5
+#: Stands for all peers together.
+ALL_OTHERS = '*'
 
 
 @attrs.define
@@ -32,6 +34,14 @@
     tokens: int = 0
 
 
+class LoadAt(Protocol):
+    """Calls and tokens under way at a named replica."""
+
+    replica_id: str
+    calls: int
+    tokens: int
+
+
 @attrs.define(eq=False)
 class Replica:
     """One incarnation of a replica as this process knows it.
@@ -86,7 +96,7 @@
         self._peer_loads: dict[str, tuple[float, dict[str, Load]]] = {}
         self._changed = asyncio.Event()
         #: Told when what a replica holds has changed.
-        self.on_change: Callable[[], None] | None = None
+        self.on_change: Callable[[str], None] = lambda replica_id: None
 
     def all(self) -> list[Replica]:
         """Return every replica that is there."""
@@ -181,8 +191,7 @@
         if holdings != replica.holdings:
             replica.holdings = holdings
             self.wake()
-            if self.on_change is not None:
-                self.on_change()
+            self.on_change(replica_id)
 
     def forget_holding(self, replica: Replica, model: str, adapter: str) -> None:
         """Note the replica's word that something is not there."""
@@ -194,9 +203,21 @@
         elif not adapter:
             del replica.holdings[model]
 
-    def take_peer_loads(self, peer: str, loads: dict[str, Load]) -> None:
+    def take_peer_loads(self, peer: str, loads: Iterable[LoadAt]) -> None:
         """Take what a peer has under way at each replica."""
-        self._peer_loads[peer] = (boottime_s(), loads)
+        by_replica = {load.replica_id: Load(load.calls, load.tokens) for load in loads}
+        self._peer_loads[peer] = (boottime_s(), by_replica)
+
+    def take_total_loads(self, loads: Iterable[LoadAt]) -> None:
+        """Take what all entry instances have under way, this one among them."""
+        others = {}
+        for load in loads:
+            replica = self._replicas.get(load.replica_id)
+            own = replica.own if replica is not None else Load()
+            others[load.replica_id] = Load(
+                max(0, load.calls - own.calls), max(0, load.tokens - own.tokens)
+            )
+        self._peer_loads = {ALL_OTHERS: (boottime_s(), others)}
 
     def load_of(self, replica: Replica) -> Load:
         """Return what all entry instances together have under way at a replica."""
--- a/limeshelf/settings/gateway.py
+++ b/limeshelf/settings/gateway.py
@@ -51,6 +51,7 @@
     :param peer_ports: first and last port for traffic between gateways; alike
         on all machines.
     :param seeds: addresses of other machines, which may be stale.
+    :param weight: how much the machine can carry; the heaviest pass words on.
     :param grace_s: time between the signal to stop and the end by force.
     :param figures_port: where the figures are served.
     """
@@ -67,6 +68,7 @@
     figures_port: int
     retries: RetrySettings
     placement: PlacementSettings
+    weight: float = 1.0
 
     @property
     def peer_port(self) -> int:
--- a/tests/fleet/test_neighbours.py
+++ b/tests/fleet/test_neighbours.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from limeshelf.fleet.members import Member, Members
 from limeshelf.fleet.messages import HeldModel, ReplicaState, ReplicaStates
 from limeshelf.fleet.neighbours import Neighbours
 from limeshelf.peers.codec import Envelope
@@ -44,11 +45,11 @@
     parts: dict[str, Any] = {
         'instance_id': 'g-1',
         'node': None,
+        'members': Members(Member('own', 'z1')),
         'directory': directory,
         'meter': Meter(),
         'fleet': fleet,
         'leadership': Leadership(),
-        'mirrors': {},
     }
     return Neighbours(**parts)
 
--- /dev/null
+++ b/tests/fleet/test_sharing.py
@@ -0,0 +1,137 @@
+"""Gateways that go by the words of others know as much as the store, soon enough."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from limeshelf.feeds.mirror import FollowRule, TableMirror
+from limeshelf.feeds.rows import Page, Row
+from limeshelf.fleet.members import Member, Members
+from limeshelf.fleet.messages import RowsQuery, TableRow, TableWord, TableWords
+from limeshelf.fleet.sharing import RowSharing
+from limeshelf.peers.codec import Envelope
+
+
+class Node:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, Any]] = []
+
+    def send(self, address: str, message: Any) -> None:
+        self.sent.append((address, message))
+
+    def send_all(self, addresses: list[str], message: Any) -> None:
+        for address in addresses:
+            self.send(address, message)
+
+    def add_handler(self, kind: type[Any], handler: Any) -> None: ...
+
+
+class Store:
+    """A table that counts its calls."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.rows = {'a': Row('a', b'1', 5, False)}
+
+    async def read(self, table: str) -> Page:
+        self.calls += 1
+        return Page(tuple(self.rows.values()), 7, 0)
+
+    async def changes(self, table: str, after: int, wait_s: float) -> Page:
+        self.calls += 1
+        await asyncio.sleep(wait_s)
+        return Page((), max(after, 7), 0)
+
+
+def sharing(own: str, *others: str) -> RowSharing:
+    node: Any = Node()
+    members = Members(Member(own, 'c1', 1.0))
+    for other in others:
+        members.add(other, 'c1', 1.0)
+    made = RowSharing(node, members)
+    unused: Any = None
+    made.mirrors['t'] = TableMirror('t', unused, lambda row: None)
+    return made
+
+
+def word(after: int, upto: int, *rows: TableRow) -> Envelope:
+    return Envelope('g1', 'c1', TableWords([TableWord('t', after, upto, 0, list(rows))]))
+
+
+def test_words_bring_rows_up_to_a_version() -> None:
+    one = sharing('g2', 'g1')
+    one._take_words(word(0, 9, TableRow('a', b'1', 9, False)))
+    mirror = one.mirrors['t']
+    assert (mirror.version, [row.key for row in mirror.rows()]) == (9, ['a'])
+    assert mirror.age_s < 1.0
+
+
+def test_lost_word_is_asked_for() -> None:
+    """A later row must not hide that an earlier one is missing."""
+    one = sharing('g2', 'g1')
+    one._take_words(word(0, 5, TableRow('a', b'1', 5, False)))
+    one._take_words(word(8, 9, TableRow('c', b'1', 9, False)))
+    assert one.mirrors['t'].version == 5
+    node: Any = one.node
+    assert node.sent == [('g1', RowsQuery({'t': 5}))]
+    one._take_words(word(5, 9, TableRow('b', b'1', 7, False), TableRow('c', b'1', 9, False)))
+    assert one.mirrors['t'].version == 9
+    assert len(one.mirrors['t'].rows()) == 3
+
+
+def test_word_of_somebody_who_is_behind_confirms_nothing() -> None:
+    one = sharing('g2', 'g1')
+    one._take_words(word(0, 9))
+    mirror = one.mirrors['t']
+    mirror.confirmed_s = 0.0
+    one._take_words(word(3, 6, TableRow('a', b'old', 4, False)))
+    assert mirror.version == 9
+    assert mirror.is_stale
+
+
+def test_answer_holds_what_the_asker_lacks() -> None:
+    one = sharing('g1', 'g2')
+    one._take_words(word(0, 9, TableRow('a', b'1', 3, False), TableRow('b', b'', 8, True)))
+    one._answer_query(Envelope('g2', 'c1', RowsQuery({'t': 5})))
+    node: Any = one.node
+    address, answer = node.sent[-1]
+    assert address == 'g2'
+    told = answer.words[0]
+    assert (told.after, told.upto, [row.key for row in told.rows]) == (5, 9, ['b'])
+
+
+def test_first_relay_follows_and_the_others_wait_in_turn() -> None:
+    assert sharing('g1', 'g2', 'g3').patience_s() is None
+    second = sharing('g2', 'g1', 'g3').patience_s()
+    third = sharing('g3', 'g1', 'g2').patience_s()
+    assert second is not None
+    assert third is not None
+    assert 0.0 < second < third
+
+
+def test_mirror_asks_the_store_only_while_words_fail() -> None:
+    async def play() -> None:
+        store: Any = Store()
+        patience: list[float | None] = [0.0]
+        mirror = TableMirror(
+            't',
+            store,
+            lambda row: None,
+            FollowRule(wait_s=0.01, stale_s=0.3),
+            lambda: patience[0],
+        )
+        task = asyncio.create_task(mirror.run())
+        await asyncio.sleep(0.05)
+        assert store.calls == 1
+        for _ in range(8):
+            mirror.take_word([], 7, 7, 0.0)
+            await asyncio.sleep(0.05)
+        assert store.calls == 1
+        await asyncio.sleep(0.6)
+        assert store.calls >= 2
+        task.cancel()
+
+    asyncio.run(play())
