--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -54,6 +54,7 @@
     expected: int | None
     fence: int
     status: int
+    holder: str = ''
 
 
 def _reset(transport: asyncio.Transport) -> None:
@@ -87,6 +88,9 @@
         self.order_fault = Fault.NONE
         self.order_late_s = 0.0
         self.abandoned = 0
+        #: The most models and adapters that it ever held or loaded at once.
+        self.most_models = len(self.models)
+        self.most_adapters = 0
         self.address = ''
         self._busy = False
         self._runner: web.ServerRunner | None = None
@@ -158,6 +162,7 @@
                 body.get('ExpectedRevision'),
                 body['FencingToken'],
                 status,
+                body.get('Holder', ''),
             )
         )
         return status
@@ -176,10 +181,16 @@
             return self._unload(model, adapter)
         if model in self.models and (not adapter or adapter in self.models[model]):
             return 200
+        if adapter and model not in self.models:
+            return 400
         self.order_number += 1
         if adapter:
             self.models[model].append(adapter)
-        elif self.load_s:
+            held = sum(map(len, self.models.values()))
+            self.most_adapters = max(self.most_adapters, held)
+            return 202
+        self.most_models = max(self.most_models, len({*self.models, model}))
+        if self.load_s:
             self._busy = True
             asyncio.get_running_loop().call_later(self.load_s, self._loaded, model)
         else:
--- /dev/null
+++ b/tests/platform_soak/checks.py
@@ -0,0 +1,62 @@
+"""The promises, checked from what callers and replicas saw."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from tests.platform_soak.callers import NOT_RUN, Asked
+from tests.platform_soak.world import MOST_ADAPTERS, MOST_MODELS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from standins.users_platform.replica import ReplicaStandIn
+
+
+def broken_promises(history: list[Asked], replicas: Iterable[ReplicaStandIn]) -> list[str]:
+    """Return one line for each promise that did not hold."""
+    replicas = list(replicas)
+    runs = collections.Counter(call_id for one in replicas for call_id in one.runs)
+    lines = [line for asked in history for line in _of_call(asked, runs[asked.call_id])]
+    known = {asked.call_id for asked in history}
+    lines += [f'{call_id}: ran, but nobody asked' for call_id in runs if call_id not in known]
+    return [*lines, *_of_replicas(replicas), *_of_holders(replicas)]
+
+
+def _of_call(asked: Asked, runs: int) -> Iterator[str]:
+    once = asked.kind in ('unsafe', 'stream')
+    if once and runs > 1:
+        yield f'{asked.call_id}: {asked.kind} ran {runs} times'
+    if once and asked.status in NOT_RUN and runs:
+        yield f'{asked.call_id}: {asked.kind} told {asked.status} but ran'
+    if asked.status != 200:
+        return
+    if asked.stamp != f's.{asked.call_id}':
+        yield f'{asked.call_id}: answer of another call: {asked.stamp!r}'
+    if not runs:
+        yield f'{asked.call_id}: success, but it never ran'
+    if asked.model:
+        whole = b''.join(b'id: %d\ndata: token %d\n\n' % (n, n) for n in range(1, 6))
+    else:
+        whole = b'answer of ' + asked.call_id.encode()
+    if asked.body != whole:
+        yield f'{asked.call_id}: {asked.kind} success with {asked.body[:80]!r}'
+
+
+def _of_replicas(replicas: list[ReplicaStandIn]) -> Iterator[str]:
+    for one in replicas:
+        if one.most_models > MOST_MODELS:
+            yield f'{one.replica_id}: {one.most_models} models at once'
+        if one.most_adapters > MOST_ADAPTERS:
+            yield f'{one.replica_id}: {one.most_adapters} adapters at once'
+
+
+def _of_holders(replicas: list[ReplicaStandIn]) -> Iterator[str]:
+    holders: dict[int, set[str]] = collections.defaultdict(set)
+    for one in replicas:
+        for order in one.orders:
+            holders[order.fence].add(order.holder)
+    for fence, names in holders.items():
+        if len(names) > 1:
+            yield f'fence {fence} used by {sorted(names)}'
--- /dev/null
+++ b/tests/platform_soak/world.py
@@ -0,0 +1,193 @@
+"""Gateway processes, the store, replicas, and the links between them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from standins.users_platform.replica import ReplicaStandIn
+from standins.users_platform.store import StoreStandIn
+from tests.platform_soak.link import Link
+from tests.support.gateway import ENGINE, PLAIN, configuration, encoded, free_port, route
+
+ROOT = Path(__file__).parent.parent.parent
+HEARTBEAT_S = 0.5
+#: Models that fit into a replica's memory, and its places for adapters.
+MOST_MODELS = 2
+MOST_ADAPTERS = 2
+
+
+@attrs.define(eq=False)
+class GatewayProcess:
+    """One gateway: its machine has an address of its own on loopback."""
+
+    name: str
+    ip: str
+    data_centre: str
+    link: Link
+    settings_path: Path
+    log_path: Path
+    process: subprocess.Popen[bytes] | None = None
+    is_frozen: bool = False
+
+    def start(self) -> None:
+        """Start the program."""
+        environment = {**os.environ, 'PYTHONPATH': str(ROOT)}
+        with self.log_path.open('ab') as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'limeshelf.programs.gateway',
+                    '--settings',
+                    str(self.settings_path),
+                ],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    @property
+    def runs(self) -> bool:
+        """Return whether the process is there."""
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this process, by its id."""
+        if self.process is not None and self.runs:
+            os.kill(self.process.pid, number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.is_frozen = number == signal.SIGSTOP
+
+
+class World:
+    """A whole deployment on loopback.
+
+    :param gateways: how many, over three data centres.
+    """
+
+    def __init__(self, gateways: int) -> None:
+        self.store = StoreStandIn()
+        self.plain = [ReplicaStandIn(f'p-{n}') for n in range(3)]
+        held = [['m1', 'm2'], ['m1'], ['m2', 'm3'], ['m1', 'm3']]
+        self.engines = [ReplicaStandIn(f'e-{n}', models) for n, models in enumerate(held)]
+        self.links: dict[str, Link] = {}
+        self.gateways: list[GatewayProcess] = []
+        self.version = 1
+        self.ports = {name: free_port() for name in ('calls', 'ready', 'peers', 'figures')}
+        self._count = gateways
+        self._folder = tempfile.TemporaryDirectory()
+        self._beat = 1
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def replicas(self) -> list[ReplicaStandIn]:
+        """Return all replicas."""
+        return [*self.plain, *self.engines]
+
+    async def start(self) -> None:
+        """Start everything."""
+        store_address = await self.store.start()
+        for engine in self.engines:
+            engine.load_s = 0.3
+            engine.event_s = 0.02
+        for replica in self.replicas:
+            link = Link(await replica.start())
+            self.links[replica.replica_id] = link
+            replica.address = await link.start()
+        self.configure()
+        self._announce()
+        self._tasks.append(asyncio.create_task(self._keep_announcing()))
+        for number in range(self._count):
+            self.gateways.append(await self._make_gateway(number, store_address))
+        for gateway in self.gateways:
+            gateway.start()
+
+    def configure(self) -> None:
+        """Put the next configuration into the store; it has a route of its own."""
+        self.version += 1
+        self.store.put(
+            'op',
+            'config',
+            encoded(
+                configuration(
+                    self.version,
+                    route('safe', 'safe', PLAIN),
+                    route('unsafe', 'unsafe', PLAIN),
+                    route('stream', 'streaming', ENGINE),
+                    route('resume', 'streaming', ENGINE, Resumable=True),
+                    route(f'only{self.version}', 'safe', PLAIN),
+                )
+            ),
+        )
+
+    def _announce(self) -> None:
+        self._beat += 1
+        for replica in self.replicas:
+            service = PLAIN if replica in self.plain else ENGINE
+            row = replica.row(service, beat=self._beat)
+            self.store.put('servers', replica.replica_id, encoded(row))
+
+    async def _keep_announcing(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            self._announce()
+
+    async def _make_gateway(self, number: int, store_address: str) -> GatewayProcess:
+        name, ip = f'g-{number}', f'127.0.1.{number + 1}'
+        folder = Path(self._folder.name)
+        link = Link(store_address)
+        await link.start()
+        seeds = [f'127.0.1.{n + 1}:{self.ports["peers"]}' for n in range(min(3, self._count))]
+        settings: dict[str, Any] = {
+            'instance_id': name,
+            'ip': ip,
+            'data_centre': f'z{number % 3 + 1}',
+            'calls_address': f'{ip}:{self.ports["calls"]}',
+            'readiness_address': f'{ip}:{self.ports["ready"]}',
+            'store_address': link.address,
+            'peer_ports': [self.ports['peers']],
+            'seeds': seeds,
+            'grace_s': 5.0,
+            'figures_port': self.ports['figures'],
+            'retries': {'ratio': 0.2, 'slack': 50, 'window_s': 10},
+            'placement': {'lease_s': 2.4, 'window_s': 5},
+        }
+        path = folder / f'{name}.json'
+        path.write_text(json.dumps(settings))
+        log_path = folder / f'{name}.log'
+        return GatewayProcess(name, ip, settings['data_centre'], link, path, log_path)
+
+    def log_tail(self, lines: int = 5) -> str:
+        """Return the last lines of each gateway's log."""
+        return '\n'.join(
+            '\n'.join(one.log_path.read_text(errors='replace').splitlines()[-lines:])
+            for one in self.gateways
+            if one.log_path.exists()
+        )
+
+    async def close(self) -> None:
+        """End everything that was started, by its id."""
+        for task in self._tasks:
+            task.cancel()
+        for gateway in self.gateways:
+            gateway.signal(signal.SIGCONT)
+            gateway.signal(signal.SIGKILL)
+            if gateway.process is not None:
+                gateway.process.wait(10)
+            await gateway.link.close()
+        for replica in self.replicas:
+            await self.links[replica.replica_id].close()
+            await replica.close()
+        await self.store.close()
+        self._folder.cleanup()
