Count rising demand ahead; ask the store less often

Before any call, the second copy of a model found twice went as readily as the sixth of another.

Change: demand that exceeds its longer average counts up to half more; what was found is worth less by the square of its number; unloads that wait for running calls cost more. Replicas' rows are followed with a pause of 0.55 s and show whether the store is in reach; one old table makes all due.

--- a/limeshelf/feeds/mirror.py
+++ b/limeshelf/feeds/mirror.py
@@ -47,9 +47,10 @@
     version of each row decides, also for rows that are gone.
 
     :param listener: called with each row that became newer.
-    :param patience_s: returns how much longer than the rule says this process
-        lets the words of others fail before it asks the store; ``None`` if it
-        follows the store in any case.
+    :param is_due: returns whether this process follows the store now, rather than
+        going by the words of others.
+    :param spread_s: returns the longest further pause after a failure, which
+        spreads the processes that follow together.
     :param on_page: called with the version after which a page brought news.
     """
 
@@ -59,7 +60,8 @@
         store: RowTable,
         listener: Callable[[Row], None],
         rule: FollowRule | None = None,
-        patience_s: Callable[[], float | None] = lambda: None,
+        is_due: Callable[[], bool] = lambda: True,
+        spread_s: Callable[[], float] = lambda: 0.0,
         on_page: Callable[[TableMirror, int], None] = lambda mirror, after: None,
     ) -> None:
         self.table = table
@@ -70,7 +72,8 @@
         self._store = store
         self._listener = listener
         self._rule = rule or FollowRule()
-        self._patience_s = patience_s
+        self._is_due = is_due
+        self._spread_s = spread_s
         self._on_page = on_page
         self._lost = False
         self._whole = True
@@ -80,10 +83,15 @@
         """Return for how long nobody has confirmed that the rows are the newest."""
         return boottime_s() - self.confirmed_s
 
+    @property
+    def overdue_s(self) -> float:
+        """Return for how long the rows have been older than they should be."""
+        return self.age_s - self._rule.stale_s
+
     @property
     def is_stale(self) -> bool:
         """Return whether the rows may be older than they should be."""
-        return self.age_s > self._rule.stale_s
+        return self.overdue_s > 0
 
     @property
     def in_touch(self) -> bool:
@@ -125,7 +133,7 @@
         """Follow the table until cancelled, at first or at second hand."""
         failures = 0
         while True:
-            if not self._is_due():
+            if self.version and not self._is_due():
                 await asyncio.sleep(LOOK_S)
                 continue
             after = self.version
@@ -151,16 +159,9 @@
             if news:
                 await asyncio.sleep(self._rule.pace_s)
 
-    def _is_due(self) -> bool:
-        patience_s = self._patience_s()
-        if patience_s is None or not self.version:
-            return True
-        return self.age_s > self._rule.stale_s + patience_s
-
     def _again_s(self, failures: int) -> float:
-        """Return the pause after a failure; who has others to ask pauses longer."""
-        patience_s = self._patience_s() or 0.0
-        return full_jitter_s(failures, AGAIN_BASE_S, AGAIN_LIMIT_S) + random.random() * patience_s
+        pause_s = full_jitter_s(failures, AGAIN_BASE_S, AGAIN_LIMIT_S)
+        return pause_s + random.uniform(0.0, self._spread_s())
 
     async def _ask(self) -> bool:
         """Ask the store for what is new; return whether something is."""
--- a/limeshelf/fleet/needs.py
+++ b/limeshelf/fleet/needs.py
@@ -16,7 +16,11 @@
 
 #: Part of a replica's time that goes to reading prompts when it is full; the
 #: rest goes to the steps of running calls (the dispatcher's figure).
-READING_DUTY = 0.55
+READING_DUTY = 0.5
+#: A copy comes some seconds after it is ordered, so rising demand counts as what
+#: it will be then: by this part of what the last seconds exceed the longer average.
+RISE_SHARE = 0.6
+RISE_LIMIT = 0.5
 #: Part of a replica's slots that is filled before another copy is worth it.
 SLOT_SHARE = 0.8
 #: An adapter that was asked for within this time needs a place.
@@ -29,7 +33,7 @@
 class ModelNeed:
     """The demand for one model with all its adapters.
 
-    :ivar calls_per_s: calls that begin a second, averaged over some seconds.
+    :ivar calls_per_s: calls that will begin a second when a load is done.
     :ivar lasting_per_s: the same over a longer time.
     :ivar replicas: replicas that the calls keep busy.
     :ivar running: calls under way.
@@ -76,12 +80,16 @@
     loads = [load for _, load in items]
     running = sum(load.running for load in loads)
     adapters = sum(1 for key, load in items if key.adapter and now_s - load.seen_s < ACTIVE_S)
-    reading = read_ms(sum(load.tokens_per_s for load in loads)) / 1000 / READING_DUTY
+    rate = sum(load.rate for load in loads)
+    lasting_rate = sum(load.lasting_rate for load in loads)
+    rise = _rise(rate, lasting_rate)
+    tokens_per_s = rise * sum(load.tokens_per_s for load in loads)
+    reading = read_ms(tokens_per_s) / 1000 / READING_DUTY
     slots = running / (SLOT_SHARE * max(1, engine.slots))
     places = adapters / max(1, engine.adapter_places)
     return ModelNeed(
-        calls_per_s=sum(load.rate for load in loads),
-        lasting_per_s=sum(load.lasting_rate for load in loads),
+        calls_per_s=rise * rate,
+        lasting_per_s=lasting_rate,
         replicas=max(reading, slots, places),
         running=running,
         adapters=adapters,
@@ -90,5 +98,12 @@
     )
 
 
+def _rise(rate: float, lasting_rate: float) -> float:
+    """Return the factor by which demand will likely have risen when a load is done."""
+    if rate <= 0:
+        return 1.0
+    return 1.0 + min(RISE_LIMIT, max(0.0, RISE_SHARE * (rate - lasting_rate) / rate))
+
+
 def _shortest(objectives_s: Iterable[float]) -> float:
     return min((objective_s for objective_s in objectives_s if objective_s), default=0.0)
--- a/limeshelf/fleet/planner.py
+++ b/limeshelf/fleet/planner.py
@@ -37,7 +37,7 @@
 STORE_COST = 0.3
 EVICTION_COST = 0.05
 #: Cost of each running call that an unload waits for.
-RUNNING_COST = 0.1
+RUNNING_COST = 0.2
 #: Cost of each adapter that cannot come while a whole model is loaded.
 BLOCKED_ADAPTER_COST = 0.1
 #: What a copy serves at a replica that others keep busy, at the least.
@@ -49,9 +49,9 @@
 RESERVED_SHARE = 0.34
 #: Calls a second, over all models, below which the copies found at the start count.
 QUIET_PER_S = 3.0
-#: Worth, before any call, of the first half of the copies found, and of the rest.
-FOUND_WORTH = 0.5
-SURPLUS_WORTH = 0.1
+#: Worth, before any call, of the second copy found of a model; further ones are
+#: worth less by the square of their number.
+FOUND_WORTH = 0.4
 
 
 @attrs.define
@@ -118,12 +118,14 @@
         self._holders: list[Holder] = []
         self._ready: dict[str, int] = {}
         self._copies: dict[str, int] = {}
+        self._busy: dict[str, float] = {}
+        self._known_capacity: dict[str, float] = {}
+        self._ready_capacity: dict[str, float] = {}
+        self._centres: dict[str, dict[str, int]] = {}
 
     def next_move(self, holders: list[Holder]) -> Move | None:
         """Return the move that is worth most now, if any is worth making."""
-        self._holders = holders
-        self._ready = self._count(lambda holder: holder.models)
-        self._copies = self._count(lambda holder: holder.models | holder.coming)
+        self._survey(holders)
         wishes = [(self._most_gain(name), name) for name in self._engine.models]
         wishes.sort(reverse=True)
         for most_gain, model in wishes:
@@ -136,13 +138,32 @@
                 return move
         return None
 
-    def _count(self, models_of: object) -> dict[str, int]:
-        counts = dict.fromkeys(self._engine.models, 0)
-        for holder in self._holders:
-            for model in models_of(holder):  # type: ignore[operator]
-                if model in counts:
-                    counts[model] += 1
-        return counts
+    def _survey(self, holders: list[Holder]) -> None:
+        """Count once what stands where; each question is then a look-up."""
+        self._holders = holders
+        models = self._engine.models
+        self._ready = dict.fromkeys(models, 0)
+        self._copies = dict.fromkeys(models, 0)
+        self._centres = {name: {} for name in models}
+        for holder in holders:
+            for model in holder.models & models.keys():
+                self._ready[model] += 1
+            for model in (holder.models | holder.coming) & models.keys():
+                self._copies[model] += 1
+                centres = self._centres[model]
+                centres[holder.data_centre] = centres.get(holder.data_centre, 0) + 1
+        self._busy = {
+            holder.replica_id: sum(map(self._busy_with, holder.models | holder.coming))
+            for holder in holders
+        }
+        self._known_capacity = dict.fromkeys(models, 0.0)
+        self._ready_capacity = dict.fromkeys(models, 0.0)
+        for holder in holders:
+            for model in (holder.models | holder.coming) & models.keys():
+                capacity = self._capacity(model, holder)
+                self._known_capacity[model] += capacity
+                if model in holder.models:
+                    self._ready_capacity[model] += capacity
 
     def _has_reserve(self) -> bool:
         """Return whether enough replicas are free for a move that is not urgent."""
@@ -160,8 +181,9 @@
 
     def _capacity(self, model: str, holder: Holder) -> float:
         """Return the part of a replica that others leave for a model."""
-        held = (holder.models | holder.coming) - {model}
-        busy = sum(self._busy_with(other) for other in held)
+        busy = self._busy[holder.replica_id]
+        if model in holder.models or model in holder.coming:
+            busy -= self._busy_with(model)
         return min(1.0, max(LEAST_CAPACITY, 1.0 - busy))
 
     def _served(self, model: str, capacity: float) -> float:
@@ -184,10 +206,9 @@
 
     def _found_worth(self, model: str, copies: int) -> float:
         """Return what the last of *copies* copies is worth before any call."""
-        found = self._first_copies.get(model, 0)
-        if copies > found:
+        if copies > self._first_copies.get(model, 0):
             return 0.0
-        return FOUND_WORTH if copies <= (found + 1) // 2 else SURPLUS_WORTH
+        return FOUND_WORTH * 4 / copies**2
 
     def _most_gain(self, model: str) -> float:
         """Return the gain of one more copy at a replica with nothing else to do."""
@@ -199,11 +220,7 @@
             return self._only_copy_worth(model)
         if self._quiet:
             return self._found_worth(model, copies + 1)
-        known = sum(
-            self._capacity(model, holder)
-            for holder in self._holders
-            if model in holder.models or model in holder.coming
-        )
+        known = self._known_capacity[model]
         return self._served(model, known + capacity) - self._served(model, known)
 
     def _loss(self, model: str, holder: Holder) -> float:
@@ -217,11 +234,10 @@
             return running + factor * self._only_copy_worth(model)
         if self._quiet:
             return self._found_worth(model, self._ready[model])
-        ready = [one for one in self._holders if model in one.models]
-        capacity = sum(self._capacity(model, one) for one in ready)
+        capacity = self._ready_capacity[model]
         without = capacity - self._capacity(model, holder)
         lost = self._served(model, capacity) - self._served(model, without)
-        alone = sum(1 for one in ready if one.data_centre == holder.data_centre) == 1
+        alone = self._centres[model].get(holder.data_centre, 0) == 1
         return running + lost * (NEW_CENTRE_FACTOR if alone else 1.0)
 
     def _bears_a_load(self, model: str) -> bool:
@@ -267,8 +283,8 @@
         if not self._copies[model]:
             # Even a busy replica serves a model that stands nowhere else.
             gain *= 0.5 + 0.5 * capacity
-        centres = {one.data_centre for one in self._holders if model in one.models | one.coming}
-        return gain * (1.0 if holder.data_centre in centres else NEW_CENTRE_FACTOR)
+        is_new = holder.data_centre not in self._centres[model]
+        return gain * (NEW_CENTRE_FACTOR if is_new else 1.0)
 
     def _cost(self, holder: Holder, eviction: _Eviction, from_store: bool) -> float:
         kept = holder.models - set(eviction.models)
--- a/limeshelf/fleet/sharing.py
+++ b/limeshelf/fleet/sharing.py
@@ -45,10 +45,18 @@
         self.node.add_handler(RowsQuery, self._answer_query)
         self.node.add_handler(TableWords, self._take_words)
 
-    def patience_s(self) -> float | None:
-        """Return how long the words of others may fail before we ask the store."""
+    def is_due(self) -> bool:
+        """Return whether this gateway follows the store itself now.
+
+        One table that is old is a sign that the others may be, too.
+        """
         if self.members.is_first_relay:
-            return None
+            return True
+        overdue_s = max(mirror.overdue_s for mirror in self.mirrors.values())
+        return overdue_s > self.patience_s()
+
+    def patience_s(self) -> float:
+        """Return how long the words of others may fail before we ask the store."""
         return min(PATIENCE_LIMIT_S, PATIENCE_STEP_S * self.members.place())
 
     def tell_page(self, mirror: TableMirror, after: int) -> None:
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -46,6 +46,11 @@
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
+#: Rows of replicas change all the time, so they also show whether the store is
+#: in reach; a change must be known everywhere within two seconds.
+REPLICA_RULE = FollowRule(wait_s=0.7, pace_s=0.55, stale_s=1.2)
+CONFIG_RULE = FollowRule(wait_s=1.4, stale_s=2.5)
+MEMBER_RULE = FollowRule(wait_s=8.0, stale_s=12.0)
 #: Time in which the balancer sees that readiness fails.
 NOTICE_S = 2.9
 #: Share of the grace after which running calls are given up.
@@ -114,12 +119,18 @@
         self.fleet.on_move = self.neighbours.note_move
         self.mirrors = {
             name: TableMirror(
-                name, self.store, listener, rule, self.sharing.patience_s, self.sharing.tell_page
+                name,
+                self.store,
+                listener,
+                rule,
+                self.sharing.is_due,
+                self.sharing.patience_s,
+                self.sharing.tell_page,
             )
             for name, listener, rule in (
-                (CONFIG_TABLE, self._take_config, FollowRule(wait_s=0.7)),
-                (REPLICA_TABLE, self.directory.take_row, FollowRule(wait_s=0.7, pace_s=0.3)),
-                (MEMBER_TABLE, self.neighbours.take_member, FollowRule(stale_s=10.0)),
+                (CONFIG_TABLE, self._take_config, CONFIG_RULE),
+                (REPLICA_TABLE, self.directory.take_row, REPLICA_RULE),
+                (MEMBER_TABLE, self.neighbours.take_member, MEMBER_RULE),
             )
         }
         self.sharing.mirrors.update(self.mirrors)
