--- a/tests/fleet/test_planner.py
+++ b/tests/fleet/test_planner.py
@@ -11,6 +11,7 @@
 from limeshelf.fleet.needs import ModelNeed, needs_of
 from limeshelf.fleet.pace import LoadPace
 from limeshelf.fleet.planner import Holder, Move, Planner
+from limeshelf.fleet.starvation import Starvation
 from limeshelf.util.clock import boottime_s, virtual_clock
 
 SIZES = {'big': 70.0, 'hot': 70.0, 'small': 40.0, 'rare': 40.0, 'other': 60.0}
@@ -103,6 +104,36 @@
     assert (move.model, move.replica_id) == ('other', 'r3')
 
 
+def test_starved_model_gets_its_turn_in_the_end() -> None:
+    """On Sljeme's scale-2 four models that were asked for had no copy for 25 s."""
+    holders = [holder('r1', 'hot'), holder('r2', 'hot'), holder('r3', 'big', 'small', 'rare')]
+    for busy_holder in holders[:2]:
+        busy_holder.idle = False
+    needs = {
+        'hot': busy(20, replicas=2.0),
+        'big': busy(3),
+        'small': seldom(0.1),
+        'rare': seldom(0.1),
+        'other': seldom(0.2, waits=True),
+    }
+    assert Planner(engine(), needs, {}).next_move(holders) is None
+    move = Planner(engine(), needs, {}, {'other': 20.0}).next_move(holders)
+    assert move is not None
+    assert move.model == 'other'
+    assert 'hot' not in move.evicted
+
+
+def test_starvation_counts_from_the_first_call_without_a_copy() -> None:
+    with virtual_clock() as clock:
+        starvation = Starvation()
+        waiting = {'rare': seldom(waits=True), 'other': seldom()}
+        assert starvation.step('lm', waiting, [holder('r1', 'hot')]) == {'rare': 0.0}
+        clock.advance(5.0)
+        calm = {'rare': seldom()}
+        assert starvation.step('lm', calm, [holder('r1', 'hot')]) == {'rare': 5.0}
+        assert starvation.step('lm', calm, [Holder('r1', set(), {'rare'}, False)]) == {}
+
+
 def test_busy_model_gets_no_copy_beyond_its_need() -> None:
     holders = [holder('r1', 'hot', 'big'), holder('r2', 'small', 'other', 'rare')]
     assert planner(hot=busy(20, replicas=0.4)).next_move(holders) is None
