Give starved models a turn; keep whole loads away from wanted adapters

Change: a model that is asked for and has no copy gains worth by the second (starvation.py); a whole load costs three times as much where wanted adapters would have to wait.

Ruled out: places for adapters (six of eight were free); the rate of loads.

--- a/limeshelf/fleet/planner.py
+++ b/limeshelf/fleet/planner.py
@@ -24,6 +24,10 @@
 LASTING_LIMIT_PER_S = 0.5
 #: Added for calls that wait, in calls a second.
 WAITING_WORTH = 1.0
+#: Added for each second for which a model that is asked for has had no copy, so
+#: that its turn comes however busy others are.
+STARVED_WORTH_PER_S = 0.15
+STARVED_LIMIT = 3.0
 #: An only copy counts this much more if its callers cannot wait for a load.
 CANNOT_WAIT_FACTOR = 2.0
 #: Callers bear that their model is loaded again if their objective is this many
@@ -39,7 +43,7 @@
 #: Cost of each running call that an unload waits for.
 RUNNING_COST = 0.2
 #: Cost of each adapter that cannot come while a whole model is loaded.
-BLOCKED_ADAPTER_COST = 0.1
+BLOCKED_ADAPTER_COST = 0.3
 #: What a copy serves at a replica that others keep busy, at the least.
 LEAST_CAPACITY = 0.15
 #: A copy in a data centre without one is worth more: it serves on in a cut.
@@ -102,6 +106,7 @@
     :param needs: what the calls to each model need.
     :param first_copies: copies of each model that the leader found; they tell
         what was busy before any call was seen.
+    :param starved_s: for how long a model that is asked for has had no copy.
     """
 
     def __init__(
@@ -109,10 +114,12 @@
         engine: EngineSpec,
         needs: dict[str, ModelNeed],
         first_copies: dict[str, int],
+        starved_s: dict[str, float] | None = None,
     ) -> None:
         self._engine = engine
         self._needs = needs
         self._first_copies = first_copies
+        self._starved_s = starved_s or {}
         #: Nothing was asked for yet: what was found tells what is busy.
         self._quiet = sum(need.calls_per_s for need in needs.values()) < QUIET_PER_S
         self._holders: list[Holder] = []
@@ -202,7 +209,8 @@
             min(need.lasting_per_s, LASTING_LIMIT_PER_S),
         )
         worth = ONLY_COPY_WORTH + ONLY_COPY_FACTOR * calls_per_s
-        return worth + (WAITING_WORTH if need.waits else 0.0)
+        starved = STARVED_WORTH_PER_S * self._starved_s.get(model, 0.0)
+        return worth + min(STARVED_LIMIT, starved) + (WAITING_WORTH if need.waits else 0.0)
 
     def _found_worth(self, model: str, copies: int) -> float:
         """Return what the last of *copies* copies is worth before any call."""
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -12,6 +12,7 @@
 from limeshelf.fleet.orders import OrderKind
 from limeshelf.fleet.pace import LoadPace
 from limeshelf.fleet.planner import Holder, Planner
+from limeshelf.fleet.starvation import Starvation
 from limeshelf.metrics.journal import log_change
 from limeshelf.util.clock import boottime_s
 
@@ -65,6 +66,7 @@
         self._config = config
         self._read_ms = read_ms
         self._pace = LoadPace(window_s)
+        self._starvation = Starvation()
         self._term_fence = 0
         self._looked_s: dict[str, float] = {}
         self._first_copies: dict[str, dict[str, int]] = {}
@@ -100,8 +102,10 @@
                     continue
                 first_copies = self._first_copies.get(service.name, {})
                 needs = needs_of(service.name, service.engine, loads, self._read_ms)
-                planner = Planner(service.engine, needs, first_copies)
-                self._order_moves(service.name, service.engine, planner)
+                holders = self._holders(service.name)
+                starved_s = self._starvation.step(service.name, needs, holders)
+                planner = Planner(service.engine, needs, first_copies, starved_s)
+                self._order_moves(service.engine, planner, holders)
 
     async def _until_due(self) -> None:
         """Wait for the next plan; a model that is waited for brings it forward."""
@@ -151,8 +155,7 @@
             # arrive just now (tests/fleet/test_desk.py::test_replica_back_in_reach).
             await self._desk.claim(replica, engine)
 
-    def _order_moves(self, service: str, engine: EngineSpec, planner: Planner) -> None:
-        holders = self._holders(service)
+    def _order_moves(self, engine: EngineSpec, planner: Planner, holders: list[Holder]) -> None:
         while True:
             move = planner.next_move(holders)
             if move is None:
