Take tickets and room out of the dispatcher

No behaviour changes: the dispatcher had grown to 387 lines that answered three questions; tickets.py says what calls take, room.py which replica has room.

--- a/limeshelf/dispatch/client.py
+++ b/limeshelf/dispatch/client.py
@@ -170,9 +170,9 @@
     def _dispatcher_now(self) -> str:
         leader = self._leader()
         if leader == LOCAL:
-            self.dispatcher.share = 1.0
+            self.dispatcher.grant_share(1.0)
             return LOCAL
-        self.dispatcher.share = OWN_SHARE
+        self.dispatcher.grant_share(OWN_SHARE)
         if leader is None or boottime_s() < self._avoid_until_s:
             return LOCAL
         return leader
--- a/limeshelf/dispatch/dispatcher.py
+++ b/limeshelf/dispatch/dispatcher.py
@@ -9,11 +9,8 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
-import attrs
-
 from limeshelf.dispatch.messages import (
     DispatchProgress,
     DispatchQuery,
@@ -21,23 +18,17 @@
     Stage,
     VerdictKind,
 )
+from limeshelf.dispatch.room import Room
 from limeshelf.dispatch.speed import ReadSpeed
+from limeshelf.dispatch.tickets import ReplicaUse, Ticket
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from limeshelf.calls.routes import EngineSpec, ServingConfig
+    from limeshelf.calls.routes import ServingConfig
     from limeshelf.replicas.directory import Replica, ReplicaDirectory
 
-#: Part of the bearable pause, less the steps of an event, that reading may take.
-READ_SHARE = 0.84
-#: A replica may begin to read this much later than granted, in parts of a pause.
-WINDOW_FACTOR = 1.15
-#: A step of a replica's batch without any reading, in milliseconds.
-PLAIN_STEP_MS = 12.0
-#: Part of a replica's memory that calls may fill before others wait.
-MEMORY_SHARE = 0.9
 #: Between two prompts at a replica, in milliseconds: a step, and the way there.
 STEP_MS = 20.0
 #: A prompt counts as read after its likely time and this much of it.
@@ -46,66 +37,12 @@
 READING_DUTY = 0.65
 #: Part of the objective that a wait may take; the rest is reading and the way.
 IN_TIME_SHARE = 0.8
-OTHER_CENTRE_COST = 0.03
-FAILING_COST = 2.0
-#: What was granted is remembered this much longer than anybody asks for.
-RECENT_KEPT_S = 2.0
-#: Prompt parts count as kept by a replica for this long.
-WARM_PART_LIFE_S = 12.0
-WARM_PARTS_KEPT = 1024
 #: A waiting ticket whose gateway does not ask again is dropped.
 UNASKED_LIFE_S = 1.0
 #: A granted ticket lives this much longer than its call had left.
 GRANT_SLACK_S = 1.0
 
 
-@attrs.define(eq=False)
-class Ticket:
-    """A call that waits for a replica, or has one.
-
-    :ivar asker: peer address of its gateway; empty for this process.
-    :ivar fresh_tokens: prompt tokens that the replica has to read.
-    :ivar read_ms: how long that likely takes; 0 once it is done.
-    :ivar alone: nothing else was read there at the same time.
-    """
-
-    query: DispatchQuery
-    asker: str
-    asked_s: float
-    late_s: float
-    ends_s: float
-    replica: Replica | None = None
-    fresh_tokens: int = 0
-    read_ms: float = 0.0
-    granted_s: float = 0.0
-    alone: bool = True
-
-    def urgency(self, now_s: float) -> tuple[bool, int, float]:
-        """Return the order of service: in time before late, then by rank and time."""
-        return (now_s > self.late_s, self.query.priority, self.late_s)
-
-
-@attrs.define
-class ReplicaUse:
-    """What granted tickets take of a replica.
-
-    :ivar recent: when something was granted lately, and how long it takes to read.
-    """
-
-    calls: int = 0
-    tokens: int = 0
-    reading_ms: float = 0.0
-    reading: set[str] = attrs.field(factory=set)
-    warm_parts: dict[str, float] = attrs.field(factory=dict)
-    recent: deque[tuple[float, float]] = attrs.field(factory=deque)
-
-    def read_since(self, oldest_s: float) -> float:
-        """Return the milliseconds of reading that were granted since a moment."""
-        while self.recent and self.recent[0][0] < oldest_s - RECENT_KEPT_S:
-            self.recent.popleft()
-        return sum(read_ms for granted_s, read_ms in self.recent if granted_s >= oldest_s)
-
-
 class Dispatcher:
     """Grants replicas to the tickets of all gateways.
 
@@ -119,14 +56,15 @@
         answer: Callable[[str, DispatchVerdict], None],
     ) -> None:
         self.speed = ReadSpeed()
-        #: Part of a replica's reading that this dispatcher may grant.
-        self.share = 1.0
-        self._directory = directory
         self._config = config
         self._answer = answer
         self._waiting: dict[str, Ticket] = {}
         self._granted: dict[str, Ticket] = {}
-        self._uses: dict[str, ReplicaUse] = {}
+        self._room = Room(directory, self.speed)
+
+    def grant_share(self, share: float) -> None:
+        """Set the part of a replica's reading that may be granted here."""
+        self._room.share = share
 
     @property
     def waiting(self) -> int:
@@ -156,7 +94,7 @@
             self._answer_waiting(ticket)
 
     def _answer_waiting(self, ticket: Ticket) -> None:
-        holders = self._holders(ticket.query)
+        holders = self._room.holders(ticket.query)
         if not holders:
             del self._waiting[ticket.query.ticket_id]
             self._tell(ticket, VerdictKind.ABSENT)
@@ -212,7 +150,7 @@
             service = config.services.get(ticket.query.key.service)
             if service is None or service.engine is None:
                 continue
-            replica = self._choose(ticket.query, service.engine)
+            replica = self._room.choose(ticket.query, service.engine)
             if replica is not None:
                 self._grant(ticket, replica, now_s)
 
@@ -222,7 +160,7 @@
         The first event comes a step and the way after the prompt was read; the
         next prompt need not wait for the news.
         """
-        for use in self._uses.values():
+        for use in self._room.uses.values():
             for ticket_id in list(use.reading):
                 ticket = self._granted.get(ticket_id)
                 if ticket is None:
@@ -243,92 +181,11 @@
                 del self._granted[ticket_id]
                 self._release(ticket)
 
-    def _holders(self, query: DispatchQuery) -> list[Replica]:
-        return [
-            replica
-            for replica in self._directory.of_service(query.key.service)
-            if replica.holds(query.key.model, query.key.adapter)
-            and replica.replica_id not in query.excluded
-        ]
-
-    def _use(self, replica: Replica) -> ReplicaUse:
-        return self._uses.setdefault(replica.replica_id, ReplicaUse())
-
-    def _choose(self, query: DispatchQuery, engine: EngineSpec) -> Replica | None:
-        holders = self._holders(query)
-        healthy = [replica for replica in holders if not replica.health.is_suspended()]
-        best: Replica | None = None
-        best_cost = float('inf')
-        for replica in healthy or holders:
-            use = self._use(replica)
-            read_ms = self.speed.read_ms(query.key.model, self._fresh_tokens(query, use))
-            if not self._has_room(query, replica, use, read_ms, engine):
-                continue
-            cost = self._cost(query, replica, use, read_ms, engine)
-            if cost < best_cost:
-                best, best_cost = replica, cost
-        return best
-
-    def _has_room(
-        self,
-        query: DispatchQuery,
-        replica: Replica,
-        use: ReplicaUse,
-        read_ms: float,
-        engine: EngineSpec,
-    ) -> bool:
-        if not self._bears_reading(query, use, read_ms, engine):
-            return False
-        # What others told covers calls that went another way, or that a
-        # predecessor granted.
-        told = self._directory.load_of(replica)
-        calls = max(use.calls, told.calls)
-        if calls >= replica.record.slots:
-            return False
-        tokens = query.prompt_tokens + query.likely_tokens
-        filled = max(use.tokens, told.tokens)
-        return not calls or filled + tokens <= MEMORY_SHARE * engine.memory_tokens
-
-    def _bears_reading(
-        self, query: DispatchQuery, use: ReplicaUse, read_ms: float, engine: EngineSpec
-    ) -> bool:
-        """Return whether a replica's streams bear that it reads one more prompt now."""
-        steps_ms = PLAIN_STEP_MS * engine.event_tokens
-        bearable_ms = READ_SHARE * self.share * max(0.0, query.pause_ms - steps_ms)
-        window_s = WINDOW_FACTOR * query.pause_ms / 1000
-        known_ms = use.read_since(boottime_s() - window_s)
-        return not known_ms or known_ms + read_ms <= bearable_ms
-
-    def _cost(
-        self,
-        query: DispatchQuery,
-        replica: Replica,
-        use: ReplicaUse,
-        read_ms: float,
-        engine: EngineSpec,
-    ) -> float:
-        cost = (use.reading_ms + read_ms) / max(1, query.pause_ms)
-        told = self._directory.load_of(replica)
-        cost += max(use.calls, told.calls) / max(1, replica.record.slots)
-        cost += max(use.tokens, told.tokens) / max(1, engine.memory_tokens)
-        if replica.record.data_centre != query.data_centre:
-            cost += OTHER_CENTRE_COST
-        return cost + FAILING_COST * max(0.0, replica.health.failing - 0.2)
-
-    def _fresh_tokens(self, query: DispatchQuery, use: ReplicaUse) -> int:
-        fresh = query.prompt_tokens
-        oldest_s = boottime_s() - WARM_PART_LIFE_S
-        for part in query.parts:
-            if use.warm_parts.get(_part_key(query, part.part_id), 0.0) < oldest_s:
-                break
-            fresh -= part.tokens
-        return max(1, fresh)
-
     def _grant(self, ticket: Ticket, replica: Replica, now_s: float) -> None:
         query = ticket.query
-        use = self._use(replica)
+        use = self._room.use(replica)
         ticket.replica = replica
-        ticket.fresh_tokens = self._fresh_tokens(query, use)
+        ticket.fresh_tokens = use.fresh_tokens(query)
         ticket.read_ms = self.speed.read_ms(query.key.model, ticket.fresh_tokens)
         ticket.granted_s = now_s
         self._mark_company(use, ticket)
@@ -337,7 +194,7 @@
         use.reading_ms += ticket.read_ms
         use.reading.add(query.ticket_id)
         use.recent.append((now_s, ticket.read_ms))
-        self._note_parts(query, use, now_s)
+        use.note_parts(query, now_s)
         del self._waiting[query.ticket_id]
         self._granted[query.ticket_id] = ticket
         self._tell(ticket, VerdictKind.GRANTED)
@@ -349,17 +206,9 @@
                 other.alone = False
             ticket.alone = False
 
-    def _note_parts(self, query: DispatchQuery, use: ReplicaUse, now_s: float) -> None:
-        for part in query.parts:
-            key = _part_key(query, part.part_id)
-            use.warm_parts.pop(key, None)
-            use.warm_parts[key] = now_s
-        while len(use.warm_parts) > WARM_PARTS_KEPT:
-            del use.warm_parts[next(iter(use.warm_parts))]
-
     def _note_read(self, ticket: Ticket) -> None:
         assert ticket.replica is not None
-        use = self._use(ticket.replica)
+        use = self._room.use(ticket.replica)
         if ticket.alone:
             first_ms = (boottime_s() - ticket.granted_s) * 1000
             self.speed.learn(ticket.query.key.model, ticket.fresh_tokens, first_ms)
@@ -369,7 +218,7 @@
     def _release(self, ticket: Ticket) -> None:
         if ticket.replica is None:
             return
-        use = self._use(ticket.replica)
+        use = self._room.use(ticket.replica)
         use.calls -= 1
         use.tokens -= ticket.query.prompt_tokens + ticket.query.likely_tokens
         if ticket.query.ticket_id in use.reading:
@@ -381,7 +230,3 @@
             replica_id = ticket.replica.replica_id
         verdict = DispatchVerdict(ticket.query.ticket_id, kind, replica_id, wait_ms)
         self._answer(ticket.asker, verdict)
-
-
-def _part_key(query: DispatchQuery, part_id: str) -> str:
-    return f'{query.key.model}/{query.key.adapter}/{part_id}'
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -145,7 +145,7 @@
     world = World(clock, 1)
     for _ in range(5):
         assert world.ask('a') is VerdictKind.GRANTED
-    assert world.dispatcher._uses['r0'].calls == 1
+    assert world.dispatcher._room.uses['r0'].calls == 1
 
 
 def test_ended_calls_leave_nothing_behind(clock: VirtualClock) -> None:
@@ -155,7 +155,7 @@
     for number in range(20):
         world.dispatcher.take_progress(DispatchProgress(f't{number}', Stage.READ))
         world.dispatcher.take_progress(DispatchProgress(f't{number}', Stage.ENDED))
-    for use in world.dispatcher._uses.values():
+    for use in world.dispatcher._room.uses.values():
         assert (use.calls, use.tokens, use.reading_ms) == (0, 0, 0.0)
 
 
