--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -38,9 +38,9 @@
 from limeshelf.platform.replicas import REPLICA_TABLE, read_record
 from limeshelf.platform.store import StoreClient
 from limeshelf.platform.wire import PlatformWire
+from limeshelf.programs.settings_watch import SettingsWatch
 from limeshelf.replicas.directory import ReplicaDirectory
 from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
-from limeshelf.settings.watch import SettingsWatch
 from limeshelf.util.backoff import jittered_s
 from limeshelf.util.clock import boottime_s
 from limeshelf.util.tasks import TaskSet
--- a/tests/settings/test_watch.py
+++ b/tests/programs/test_settings_watch.py
@@ -6,8 +6,8 @@
 from pathlib import Path
 from typing import Any
 
+from limeshelf.programs.settings_watch import SettingsWatch
 from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
-from limeshelf.settings.watch import SettingsWatch
 
 DOCUMENT: dict[str, Any] = {
     'instance_id': 'g-1',
