Let a call's answer free no room for a load

A call that is told that its model or adapter is missing takes it out of what the replica holds; the leader counted room by that, so a late or mistaken word let a ninth adapter or another model fit.

Change: room counts what the latest report tells as well. An adapter that an order unloaded at once is taken out of the report, too, so that its place is free.

The test fails on the old code.

--- a/limeshelf/fleet/desk.py
+++ b/limeshelf/fleet/desk.py
@@ -301,7 +301,7 @@
         if outcome is OrderOutcome.TAKEN or at_once:
             replica.order_number = max(replica.order_number or 0, expected + 1)
         if at_once:
-            self._directory.forget_holding(replica, task.model, task.adapter)
+            self._directory.drop_adapter(replica, task.model, task.adapter)
         if outcome is OrderOutcome.FENCED_OFF:
             self._leadership.end('fenced_off')
 
--- a/limeshelf/fleet/service.py
+++ b/limeshelf/fleet/service.py
@@ -228,14 +228,20 @@
         if engine is None or task.model not in engine.models:
             return False
         lane = self._desk.lane(replica)
-        adapters = {(m, a) for m, held in replica.holdings.items() for a in held}
+        held = dict(replica.holdings)
+        if replica.report is not None:
+            # What an answer said to be missing may be there all the same
+            # (tests/fleet/test_service.py::test_answer_of_a_replica_frees_no_room).
+            for one in replica.report.holdings:
+                held[one.model] = held.get(one.model, frozenset()) | one.adapters
+        adapters = {(model, adapter) for model, names in held.items() for adapter in names}
         possible = lane.sent | set(lane.doubts)
         if replica.report is not None:
             # An adapter that was given up may still be on its way
             # (tests/fleet/test_service.py::test_adapter_on_its_way_takes_a_place).
             possible |= set(replica.report.loading)
         adapters |= {(model, adapter) for model, adapter in possible if adapter}
-        models = set(replica.holdings) | {m for m, adapter in possible if not adapter}
+        models = set(held) | {model for model, adapter in possible if not adapter}
         if task.adapter:
             adapters.add((task.model, task.adapter))
         else:
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -193,8 +193,24 @@
             self.wake()
             self.on_change(replica_id)
 
+    def drop_adapter(self, replica: Replica, model: str, adapter: str) -> None:
+        """Note that an order has unloaded an adapter, before a report shows it."""
+        self.forget_holding(replica, model, adapter)
+        report = replica.report
+        if report is not None:
+            holdings = tuple(
+                attrs.evolve(held, adapters=held.adapters - {adapter})
+                if held.model == model
+                else held
+                for held in report.holdings
+            )
+            replica.report = attrs.evolve(report, holdings=holdings)
+
     def forget_holding(self, replica: Replica, model: str, adapter: str) -> None:
-        """Note the replica's word that something is not there."""
+        """Note the replica's word that something is not there; calls go elsewhere.
+
+        The report stays as it is: such a word frees no room for a load.
+        """
         adapters = replica.holdings.get(model)
         if adapters is None:
             return
--- a/tests/fleet/test_service.py
+++ b/tests/fleet/test_service.py
@@ -26,7 +26,12 @@
     services = {'lm': ServiceSpec('lm', 50, ENGINE)}  # noqa: RUF012
 
 
-def fits(task: Task, report: ReplicaReport, prepare: Any = lambda lane: None) -> bool:
+def fits(
+    task: Task,
+    report: ReplicaReport,
+    prepare: Any = lambda lane: None,
+    happen: Any = lambda directory, replica: None,
+) -> bool:
     async def play() -> bool:
         directory = ReplicaDirectory(read_record)
         directory._take_record(ReplicaRecord('r1', 'lm', 'ip:1', 'z1', 8, False, None, (), 1))
@@ -40,6 +45,7 @@
         replica = directory.get('r1')
         assert isinstance(replica, Replica)
         prepare(desk.lane(replica))
+        happen(directory, replica)
         return desk.fits(replica, task)
 
     return asyncio.run(play())
@@ -68,3 +74,27 @@
     full = ReplicaReport((*holding('a1', 'a2'), Holding('m2')), False, 1)
     assert not fits(Task(OrderKind.LOAD, 'm3'), full)
     assert not fits(Task(OrderKind.LOAD, 'm1', 'a3'), full)
+
+
+def test_answer_of_a_replica_frees_no_room() -> None:
+    """A call was told that its model is missing; the replica's report says otherwise."""
+
+    def told_missing(directory: ReplicaDirectory, replica: Replica) -> None:
+        directory.forget_holding(replica, 'm2', '')
+
+    full = ReplicaReport((Holding('m1'), Holding('m2')), False, 1)
+    assert not fits(Task(OrderKind.LOAD, 'm3'), full, happen=told_missing)
+
+    def told_adapter_missing(directory: ReplicaDirectory, replica: Replica) -> None:
+        directory.forget_holding(replica, 'm1', 'a1')
+
+    places_full = ReplicaReport(holding('a1', 'a2'), False, 1)
+    assert not fits(Task(OrderKind.LOAD, 'm1', 'a3'), places_full, happen=told_adapter_missing)
+
+
+def test_adapter_that_was_unloaded_by_an_order_frees_its_place() -> None:
+    def unloaded(directory: ReplicaDirectory, replica: Replica) -> None:
+        directory.drop_adapter(replica, 'm1', 'a1')
+
+    places_full = ReplicaReport(holding('a1', 'a2'), False, 1)
+    assert fits(Task(OrderKind.LOAD, 'm1', 'a3'), places_full, happen=unloaded)
