--- a/limeshelf/dispatch/dispatcher.py
+++ b/limeshelf/dispatch/dispatcher.py
@@ -157,7 +157,7 @@
         """Grant what can be granted, the most urgent first.
 
         Where the first calls for a model found no room, the others that wait for it
-        hardly will; trying them all took a leader's whole share at 71 gateways.
+        hardly will.
         """
         now_s = boottime_s()
         self._drop_stale(now_s)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -223,7 +223,7 @@
 
 
 def test_crowd_for_one_model_is_not_tried_call_by_call(clock: VirtualClock) -> None:
-    """At 71 gateways the leader spent its whole share on calls without room."""
+    """Each word of progress once tried every waiting call at every replica."""
     world = World(clock, 3)
     room = world.dispatcher._room
     tried: list[str] = []
