Let others contend while the leader may not order; count late polls as fresh again

And a poll with a late report no longer counted as fresh, so a replica that gets adapters one after the other was left out of plans.

Change: the leader's states say whether its orders may leave, as a last field with a default that both releases bear; relays contend while they say no. A late report counts as a fresh poll once an accepted one has shown what a predecessor left. Claims are logged.

--- a/limeshelf/membership/leader.py
+++ b/limeshelf/membership/leader.py
@@ -29,6 +29,10 @@
     :ivar address: peer address of the gateway that claimed to lead last.
     :ivar fence: of its lease; 0 before any claim. Claims with a lower one are late.
     :ivar last_message_s: when it claimed so; 0 if it has stopped.
+    :ivar may_order: whether it said that its orders may leave. One that is cut off from
+        the store goes on dispatching, but lets others contend: while it did not, nobody
+        placed models for the 11 s of a cut, and up to half of the calls of that time
+        found no replica.
     """
 
     members: Members
@@ -36,6 +40,7 @@
     address: str = ''
     fence: int = 0
     last_message_s: float = 0.0
+    may_order: bool = True
     _last_led_s: float = attrs.field(factory=boottime_s)
 
     @property
@@ -48,12 +53,19 @@
         """Return whether this gateway leads."""
         return self.leadership.fence > 0
 
-    def note_claim(self, address: str, fence: int) -> None:
-        """Note that a gateway leads under *fence*."""
-        if fence >= self.fence and address != self.members.own.address:
-            self.address = address
-            self.fence = fence
-            self.last_message_s = boottime_s()
+    def note_claim(self, address: str, fence: int, may_order: bool | None = None) -> None:
+        """Note that a gateway leads under *fence*.
+
+        :param may_order: whether its orders may leave; ``None`` where the message does not
+            say so.
+        """
+        if fence < self.fence or address == self.members.own.address:
+            return
+        if may_order is not None or fence > self.fence:
+            self.may_order = may_order is not False
+        self.address = address
+        self.fence = fence
+        self.last_message_s = boottime_s()
 
     def note_leaving(self, address: str) -> None:
         """Note that a gateway stops."""
@@ -73,10 +85,10 @@
         """Return whether this gateway should try to take the lease.
 
         For a gateway without the lease; asked again and again, it also notes until
-        when another gateway led.
+        when another gateway led and could order.
         """
         now_s = boottime_s()
-        leader_is_active = self.is_active
+        leader_is_active = self.is_active and self.may_order
         if leader_is_active:
             self._last_led_s = now_s
         return may_contend(
--- a/limeshelf/membership/messages.py
+++ b/limeshelf/membership/messages.py
@@ -159,12 +159,14 @@
     :param fence: of the lease of the leader.
     :param awaited: all loads under way.
     :param whole: whether all replicas are in it, or just those that changed.
+    :param may_order: whether the leader's orders may leave.
     """
 
     fence: int
     states: list[ReplicaState]
     awaited: list[AwaitedLoad]
     whole: bool = True
+    may_order: bool = True
 
 
 @add_message('rows-query')
--- a/limeshelf/membership/state_exchange.py
+++ b/limeshelf/membership/state_exchange.py
@@ -93,7 +93,8 @@
             AwaitedLoad(key, int((ready_s - now_s) * 1000))
             for key, ready_s in self.meter.announced_s.items()
         ]
-        message = ReplicaStates(self.leadership.fence, states, awaited, whole)
+        may_order = self.leadership.order_time_left_s() > 0
+        message = ReplicaStates(self.leadership.fence, states, awaited, whole, may_order)
         self.node.send_all(receivers.of_states(self.members), message)
 
     def _take_states(self, envelope: Envelope) -> None:
@@ -106,7 +107,7 @@
         ):
             return
         self._newest_fence = message.fence
-        self.leader.note_claim(envelope.sender, message.fence)
+        self.leader.note_claim(envelope.sender, message.fence, message.may_order)
         addresses = receivers.of_forwarded_states(self.members, envelope.data_centre)
         self.node.forward_all(addresses, envelope)
         for state in message.states:
--- a/limeshelf/orders/pending.py
+++ b/limeshelf/orders/pending.py
@@ -47,6 +47,8 @@
         self._unanswered: dict[Loadable, int] = {}
         self._missed_polls = 0
         self._polled_s = 0.0
+        #: When a poll last showed all that had been ordered by then.
+        self._confirmed_s = 0.0
         self._ordered_s = 0.0
         self._claimed_fence = 0
         self._claimed_s = 0.0
@@ -126,12 +128,13 @@
 
         :param counts: whether it describes a time after the last known order. One that
             does not shows that the replica is there, and no more
-            (tests/orders/test_sender.py::test_late_report_is_no_fresh_poll).
+            (tests/orders/test_sender.py::test_late_report_confirms_nothing).
         """
         self._missed_polls = 0
+        self._polled_s = boottime_s()
         if not counts:
             return
-        self._polled_s = boottime_s()
+        self._confirmed_s = self._polled_s
         if not report.busy:
             self._unanswered = {
                 item: expected
@@ -166,7 +169,8 @@
     def is_fresh(self) -> bool:
         """Return whether this process itself saw lately what the replica does.
 
-        What a predecessor sent may lack a load that is still under way.
+        What a predecessor sent may lack a load that is still under way. Once a poll has
+        shown what it left behind, late ones do as well: they lack own orders only.
         """
         settled_s = self._claimed_s + REPORT_SETTLE_S
-        return boottime_s() - self._polled_s < FRESH_S and self._polled_s > settled_s
+        return boottime_s() - self._polled_s < FRESH_S and self._confirmed_s > settled_s
--- a/limeshelf/orders/sender.py
+++ b/limeshelf/orders/sender.py
@@ -98,6 +98,16 @@
         except ReplicaSilent:
             # Not claimed, so nothing is planned for it; the next poll claims it again.
             return
+        log_change(
+            'claim',
+            replica=replica.replica_id,
+            model=order.model,
+            adapter=order.adapter,
+            expected=order.expected_number,
+            fence=order.fence,
+            status=answer.status,
+            outcome=answer.outcome,
+        )
         if answer.outcome is OrderOutcome.FENCED_OFF:
             self._leadership.end('fenced_off')
         elif answer.outcome in _CLAIMED:
--- a/tests/forms/test_messages.py
+++ b/tests/forms/test_messages.py
@@ -28,6 +28,13 @@
 
 RECORDED = json.loads((Path(__file__).parent / 'messages.json').read_text())
 SENDER = ('10.0.0.1:7001', 'z1')
+#: States of a leader of the release that did not say whether it may order.
+OLD_STATES = (
+    '84a4626f647984a761776169746564919293a26c6da26d31a26132cd0352a566656e636505a67374'
+    '617465739197a3722d31089192a26d3192a26131a261320604cd1b58c3a577686f6c65c2ab646174'
+    '615f63656e747265a27a31a46b696e64ae7265706c6963612d737461746573a673656e646572ad31'
+    '302e302e302e313a37303031'
+)
 
 
 def named(value: Any) -> Any:
@@ -66,3 +73,9 @@
         value = getattr(message, field.name)
         assert value != field.default
         assert value not in ([], {}, '', None)
+
+
+def test_states_of_a_leader_that_does_not_say_whether_it_may_order() -> None:
+    message = decode(bytes.fromhex(OLD_STATES)).message
+    assert message.fence == 5
+    assert message.may_order
--- a/tests/membership/test_leader.py
+++ b/tests/membership/test_leader.py
@@ -79,6 +79,28 @@
         assert one.may_contend()
 
 
+def test_relay_contends_while_the_leader_may_not_order() -> None:
+    """The leader goes on dispatching until another one has the lease."""
+    with virtual_clock():
+        one = view()
+        one.note_claim('g1', 4, may_order=False)
+        assert one.may_contend()
+        assert one.dispatcher() == 'g1'
+        # A digest says nothing of it.
+        one.note_claim('g1', 4)
+        assert one.may_contend()
+        one.note_claim('g1', 4, may_order=True)
+        assert not one.may_contend()
+
+
+def test_new_leader_may_order_unless_it_says_otherwise() -> None:
+    with virtual_clock():
+        one = view()
+        one.note_claim('g1', 4, may_order=False)
+        one.note_claim('g2', 5)
+        assert not one.may_contend()
+
+
 def test_others_contend_some_time_later() -> None:
     """Asked three times a second, as a gateway asks; the relays stay in touch."""
     with virtual_clock() as clock:
