Load models where their weights are nearest; keep the copies of callers that cannot wait

And models whose callers cannot wait lost their only copy to models whose callers can; when demand moved to one, all its calls were refused.

Change: the disk's load time is read from the configuration; a longer load than elsewhere costs a share of what it gains; a window of loads that is full no longer ends the round for loads that need no store. A model whose callers cannot wait counts as asked for by 0.3 of the mean calls of such models.

--- a/limeshelf/calls/routes.py
+++ b/limeshelf/calls/routes.py
@@ -86,9 +86,10 @@
 
     :param size_mb: megabytes of its weights.
     :param load_s: time of a load from the weight store, in seconds.
-    :param warm_load_s: time of a load where the weights are at the replica still.
+    :param warm_load_s: time of a load from the memory of the replica's machine.
     :param adapters: names of its adapters.
     :param adapter_mb: megabytes of one adapter.
+    :param disk_load_s: time of a load from the disk of the replica's machine.
     """
 
     name: str
@@ -97,6 +98,9 @@
     warm_load_s: float
     adapters: frozenset[str]
     adapter_mb: float
+    disk_load_s: float = attrs.field(
+        default=attrs.Factory(lambda spec: spec.warm_load_s, takes_self=True)
+    )
 
 
 @attrs.frozen
--- a/limeshelf/placement/move_runner.py
+++ b/limeshelf/placement/move_runner.py
@@ -18,7 +18,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from limeshelf.calls.routes import EngineSpec
     from limeshelf.orders.sender import OrderSender
     from limeshelf.placement.adapters import AdapterMove
     from limeshelf.placement.planner import CopyMove
@@ -51,11 +50,10 @@
         self._tasks = tasks
         self._on_load = on_load
 
-    def begin(self, move: CopyMove, engine: EngineSpec) -> None:
+    def begin(self, move: CopyMove) -> None:
         """Load a model at a replica, after the evicted ones are unloaded there."""
         replica = self._directory.get(move.replica_id)
         assert replica is not None
-        spec = engine.models[move.model]
         log_change(
             'move',
             replica=move.replica_id,
@@ -63,13 +61,13 @@
             evicted=move.evicted,
             reason=move.reason,
             from_store=move.from_store,
+            load_s=move.load_s,
             gain=move.gain,
             loss=move.loss,
         )
-        load_s = spec.load_s if move.from_store else spec.warm_load_s
-        ready_s = boottime_s() + load_s + (UNLOAD_S if move.evicted else 0.0)
+        ready_s = boottime_s() + move.load_s + (UNLOAD_S if move.evicted else 0.0)
         tasks = [OrderTask(OrderKind.UNLOAD, name) for name in move.evicted]
-        tasks.append(OrderTask(OrderKind.LOAD, move.model, '', load_s))
+        tasks.append(OrderTask(OrderKind.LOAD, move.model, '', move.load_s))
         self._sender.pending(replica).expect(Loadable(move.model), ready_s)
         self._on_load()
         self._tasks.spawn(self._run(replica, tasks), 'move')
--- a/limeshelf/placement/planner.py
+++ b/limeshelf/placement/planner.py
@@ -30,6 +30,10 @@
 LEAST_GAIN_PER_S = 0.4
 #: Cost of a load from the weight store, whose rate is limited. Chosen (f8661d4).
 STORE_COST_PER_S = 0.3
+#: A load that takes longer here than at another idle replica costs, of what it gains, the
+#: share of this time by which it is longer: where weights lie on a disk it takes a fifth of
+#: a load from the store, and calls wait or are refused meanwhile. Chosen, not measured.
+LOAD_HORIZON_S = 10.0
 #: Cost of each copy that is evicted. Chosen (f8661d4).
 EVICTION_COST_PER_S = 0.05
 #: Cost of each wanted adapter that has to wait while a whole model is loaded, since a
@@ -58,6 +62,7 @@
 
     :ivar evicted: models that are unloaded there first, in this order.
     :ivar from_store: whether the load counts against the rate of the weight store.
+    :ivar load_s: time that the load likely takes, in seconds.
     :ivar gain: what it is worth, in calls a second.
     :ivar loss: what the copies that go were worth.
     """
@@ -67,6 +72,7 @@
     evicted: tuple[str, ...]
     from_store: bool
     reason: MoveReason
+    load_s: float = 0.0
     gain: float = 0.0
     loss: float = 0.0
 
@@ -93,11 +99,16 @@
         self._first_copies = first_copies
         self._starved_s = starved_s or {}
 
-    def next_move(self, replicas: list[ReplicaCopies]) -> CopyMove | None:
+    def next_move(
+        self, replicas: list[ReplicaCopies], store_allowed: bool = True
+    ) -> CopyMove | None:
         """Return the move that is worth most now, if any is worth making.
 
         Models are tried by what one more copy gains at an idle replica; the first for which
         a move is worth making ends the search.
+
+        :param store_allowed: whether a load from the weight store may begin now; without,
+            models come from the disks and memories of the machines alone.
         """
         survey = CopySurvey.take(self._engine, self._demands, replicas)
         worth = CopyWorth(survey, self._first_copies, self._starved_s)
@@ -108,7 +119,7 @@
                 return None
             if _is_withheld(idle_gain, survey, worth):
                 return None
-            move = _best_move(model, survey, worth)
+            move = _best_move(model, survey, worth, store_allowed)
             if move is not None:
                 return move
         return None
@@ -125,20 +136,29 @@
     return idle <= RESERVED_REPLICAS_SHARE * len(survey.replicas)
 
 
-def _best_move(model: str, survey: CopySurvey, worth: CopyWorth) -> CopyMove | None:
+def _best_move(
+    model: str, survey: CopySurvey, worth: CopyWorth, store_allowed: bool
+) -> CopyMove | None:
     """Return the move that brings a model where that is worth most after all costs."""
     best: CopyMove | None = None
     best_net = 0.0
     reason = MoveReason.OVERLOADED if survey.copies(model).total else MoveReason.MISSING
-    for replica in survey.replicas:
-        if not replica.is_idle or replica.has(model):
-            continue
+    spec = survey.engine.models[model]
+    candidates = [
+        one
+        for one in survey.replicas
+        if one.is_idle and not one.has(model) and (store_allowed or not one.needs_store(model))
+    ]
+    shortest_s = min((replica.load_s(spec) for replica in candidates), default=0.0)
+    for replica in candidates:
         eviction = eviction_for(model, replica, survey, worth)
         if eviction is None:
             continue
-        from_store = model not in replica.cached
+        from_store = replica.needs_store(model)
+        load_s = replica.load_s(spec)
         gain = worth.gain(model, replica)
         cost = _cost(replica, eviction, from_store, survey)
+        cost += gain * (load_s - shortest_s) / LOAD_HORIZON_S
         net = gain - GAIN_PER_LOSS * eviction.loss - cost
         if net > best_net:
             best_net = net
@@ -148,6 +168,7 @@
                 eviction.models,
                 from_store,
                 reason,
+                load_s,
                 round(gain, LOGGED_DIGITS),
                 round(eviction.loss, LOGGED_DIGITS),
             )
--- a/limeshelf/placement/replica_watch.py
+++ b/limeshelf/placement/replica_watch.py
@@ -98,7 +98,8 @@
             pending.models_expected(),
             is_idle=self._may_take_orders(replica, pending),
             data_centre=replica.record.data_centre,
-            cached=(report.in_memory | report.on_disk) if report else frozenset(),
+            in_memory=report.in_memory if report else frozenset(),
+            on_disk=report.on_disk if report else frozenset(),
         )
 
     def _may_take_orders(self, replica: Replica, pending: PendingOrders) -> bool:
--- a/limeshelf/placement/service.py
+++ b/limeshelf/placement/service.py
@@ -131,14 +131,12 @@
         self, engine: EngineSpec, planner: CopyPlanner, copies: list[ReplicaCopies]
     ) -> None:
         while True:
-            move = planner.next_move(copies)
+            move = planner.next_move(copies, self._pace.allows(engine.loads_per_s))
             if move is None:
                 return
             if move.from_store:
-                if not self._pace.allows(engine.loads_per_s):
-                    return
                 self._pace.note()
-            self._moves.begin(move, engine)
+            self._moves.begin(move)
             for replica in copies:
                 if replica.replica_id == move.replica_id:
                     replica.begin_move(move.model, move.evicted)
--- a/limeshelf/placement/survey.py
+++ b/limeshelf/placement/survey.py
@@ -14,7 +14,7 @@
 from limeshelf.demand.model_demand import ModelDemand
 
 if TYPE_CHECKING:
-    from limeshelf.calls.routes import EngineSpec
+    from limeshelf.calls.routes import EngineSpec, ModelSpec
 
 #: Share of a replica that a copy gets there at the least, however busy others keep it.
 #: Chosen with the planning by served calls (commit f8661d4), not measured.
@@ -30,7 +30,8 @@
     :ivar ready: models that it holds and that are not about to be unloaded.
     :ivar loading: models on their way to it.
     :ivar is_idle: whether it can take an order for a whole model now.
-    :ivar cached: models whose weights lie on the machine, so that a load needs no store.
+    :ivar in_memory: models whose weights lie in the memory of the machine.
+    :ivar on_disk: models whose weights lie on its disk.
     """
 
     replica_id: str
@@ -38,12 +39,23 @@
     loading: set[str]
     is_idle: bool
     data_centre: str = ''
-    cached: frozenset[str] = frozenset()
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
 
     def has(self, model: str) -> bool:
         """Return whether a copy is there or on its way."""
         return model in self.ready or model in self.loading
 
+    def needs_store(self, model: str) -> bool:
+        """Return whether a load has to fetch the weights from the weight store."""
+        return model not in self.in_memory and model not in self.on_disk
+
+    def load_s(self, spec: ModelSpec) -> float:
+        """Return the time that a load of a model takes here, in seconds."""
+        if spec.name in self.in_memory:
+            return spec.warm_load_s
+        return spec.disk_load_s if spec.name in self.on_disk else spec.load_s
+
     def begin_move(self, model: str, evicted: tuple[str, ...]) -> None:
         """Count a move that was ordered here."""
         self.is_idle = False
--- a/limeshelf/placement/worth.py
+++ b/limeshelf/placement/worth.py
@@ -34,6 +34,10 @@
 #: An only copy is lost at this many times its worth if its callers cannot wait for a load.
 #: Chosen (f8661d4).
 CANNOT_WAIT_FACTOR = 2.0
+#: A model whose callers cannot wait counts as asked for by this share of the mean calls a
+#: second of all such models, however few ask for it now: demand moves among them, and until
+#: a load is done all calls to the one it moves to are refused. Chosen, not measured.
+EXPECTED_SHARE = 0.3
 #: Callers can wait for a load if their objective is at least this many times the load from
 #: the machine's memory. Chosen (2c71b20): models that rose next were unloaded for the
 #: overloaded one and absent from 24 to 33 s on Sljeme's quiet-1.
@@ -74,6 +78,16 @@
         calls_per_s = sum(demand.calls_per_s for demand in survey.demands.values())
         #: Whether too little was asked for yet to judge by demand.
         self.is_quiet = calls_per_s < QUIET_CALLS_PER_S
+        self._expected_per_s = self._expected_calls_per_s()
+
+    def _expected_calls_per_s(self) -> float:
+        """Return what a model whose callers cannot wait counts as asked for at the least."""
+        urgent = [
+            self._survey.demand(model).calls_per_s
+            for model in self._survey.engine.models
+            if not self._can_wait_for_a_load(model)
+        ]
+        return EXPECTED_SHARE * sum(urgent) / max(1, len(urgent))
 
     def idle_gain(self, model: str) -> float:
         """Return what one more copy gains at a replica with nothing else to do.
@@ -137,6 +151,8 @@
             demand.calls_per_s / max(1.0, demand.busy_replicas),
             min(demand.lasting_calls_per_s, LASTING_LIMIT_PER_S),
         )
+        if not self._can_wait_for_a_load(model):
+            calls_per_s = max(calls_per_s, self._expected_per_s)
         worth = ONLY_COPY_WORTH_PER_S + ONLY_COPY_FACTOR * calls_per_s
         starved = STARVED_WORTH_PER_S_PER_S * self._starved_s.get(model, 0.0)
         waiting = WAITING_WORTH_PER_S if demand.is_waiting else 0.0
--- a/limeshelf/platform/configuration.py
+++ b/limeshelf/platform/configuration.py
@@ -69,6 +69,8 @@
     adapter_size_mb: float = 0.0
     #: From the memory of the replica's machine.
     warm_s: float | None = None
+    #: From the disk of the replica's machine.
+    disk_load_s: float | None = None
 
 
 class _Engine(msgspec.Struct, rename='pascal'):
@@ -179,11 +181,13 @@
 
 
 def _model(model: _Model) -> ModelSpec:
+    warm_load_s = model.warm_s if model.warm_s is not None else model.load_time_s
     return ModelSpec(
         name=model.name,
         size_mb=model.weights_mb,
         load_s=model.load_time_s,
-        warm_load_s=model.warm_s if model.warm_s is not None else model.load_time_s,
+        warm_load_s=warm_load_s,
         adapters=frozenset(f'a{number}' for number in range(1, model.adapters + 1)),
         adapter_mb=model.adapter_size_mb,
+        disk_load_s=model.disk_load_s if model.disk_load_s is not None else warm_load_s,
     )
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -217,3 +217,26 @@
     move = CopyPlanner(engine(), demands, {}).next_move(replicas)
     assert move is not None
     assert (move.model, set(move.evicted)) == ('hot', {'small', 'rare'})
+
+
+def near(name: str, *models: str, disk: tuple[str, ...] = ()) -> ReplicaCopies:
+    """Return a replica with weights on the disk of its machine."""
+    held = replica(name, *models)
+    held.on_disk = frozenset(disk)
+    return held
+
+
+def test_model_is_loaded_where_its_weights_are_nearest() -> None:
+    replicas = [near('r1', 'hot'), near('r2', 'hot', disk=('rare',))]
+    move = planner(hot=busy(5), rare=seldom(waits=True)).next_move(replicas)
+    assert move is not None
+    assert (move.model, move.replica_id, move.from_store) == ('rare', 'r2', False)
+    assert move.load_s == engine().models['rare'].disk_load_s
+
+
+def test_without_the_store_models_come_from_machines_alone() -> None:
+    replicas = [near('r1', 'hot'), near('r2', 'hot', disk=('small',))]
+    demands = planner(hot=busy(5), rare=seldom(2.0, waits=True), small=seldom(waits=True))
+    move = demands.next_move(replicas, store_allowed=False)
+    assert move is not None
+    assert move.model == 'small'
--- a/tests/placement/test_worth.py
+++ b/tests/placement/test_worth.py
@@ -48,6 +48,7 @@
 
 
 def test_only_copy_is_lost_at_twice_its_worth_if_callers_cannot_wait() -> None:
+    """Demand moves among such models, so each counts as asked for by a share of the mean."""
     replicas = [replica('r1', 'hot', 'small', 'rare')]
     demands = {
         'hot': busy(20),
@@ -56,7 +57,22 @@
     }
     worth = worth_of(demands, replicas)
     assert worth.loss('small', replicas[0]) == pytest.approx(0.6)
-    assert worth.loss('rare', replicas[0]) == pytest.approx(2 * 0.6)
+    expected_per_s = 0.3 * (20 + 0) / 2
+    assert worth.loss('rare', replicas[0]) == pytest.approx(2 * (0.6 + 2 * expected_per_s))
+
+
+def test_copy_for_callers_that_cannot_wait_is_not_given_up_for_one_that_waits() -> None:
+    """Six of ten such models had lost their only copy when demand moved to two of them."""
+    replicas = [replica('r1', 'hot', 'rare'), replica('r2', 'hot', 'small')]
+    demands = {
+        'hot': busy(20),
+        'rare': ModelDemand(objective_s=0.4),
+        'small': seldom(0.1),
+        'other': seldom(0.2, waits=True),
+    }
+    worth = worth_of(demands, replicas, starved_s={'other': 30.0})
+    assert worth.gain('other', replicas[0]) < 1.3 * worth.loss('rare', replicas[0])
+    assert worth.gain('other', replicas[1]) > 1.3 * worth.loss('small', replicas[1])
 
 
 def test_copies_found_are_worth_less_by_the_square_of_their_number() -> None:
