Say from the logs where calls were lost; learn how long adapters take

limeshelf account: call, summary, plot, compare. Lines gain what it needs: objective, longest pause, service, whether the model is held, whether the caller came back, the time to a further copy, and a line for calls that end without a promise. Cause it showed first: calls whose adapter is missing were refused at once, since a fixed 0.25 s is beyond the hold of a 0.4 s objective.

Adapters: the wait is learned from calls that saw one come.

--- /dev/null
+++ b/limeshelf/account/story.py
@@ -0,0 +1,46 @@
+"""The whole story of one call, over all gateways, in order of time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limeshelf.account.calls import CallRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from limeshelf.account.lines import LogEvent
+
+
+def story_of(call_id: str, events: Iterable[LogEvent]) -> list[LogEvent]:
+    """Return the events of a call by their time."""
+    own = [event for event in events if event.fields.get('request') == call_id]
+    return sorted(own, key=lambda event: event.at_s)
+
+
+def story_lines(events: list[LogEvent]) -> list[str]:
+    """Return a story as text: a line for each decision with its inputs, then the ending."""
+    if not events:
+        return []
+    record = CallRecord(str(events[0].fields.get('request')), events[0].at_s)
+    lines = []
+    for event in events:
+        record.take(event)
+        since_ms = (event.at_s - events[0].at_s) * 1000
+        inputs = ' '.join(
+            f'{name}={value}' for name, value in event.fields.items() if name != 'request'
+        )
+        lines.append(f'{since_ms:9.1f} ms  {event.instance}  {event.name}  {inputs}')
+    lines.append(_ending_line(record))
+    return lines
+
+
+def _ending_line(record: CallRecord) -> str:
+    text = f'ended {record.ending}'
+    if record.cause:
+        text += f': {record.cause}'
+    if record.returned:
+        text += '; its caller had likely been refused before'
+    if record.retry_after_s is not None:
+        text += f'; told to come back after {record.retry_after_s:.2f} s'
+    return text
--- a/limeshelf/admission/come_back.py
+++ b/limeshelf/admission/come_back.py
@@ -7,8 +7,6 @@
 
 from typing import TYPE_CHECKING
 
-from limeshelf.admission.patience import HOLD_SHARE
-
 if TYPE_CHECKING:
     from limeshelf.calls.routes import Route
 
@@ -18,9 +16,9 @@
 #: Sooner than this a caller comes back before anything has changed. Chosen in 07266d4,
 #: not measured.
 LEAST_COME_BACK_S = 0.2
-#: Part of the longest hold after which a caller comes back where no time is known, so
-#: that the next attempt can still be in time. Chosen in a904fff, not measured.
-REFUSED_HOLD_SHARE = 0.5
+#: Part of the objective after which a caller comes back where no time is known, so that the
+#: next attempt can still be in time. Chosen, not measured.
+REFUSED_OBJECTIVE_SHARE = 0.3
 #: Callers come back a little later than the model is expected: those that came back
 #: before were refused again (f5a28b7; the factor is chosen, not measured).
 READY_MARGIN = 1.1
@@ -39,6 +37,19 @@
     return min(max(LEAST_COME_BACK_S, expected_wait_s), left_s * COME_BACK_SHARE)
 
 
+def when_room_s(queue_wait_s: float, copy_in_s: float | None, left_s: float) -> float:
+    """Return when to come back where the replicas that hold the model are overloaded.
+
+    They stay so until a further copy is there, so a shorter time would only be refused again.
+
+    :param queue_wait_s: until the queue has room by itself, in seconds.
+    :param copy_in_s: until a copy on its way is there, in seconds; ``None`` without one.
+    :param left_s: time that the caller has left, in seconds.
+    """
+    ready_s = max(0.0, copy_in_s or 0.0) * READY_MARGIN
+    return after_wait_s(max(queue_wait_s, ready_s), left_s)
+
+
 def when_ready_s(expected_wait_s: float, left_s: float) -> float:
     """Return when to come back where the model is there after *expected_wait_s*.
 
@@ -49,4 +60,4 @@
 
 def after_refusals_s(route: Route) -> float:
     """Return when to come back where it is not known how long replicas go on refusing."""
-    return route.objective_s * HOLD_SHARE * REFUSED_HOLD_SHARE
+    return route.objective_s * REFUSED_OBJECTIVE_SHARE
--- a/limeshelf/demand/meter.py
+++ b/limeshelf/demand/meter.py
@@ -10,6 +10,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from limeshelf.demand.adapter_waits import AdapterWaits
 from limeshelf.demand.keys import KeyDemand, ModelKey, key_of
 from limeshelf.demand.waits import ModelOutlook, model_wait_s, plain_wait_s
 from limeshelf.util.clock import boottime_s
@@ -46,6 +47,7 @@
         self._by_key: dict[ModelKey, KeyDemand] = {}
         self._reported_s: dict[ModelKey, float] = {}
         self._asked_s: dict[ModelKey, float] = {}
+        self._adapter_waits = AdapterWaits()
 
     def recent(self) -> list[KeyDemand]:
         """Return what was seen so far of the keys that were asked for lately."""
@@ -88,6 +90,18 @@
         self._by_key.setdefault(key, KeyDemand(key)).wanted += 1
         self._on_missing(key)
 
+    def note_found(self, call: Call, service: ServiceSpec) -> None:
+        """Note that a replica holds what the call needs."""
+        key = key_of(call, service.name)
+        if key is not None and key.adapter:
+            self._adapter_waits.note_found(key, boottime_s())
+
+    def model_is_held(self, call: Call, service: ServiceSpec) -> bool:
+        """Return whether a replica holds the call's model, with its adapter or without."""
+        need = call.model_need
+        replicas = self._directory.of_service(service.name)
+        return need is not None and any(replica.holds(need.model) for replica in replicas)
+
     def is_announced(self, call: Call, service: ServiceSpec) -> bool:
         """Return whether the leader announced when the call's model will be there.
 
@@ -96,6 +110,15 @@
         key = key_of(call, service.name)
         return key is None or key.base in self.announced_s
 
+    def announced_in_s(self, call: Call, service: ServiceSpec) -> float | None:
+        """Return the time until a copy that the leader announced is there, in seconds.
+
+        ``None`` where no copy of the call's model is on its way; below zero if overdue.
+        """
+        key = key_of(call, service.name)
+        ready_s = None if key is None else self.announced_s.get(key.base)
+        return None if ready_s is None else ready_s - boottime_s()
+
     def expected_wait_s(self, call: Call, service: ServiceSpec) -> float:
         """Return the time until a replica can likely run the call, in seconds.
 
@@ -110,9 +133,14 @@
         replicas = self._directory.of_service(key.service)
         spec = engine.models.get(key.model)
         ready_s = self.announced_s.get(key.base)
+        now_s = boottime_s()
+        has_key = any(replica.holds(key.model, key.adapter) for replica in replicas)
+        has_model = any(replica.holds(key.model) for replica in replicas)
+        misses_adapter = has_model and not has_key
         return ModelOutlook(
-            has_key=any(replica.holds(key.model, key.adapter) for replica in replicas),
-            has_model=any(replica.holds(key.model) for replica in replicas),
-            announced_in_s=None if ready_s is None else ready_s - boottime_s(),
+            has_key=has_key,
+            has_model=has_model,
+            announced_in_s=None if ready_s is None else ready_s - now_s,
             load_s=spec.load_s if spec else None,
+            adapter_wait_s=self._adapter_waits.wait_s(key, now_s) if misses_adapter else 0.0,
         )
--- a/limeshelf/demand/waits.py
+++ b/limeshelf/demand/waits.py
@@ -8,9 +8,6 @@
 
 import attrs
 
-#: How long an adapter takes at a replica that holds its model. Chosen with the first
-#: path (commit a904fff), not measured.
-ADAPTER_WAIT_S = 0.25
 #: How long a call to a plain service waits for a replica. Chosen (commit a904fff), not
 #: measured.
 PLAIN_WAIT_S = 1.0
@@ -36,12 +33,15 @@
         announcement, below zero if overdue; ``None`` without one.
     :param load_s: duration of the model's load from the weight store; ``None`` if the
         configuration does not name the model.
+    :param adapter_wait_s: seconds until the adapter is there, at a replica that holds its
+        model.
     """
 
     has_key: bool
     has_model: bool
     announced_in_s: float | None
     load_s: float | None
+    adapter_wait_s: float
 
 
 def plain_wait_s(has_replica: bool) -> float:
@@ -54,7 +54,7 @@
     if outlook.has_key:
         return 0.0
     if outlook.has_model:
-        return ADAPTER_WAIT_S
+        return outlook.adapter_wait_s
     if outlook.announced_in_s is not None:
         return max(OVERDUE_WAIT_S, outlook.announced_in_s)
     load_s = UNNAMED_LOAD_S if outlook.load_s is None else outlook.load_s
--- a/limeshelf/gateway/lines.py
+++ b/limeshelf/gateway/lines.py
@@ -39,6 +39,7 @@
         'attempt',
         request=state.call.call_id,
         route=state.route.name,
+        service=state.service.name,
         replica=replica.replica_id,
         result=type(result).__name__,
         detail=_detail(result),
@@ -46,6 +47,9 @@
         waited_ms=int(state.waited_s * 1000),
         first_ms=int(first_s * 1000),
         pause_ms=int(pause_s * 1000),
+        objective_ms=int(state.route.objective_s * 1000),
+        pause_limit_ms=int(state.route.pause_s * 1000) if need else 0,
+        returned=state.returned,
         model=need.model if need else '',
         adapter=need.adapter if need else '',
         tokens=need.prompt_tokens if need else 0,
@@ -73,15 +77,20 @@
     return result.status if isinstance(result, Delivered | NeverRan) else 0
 
 
-def log_overloaded(state: CallState, expected_wait_s: float, left_s: float) -> None:
-    """Log that replicas hold what the call needs, but have no room for it in time."""
+def log_overloaded(state: CallState, expected_wait_s: float, copy_in_s: float | None) -> None:
+    """Log that replicas hold what the call needs, but have no room for it in time.
+
+    :param expected_wait_s: until the queue has room, in seconds.
+    :param copy_in_s: until a further copy is there, in seconds; ``None`` if none is on its way.
+    """
     need = state.call.model_need
     log_request(
         'refused_overloaded',
         request=state.call.call_id,
         route=state.route.name,
         expected_wait_ms=int(expected_wait_s * 1000),
-        left_ms=int(left_s * 1000),
+        left_ms=int(state.left_s * 1000),
+        copy_in_ms=None if copy_in_s is None else int(copy_in_s * 1000),
         returned=state.returned,
         model=need.model if need else '',
         adapter=need.adapter if need else '',
@@ -90,8 +99,11 @@
     )
 
 
-def log_no_replica(state: CallState, expected_wait_s: float) -> None:
-    """Log that no replica holds what the call needs, nor will in time."""
+def log_no_replica(state: CallState, expected_wait_s: float, model_held: bool) -> None:
+    """Log that no replica holds what the call needs, nor will in time.
+
+    :param model_held: whether one holds the model, so that just the adapter is missing.
+    """
     need = state.call.model_need
     log_request(
         'refused_no_replica',
@@ -103,9 +115,19 @@
         left_ms=int(state.left_s * 1000),
         waited_ms=int(state.since_arrival_s * 1000),
         objective_ms=int(state.route.objective_s * 1000),
+        model_held=model_held,
+        returned=state.returned,
     )
 
 
+def log_failed(call: Call, status: int, config_version: int | None) -> None:
+    """Log that a call ends without a promise.
+
+    :param status: of the caller's answer; 0 where one that had begun is broken off.
+    """
+    log_request('failed', request=call.call_id, status=status, config=config_version)
+
+
 def log_refused(call: Call, refusal: Refuse, config_version: int | None) -> None:
     """Log the status and the promise with which a call ends."""
     outcome = refusal.outcome
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -22,7 +22,13 @@
 from limeshelf.errors import NotRun, RefusalReason
 from limeshelf.gateway.exchange import Exchange
 from limeshelf.gateway.learning import apply, excludes, lesson_of
-from limeshelf.gateway.lines import log_attempt, log_no_replica, log_overloaded, log_refused
+from limeshelf.gateway.lines import (
+    log_attempt,
+    log_failed,
+    log_no_replica,
+    log_overloaded,
+    log_refused,
+)
 from limeshelf.gateway.selection import Selected
 from limeshelf.gateway.settling import (
     STATUS_UNAVAILABLE,
@@ -155,17 +161,26 @@
                 return give_up(state.progress(), reason)
             selection = await self._selector.select(state)
             if isinstance(selection, NoRoom):
-                return _refuse_overloaded(state, selection.wait_s)
+                return self._refuse_overloaded(state, selection.wait_s)
             if isinstance(selection, Selected):
+                self._demand.note_found(state.call, state.service)
                 if state.sends and not self._budgets.of(state.service.name).try_retry():
                     selection.note_end()
                     return give_up(state.progress(), RefusalReason.UPSTREAM_REFUSED)
                 return selection
             decided = decide_absent(self._absent(state))
             if isinstance(decided, RefuseUntilReady):
-                return _refuse_no_replica(state, decided)
+                model_held = self._demand.model_is_held(state.call, state.service)
+                return _refuse_no_replica(state, decided, model_held)
             await self._hold(state, decided)
 
+    def _refuse_overloaded(self, state: CallState, queue_wait_s: float) -> Ending:
+        left_s = state.left_s
+        copy_in_s = self._demand.announced_in_s(state.call, state.service)
+        log_overloaded(state, queue_wait_s, copy_in_s)
+        retry_after_s = come_back.when_room_s(queue_wait_s, copy_in_s, left_s)
+        return give_up(state.progress(), RefusalReason.OVERLOADED, retry_after_s)
+
     async def _hold(self, state: CallState, hold: Hold) -> None:
         """Wait for a replica that can run the call."""
         if hold.retry_excluded:
@@ -235,6 +250,7 @@
         if isinstance(ending, Answered):
             return
         if isinstance(ending, BreakOff):
+            log_failed(call, 0, self._version)
             answer.abort()
         elif isinstance(ending, PassOn):
             whole = ending.answer
@@ -242,6 +258,7 @@
         elif isinstance(ending, Refuse):
             await self._refuse(call, ending, answer)
         else:
+            log_failed(call, ending.status, self._version)
             headers = self._wire.refusal_headers(call.call_id, None)
             await answer.whole(ending.status, headers, b'')
 
@@ -255,13 +272,6 @@
     return Refuse(STATUS_UNAVAILABLE, NotRun(reason, come_back.NOT_READY_COME_BACK_S))
 
 
-def _refuse_overloaded(state: CallState, expected_wait_s: float) -> Ending:
-    left_s = state.left_s
-    log_overloaded(state, expected_wait_s, left_s)
-    retry_after_s = come_back.after_wait_s(expected_wait_s, left_s)
-    return give_up(state.progress(), RefusalReason.OVERLOADED, retry_after_s)
-
-
-def _refuse_no_replica(state: CallState, refusal: RefuseUntilReady) -> Ending:
-    log_no_replica(state, refusal.expected_wait_s)
+def _refuse_no_replica(state: CallState, refusal: RefuseUntilReady, model_held: bool) -> Ending:
+    log_no_replica(state, refusal.expected_wait_s, model_held)
     return give_up(state.progress(), RefusalReason.NO_READY_REPLICA, refusal.retry_after_s)
--- a/limeshelf/standalone/programs/cli.py
+++ b/limeshelf/standalone/programs/cli.py
@@ -14,6 +14,7 @@
 
 from limeshelf.admin import admin_pb2 as pb
 from limeshelf.standalone.admin.client import Connection
+from limeshelf.standalone.programs.cli_account import account_app
 from limeshelf.standalone.programs.cli_common import (
     EXIT_INVALID,
     EXIT_NOT_FOUND,
@@ -34,6 +35,7 @@
 app.add_typer(policy_app, name='policy')
 app.add_typer(settings_app, name='settings')
 app.add_typer(config_app, name='config')
+app.add_typer(account_app, name='account')
 
 
 @app.callback()
--- a/tests/demand/test_meter.py
+++ b/tests/demand/test_meter.py
@@ -9,6 +9,7 @@
 
 from limeshelf.calls.call import Call, ModelNeed
 from limeshelf.calls.routes import EngineSpec, ModelSpec, ServiceSpec
+from limeshelf.demand.adapter_waits import FIRST_GUESS_S
 from limeshelf.demand.keys import KeyDemand, ModelKey
 from limeshelf.demand.meter import DemandMeter
 from limeshelf.platform.replicas import read_record
@@ -86,7 +87,7 @@
     assert gateway.wait_s == 5.0
     assert gateway.meter.is_announced(CALL, SERVICE)
     gateway.add('lm', Holding('m1'))
-    assert gateway.wait_s == 0.25
+    assert gateway.wait_s == FIRST_GUESS_S
 
 
 def test_no_wait_where_a_replica_holds_the_adapter(gateway: Gateway) -> None:
--- a/tests/demand/test_waits.py
+++ b/tests/demand/test_waits.py
@@ -7,7 +7,9 @@
 
 from limeshelf.demand.waits import ModelOutlook, model_wait_s, plain_wait_s
 
-ABSENT = ModelOutlook(has_key=False, has_model=False, announced_in_s=None, load_s=8.0)
+ABSENT = ModelOutlook(
+    has_key=False, has_model=False, announced_in_s=None, load_s=8.0, adapter_wait_s=0.25
+)
 
 
 @pytest.mark.parametrize(
--- a/tests/gateway/test_lines.py
+++ b/tests/gateway/test_lines.py
@@ -53,17 +53,25 @@
 def test_refusal_for_overload_names_the_model_and_the_bounds_of_the_wait(
     written: dict[str, Any],
 ) -> None:
-    lines.log_overloaded(held_state(0.5), 1.7, 9.0)
+    lines.log_overloaded(held_state(0.5), 1.7, 3.2)
     check_wait(written, 'refused_overloaded')
     assert written['expected_wait_ms'] == 1700
+    assert written['copy_in_ms'] == 3200
 
 
 def test_refusal_for_lack_of_a_replica_tells_the_bounds_of_the_wait(
     written: dict[str, Any],
 ) -> None:
-    lines.log_no_replica(held_state(0.5), 0.25)
+    lines.log_no_replica(held_state(0.5), 0.25, model_held=True)
     check_wait(written, 'refused_no_replica')
     assert written['expected_wait_ms'] == 250
+    assert written['model_held'] is True
+    assert written['returned'] is False
+
+
+def test_failure_tells_the_status_that_promises_nothing(written: dict[str, Any]) -> None:
+    lines.log_failed(held_state(0.5).call, 502, 3)
+    assert (written['event'], written['request'], written['status']) == ('failed', 'c', 502)
 
 
 @pytest.mark.parametrize(
@@ -84,3 +92,4 @@
     assert written['status'] == status
     assert 400 <= written['took_ms'] < 800
     assert written['answer_started'] is False
+    assert (written['objective_ms'], written['service']) == (2000, 'lm')
