--- a/benchmarks/account.py
+++ b/benchmarks/account.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from limeshelf.account.lines import LogReader
-from limeshelf.account.summary import Summary
+from limeshelf.account.summary import CallSummary
 
 LINES = 1_000_000
 AIM_S = 60.0
@@ -38,7 +38,7 @@
         path = Path(directory) / 'gateways.log'
         write_lines(path)
         began_s = time.perf_counter()
-        summary = Summary()
+        summary = CallSummary()
         with path.open('rb') as stream:
             summary.take_all(LogReader().read(stream))
         took_s = time.perf_counter() - began_s
--- a/limeshelf/account/compare.py
+++ b/limeshelf/account/compare.py
@@ -16,7 +16,7 @@
 
 from limeshelf.account.calls import Ending
 from limeshelf.account.lines import LogReader
-from limeshelf.account.summary import Summary
+from limeshelf.account.summary import CallSummary
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -53,7 +53,7 @@
         return f'{self.mean:.3f}' if math.isnan(self.half) else f'{self.mean:.3f} ±{self.half:.3f}'
 
 
-_FIGURES: dict[str, Callable[[Summary], float]] = {
+_FIGURES: dict[str, Callable[[CallSummary], float]] = {
     'worth': lambda summary: summary.total.worth_share,
     'worth, strict': lambda summary: summary.total.strict_share,
     'in time': lambda summary: summary.total.share(Ending.IN_TIME),
@@ -77,17 +77,17 @@
     ]
 
 
-def summarize(files: list[str], worths: Worths, stdin: IO[bytes]) -> Summary:
+def summarize(files: list[str], worths: Worths, stdin: IO[bytes]) -> CallSummary:
     """Return the summary of one run.
 
     :raises OSError: a file cannot be read.
     """
-    summary = Summary(worths)
+    summary = CallSummary(worths)
     summary.take_all(LogReader().read_files(files, stdin))
     return summary
 
 
-def compare_lines(before: list[Summary], after: list[Summary]) -> list[str]:
+def compare_lines(before: list[CallSummary], after: list[CallSummary]) -> list[str]:
     """Return both sets side by side, a line for each figure."""
     lines = [f'{"":24} {"A":>16} {"B":>16} {"B - A":>8}']
     for name, figure in _FIGURES.items():
--- a/limeshelf/account/plot.py
+++ b/limeshelf/account/plot.py
@@ -18,7 +18,7 @@
 
     from matplotlib.axes import Axes
 
-    from limeshelf.account.summary import Summary
+    from limeshelf.account.summary import CallSummary
 
 #: Inches of the drawing.
 SIZE_INCHES = (11.0, 7.0)
@@ -32,7 +32,7 @@
 _MARKED = tuple(SpanKind)
 
 
-def draw(summary: Summary, path: Path) -> None:
+def draw(summary: CallSummary, path: Path) -> None:
     """Write the drawing of a closed summary; the name's suffix gives the format.
 
     :raises ValueError: no format has that suffix.
@@ -59,7 +59,9 @@
         pyplot.close(figure)
 
 
-def _draw_waits(summary: Summary, windows: list[int], times_s: list[float], axes: Axes) -> None:
+def _draw_waits(
+    summary: CallSummary, windows: list[int], times_s: list[float], axes: Axes
+) -> None:
     causes = [
         cause for cause in Cause if any(cause in waits_s for waits_s in summary.waits_s.values())
     ]
@@ -71,7 +73,7 @@
         axes.legend(loc='upper left', fontsize='x-small')
 
 
-def _draw_spans(summary: Summary, begin_s: float, axes: Axes) -> None:
+def _draw_spans(summary: CallSummary, begin_s: float, axes: Axes) -> None:
     for row, kind in enumerate(_MARKED):
         bars = [
             (span.begin_s - begin_s, max(0.05, span.end_s - span.begin_s))
--- a/limeshelf/account/report.py
+++ b/limeshelf/account/report.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from limeshelf.account.lines import LogReader
-    from limeshelf.account.summary import Summary, Tally
+    from limeshelf.account.summary import CallSummary, Tally
 
 #: Models shown, those that lost most first.
 SHOWN_MODELS = 12
@@ -22,7 +22,7 @@
 )
 
 
-def report_lines(summary: Summary, reader: LogReader) -> list[str]:
+def report_lines(summary: CallSummary, reader: LogReader) -> list[str]:
     """Return the report of a closed summary."""
     lines = [f'{reader.events} events, {reader.unreadable} lines without one', '']
     lines += ['what the rest was lost to, by worth']
@@ -51,7 +51,7 @@
     return ['', title, *rows]
 
 
-def _worst_windows(summary: Summary) -> list[str]:
+def _worst_windows(summary: CallSummary) -> list[str]:
     if not summary.by_window:
         return []
     first = min(summary.by_window)
--- a/limeshelf/account/summary.py
+++ b/limeshelf/account/summary.py
@@ -91,7 +91,7 @@
 
 
 @attrs.define
-class Summary:
+class CallSummary:
     """Takes events and sums them up; ask it only after :meth:`close`.
 
     :param window_s: length of the moments in which calls are summed up.
--- a/limeshelf/standalone/programs/cli_account.py
+++ b/limeshelf/standalone/programs/cli_account.py
@@ -18,7 +18,7 @@
 from limeshelf.account.lines import STDIN, LogReader
 from limeshelf.account.report import report_lines
 from limeshelf.account.story import story_lines, story_of
-from limeshelf.account.summary import Summary
+from limeshelf.account.summary import CallSummary
 from limeshelf.account.worths import Worths
 from limeshelf.errors import InvalidDocument
 from limeshelf.standalone.programs.cli_common import EXIT_INVALID, EXIT_NOT_FOUND
@@ -68,7 +68,7 @@
 ) -> None:
     """Count how calls ended, and rank what the rest was lost to by its worth."""
     with _reading(files) as reader:
-        made = Summary(_worths(worth), window_s)
+        made = CallSummary(_worths(worth), window_s)
         made.take_all(reader.read_files(_inputs(files), sys.stdin.buffer))
     for line in report_lines(made, reader):
         print_line(line)
@@ -85,7 +85,7 @@
     with _needing_extra():
         from limeshelf.account.plot import draw
     with _reading(files) as reader:
-        made = Summary(_worths(worth), window_s)
+        made = CallSummary(_worths(worth), window_s)
         made.take_all(reader.read_files(_inputs(files), sys.stdin.buffer))
     try:
         draw(made, output)
--- a/tests/account/test_summary.py
+++ b/tests/account/test_summary.py
@@ -13,7 +13,7 @@
 from limeshelf.account.calls import CallRecord, Cause, Ending
 from limeshelf.account.lines import LogEvent
 from limeshelf.account.spans import SpanKind
-from limeshelf.account.summary import Summary
+from limeshelf.account.summary import CallSummary
 from limeshelf.account.worths import RouteWorth, Worths
 
 
@@ -102,8 +102,8 @@
     ]
 
 
-def summarized(events: list[LogEvent], worths: Worths | None = None) -> Summary:
-    made = Summary(worths or Worths())
+def summarized(events: list[LogEvent], worths: Worths | None = None) -> CallSummary:
+    made = CallSummary(worths or Worths())
     made.take_all(events)
     return made
 
@@ -151,7 +151,7 @@
 
 def test_open_calls_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module, 'MAX_OPEN_CALLS', 3)
-    made = Summary()
+    made = CallSummary()
     for n in range(10):
         made.take(attempt(f'c-{n}'))
     assert len(made._open) == 3
