--- a/limeshelf/dispatch/client.py
+++ b/limeshelf/dispatch/client.py
@@ -41,7 +41,9 @@
 #: A queued request is sent again this often, so that a new dispatcher learns of it; four times
 #: within the dispatcher's ``UNASKED_LIFE_S``. Chosen, not measured.
 ASK_AGAIN_S = 0.25
-#: The own queue is tried this often, because time alone makes room too. Chosen, not measured.
+#: The own queue is tried this often while requests wait in it, because time alone makes room
+#: too. Chosen, not measured. Trying also an empty one woke each gateway 67 times a second, half
+#: of all that an idle gateway did.
 PUMP_INTERVAL_S = 0.015
 
 
@@ -85,6 +87,7 @@
         self._data_centre = data_centre
         self._pending: dict[str, _PendingRequest] = {}
         self._fallback = Fallback()
+        self._queued = asyncio.Event()
 
     def start(self) -> None:
         """Take messages."""
@@ -93,10 +96,12 @@
         self._node.add_handler(DispatchProgress, self._take_progress)
 
     async def run(self) -> None:
-        """Try the own queue again and again, until cancelled."""
+        """Try the own queue again and again while requests wait in it, until cancelled."""
         while True:
-            await asyncio.sleep(PUMP_INTERVAL_S)
-            if self.dispatcher.waiting:
+            await self._queued.wait()
+            self._queued.clear()
+            while self.dispatcher.waiting:
+                await asyncio.sleep(PUMP_INTERVAL_S)
                 self.dispatcher.pump()
 
     async def ask(self, request: GrantRequest) -> Grant | NoRoom | NoHolder:
@@ -197,7 +202,7 @@
 
     def _send_query(self, dispatcher: str, query: DispatchQuery) -> None:
         if dispatcher == LOCAL:
-            self.dispatcher.take_query(query, LOCAL)
+            self._take(query, LOCAL)
         else:
             self._node.send(dispatcher, query)
 
@@ -218,8 +223,13 @@
         if pending is not None:
             pending.verdicts.put_nowait(verdict)
 
+    def _take(self, query: DispatchQuery, asker: str) -> None:
+        self.dispatcher.take_query(query, asker)
+        if self.dispatcher.waiting:
+            self._queued.set()
+
     def _take_query(self, envelope: Envelope) -> None:
-        self.dispatcher.take_query(envelope.message, envelope.sender)
+        self._take(envelope.message, envelope.sender)
 
     def _take_verdict(self, envelope: Envelope) -> None:
         self._deliver(envelope.message)
--- a/limeshelf/feeds/follower.py
+++ b/limeshelf/feeds/follower.py
@@ -1,43 +1,63 @@
 """Follows a table of the store, while this process is to ask the store itself.
 
-Owns whether the store is in reach for this table. Relies on the store's feed of changes,
-and brings what it answers to a :class:`~limeshelf.feeds.table_copy.TableCopy`.
+Owns whether this table was read lately. Relies on the store's feed of changes, on
+:mod:`limeshelf.feeds.store_reach` for when to ask again after a failure, and brings what the
+store answers to a :class:`~limeshelf.feeds.table_copy.TableCopy`.
 """
 
 from __future__ import annotations
 
 import asyncio
-import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from limeshelf.errors import PlatformUnavailable, PlatformUnknown
 from limeshelf.feeds.rows import HistoryGone
+from limeshelf.feeds.store_reach import StoreReach
 from limeshelf.metrics.event_log import log_change
-from limeshelf.util.backoff import full_jitter_s
-from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from limeshelf.feeds.rows import RowTable
+    from limeshelf.feeds.rows import Page, RowTable
     from limeshelf.feeds.table_copy import TableCopy
 
-#: Pause after a failed call: bound after the first failure, and the largest. Chosen, not
-#: measured.
-RETRY_BASE_S = 0.15
-RETRY_LIMIT_S = 1.0
-#: While the updates of peers suffice, whether they still do is checked this often. Chosen, not
-#: measured.
-CHECK_INTERVAL_S = 0.1
+
+class StorePolling(Protocol):
+    """Says whether this process asks the store itself, or goes by the updates of peers."""
+
+    def is_due(self) -> bool:
+        """Return whether it asks the store now."""
+
+    async def until_due(self) -> None:
+        """Return when it may have come to ask the store."""
+
+    def spread_s(self) -> float:
+        """Return the longest further pause after a failure.
+
+        It spreads the processes that find the store out of reach together.
+        """
+
+
+class AlwaysDue:
+    """For a process without peers."""
+
+    def is_due(self) -> bool:
+        """Return that the store is asked."""
+        return True
+
+    async def until_due(self) -> None:
+        """Return at once."""
+
+    def spread_s(self) -> float:
+        """Return that no others have to be waited for."""
+        return 0.0
 
 
 class TableFollower:
     """Keeps the copy of one table up to date from the store.
 
-    :param is_due: returns whether this process asks the store now, rather than going by
-        the updates of peers.
-    :param spread_s: returns the longest further pause after a failure, which spreads the
-        processes that follow together.
+    :param polling: whether this process asks the store now.
+    :param reach: shared by all tables that this process follows.
     :param on_page: called with the copy and its version before an answer of the store.
     :ivar reached: whether the store has ever answered.
     """
@@ -46,62 +66,55 @@
         self,
         copy: TableCopy,
         store: RowTable,
-        is_due: Callable[[], bool] = lambda: True,
-        spread_s: Callable[[], float] = lambda: 0.0,
+        polling: StorePolling | None = None,
+        reach: StoreReach | None = None,
         on_page: Callable[[TableCopy, int], None] = lambda copy, after: None,
     ) -> None:
         self.copy = copy
         self.reached = False
         self._store = store
-        self._is_due = is_due
-        self._spread_s = spread_s
+        self._polling = polling or AlwaysDue()
+        self._reach = reach or StoreReach()
         self._on_page = on_page
         self._lost = False
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         copy = self.copy
-        failures = 0
         while True:
-            if copy.version and not self._is_due():
-                await asyncio.sleep(CHECK_INTERVAL_S)
+            if copy.version and not self._polling.is_due():
+                await self._polling.until_due()
                 continue
             after = copy.version
             try:
-                asked_s = boottime_s()
-                has_changes = await self._ask()
+                async with self._reach.attempt(self._polling.spread_s()):
+                    page = await self._ask()
             except HistoryGone:
                 copy.needs_full_read = True
                 log_change('table_history_gone', table=copy.table, version=copy.version)
                 continue
             except (PlatformUnavailable, PlatformUnknown) as error:
-                failures += 1
                 self._note_lost(repr(error))
                 # A call without an answer may hide dropped history; a full read
                 # settles it either way.
                 copy.needs_full_read = True
-                await asyncio.sleep(self._retry_pause_s(failures))
                 continue
-            failures = 0
-            copy.note_confirmed(asked_s)
+            copy.note_confirmed(page.answered_s)
             self._note_reached()
             self._on_page(copy, after)
-            if has_changes:
+            if page.rows:
                 await asyncio.sleep(copy.rule.pace_s)
 
-    async def _ask(self) -> bool:
-        """Ask the store for what changed; return whether something may have."""
+    async def _ask(self) -> Page:
+        """Ask the store for what changed, or for the whole table, and take the answer."""
         copy = self.copy
         if copy.needs_full_read:
-            copy.take_full(await self._store.read(copy.table))
-            return True
+            page = await self._store.read(copy.table)
+            copy.take_full(page)
+            return page
         page = await self._store.changes(copy.table, copy.version, copy.rule.wait_s)
         copy.take_changes(page)
-        return bool(page.rows)
-
-    def _retry_pause_s(self, failures: int) -> float:
-        pause_s = full_jitter_s(failures, RETRY_BASE_S, RETRY_LIMIT_S)
-        return pause_s + random.uniform(0.0, self._spread_s())
+        return page
 
     def _note_lost(self, reason: str) -> None:
         if not self._lost:
--- a/limeshelf/feeds/rows.py
+++ b/limeshelf/feeds/rows.py
@@ -33,11 +33,14 @@
     """Rows of a table, or its changes, as of one version of the store.
 
     :param now_ms: the store's steady clock when it answered.
+    :param answered_s: the same moment, on this machine's boot clock; no part of what the page
+        says, so pages are equal without it.
     """
 
     rows: tuple[Row, ...]
     version: int
     now_ms: int = 0
+    answered_s: float = attrs.field(default=0.0, eq=False)
 
 
 @dataclass(eq=False)
--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -49,6 +49,7 @@
     :ivar version: of the store, up to which the rows are complete; 0 before any.
     :ivar confirmed_s: when the store last confirmed that to somebody, on the clock of
         :func:`~limeshelf.util.clock.boottime_s`; 0 if never.
+    :ivar peer_confirmed_s: the same, of what peers passed on.
     :ivar needs_full_read: whether changes may be missing that the store no longer keeps,
         so that only a read of the whole table shows which rows are there.
     """
@@ -60,6 +61,7 @@
         self.rule = rule or FollowRule()
         self.version = 0
         self.confirmed_s = 0.0
+        self.peer_confirmed_s = 0.0
         self.needs_full_read = True
         self._rows: dict[str, Row] = {}
         self._listener = listener
@@ -69,15 +71,18 @@
         """Return for how long nobody has confirmed that the rows are the newest."""
         return boottime_s() - self.confirmed_s
 
-    @property
-    def overdue_s(self) -> float:
-        """Return for how long the rows have been older than they should be."""
-        return self.age_s - self.rule.stale_s
-
     @property
     def is_stale(self) -> bool:
         """Return whether the rows may be older than they should be."""
-        return self.overdue_s > 0
+        return self.age_s > self.rule.stale_s
+
+    @property
+    def peers_overdue_s(self) -> float:
+        """Return for how long peers have passed on nothing that is new enough, in seconds.
+
+        Below zero while they do.
+        """
+        return boottime_s() - self.peer_confirmed_s - self.rule.stale_s
 
     def rows(self) -> list[Row]:
         """Return the rows that are there."""
@@ -107,7 +112,9 @@
         continuity = continuity_of(after, upto, self.version)
         if continuity is Continuity.CONTINUES:
             self.version = upto
-            self.note_confirmed(boottime_s() - age_s)
+            confirmed_s = boottime_s() - age_s
+            self.note_confirmed(confirmed_s)
+            self.peer_confirmed_s = max(self.peer_confirmed_s, confirmed_s)
             self.needs_full_read = False
         return continuity
 
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -236,6 +236,8 @@
         if excludes(lesson):
             state.excluded.add(replica.replica_id)
         suspended = apply(lesson, replica, need, self._directory)
+        if replica.health.awaits_probe:
+            self._pool.note_out_of_reach()
         load = self._directory.load_of(replica)
         log_attempt(state, replica, load, result, suspended, self._version)
 
--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -44,7 +44,7 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
-    from limeshelf.feeds.rows import RowTable
+    from limeshelf.feeds.rows import Page, RowTable
 
 #: A holder renews when this share of the lease has passed since the last renewal. Chosen, not
 #: measured.
@@ -53,6 +53,7 @@
 #: be over: time for its way to the replica, and for clocks that run at unlike speeds.
 #: Chosen, not measured.
 ORDER_MARGIN_S = 0.2
+MS_PER_S = 1000
 
 
 @attrs.define
@@ -63,11 +64,15 @@
     :ivar renewed_s: from when the lease lasts, on the boot clock: a moment before the
         store told the time from which the row's end was counted.
     :ivar row_version: the store's version of that write.
+    :ivar store_ahead_s: by how much the store's clock is ahead of the boot clock, as of the
+        last read of the row. Too much by the time of that read, never too little, so no
+        row's end that is counted by it is early.
     """
 
     fence: int
     renewed_s: float
     row_version: int
+    store_ahead_s: float = 0.0
 
     def renewal_is_due(self, now_s: float, lease_s: float) -> bool:
         """Return whether to renew now.
@@ -171,11 +176,26 @@
         if version is None or self._released:
             # Another contender wrote first, or this process stops: no term, so no event.
             return
-        self.term = Term(fence, began_s, version)
+        self.term = Term(fence, began_s, version, _store_ahead_s(page, began_s))
         self._highest_fence = max(self._highest_fence, fence)
         log_change('term_begun', fence=fence, row_version=version)
 
     async def _renew(self, term: Term) -> None:
+        """Write the row anew; it is read before only if it is not as this process left it."""
+        began_s = boottime_s()
+        now_ms = int((began_s + term.store_ahead_s) * MS_PER_S)
+        version = await self._write(term.fence, term.row_version, now_ms)
+        if version is None:
+            await self._renew_from_row(term)
+            return
+        term.renewed_s = began_s
+        term.row_version = version
+
+    async def _renew_from_row(self, term: Term) -> None:
+        """Renew a row that changed since the last answer that came.
+
+        The change may be a write of this process whose answer was lost.
+        """
         began_s = boottime_s()
         page = await self._store.read(LEASE_TABLE)
         row = find_row(page)
@@ -192,6 +212,7 @@
             return
         term.renewed_s = began_s
         term.row_version = version
+        term.store_ahead_s = _store_ahead_s(page, began_s)
 
     def _end_term(self, term: Term, cause: str) -> None:
         """End *term*, unless it has ended already and another one has begun."""
@@ -224,3 +245,11 @@
         except (ConditionFailed, PlatformUnavailable, PlatformUnknown) as error:
             # Nothing is lost but time: the row's end lets a successor in.
             log_change('lease_not_released', fence=term.fence, cause=type(error).__name__)
+
+
+def _store_ahead_s(page: Page, asked_s: float) -> float:
+    """Return by how much the store's clock is ahead, at the most.
+
+    :param asked_s: when the page was asked for, on the boot clock: before it was answered.
+    """
+    return page.now_ms / MS_PER_S - asked_s
--- a/limeshelf/membership/members.py
+++ b/limeshelf/membership/members.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import bisect
 from typing import TYPE_CHECKING
 
 from limeshelf.membership.member import Member
@@ -27,6 +28,9 @@
     def __init__(self, own: Member) -> None:
         self.own = own
         self._by_address: dict[str, Member] = {own.address: own}
+        #: By data centre, the highest rank first. Ranks are asked for some twenty times a
+        #: second and change only when a gateway becomes known.
+        self._ranked: dict[str, list[Member]] = {own.data_centre: [own]}
 
     def add(self, address: str, data_centre: str = '', weight: float | None = None) -> Member:
         """Add a gateway, or learn more of a known one."""
@@ -34,10 +38,28 @@
         if member is None:
             member = self._by_address[address] = Member(address)
         if member is not self.own:
-            member.data_centre = data_centre or member.data_centre
-            member.weight = member.weight if weight is None else weight
+            self._describe(
+                member,
+                data_centre or member.data_centre,
+                member.weight if weight is None else weight,
+            )
         return member
 
+    def _describe(self, member: Member, data_centre: str, weight: float) -> None:
+        if (member.data_centre, member.weight) == (data_centre, weight):
+            return
+        if member.data_centre:
+            self._ranked[member.data_centre].remove(member)
+        member.data_centre, member.weight = data_centre, weight
+        if data_centre:
+            bisect.insort(
+                self._ranked.setdefault(data_centre, []), member, key=lambda one: one.rank_key
+            )
+
+    def change_own_weight(self, weight: float) -> None:
+        """Let this gateway rank by another weight from now on."""
+        self._describe(self.own, self.own.data_centre, weight)
+
     def note_message(self, address: str, data_centre: str) -> bool:
         """Note that a gateway sent something; return whether it was silent before."""
         member = self.add(address, data_centre)
@@ -62,19 +84,18 @@
 
     def in_own_centre(self) -> list[Member]:
         """Return the other gateways of this data centre."""
-        centre = self.own.data_centre
-        return [member for member in self.others() if member.data_centre == centre]
+        ranked = self._ranked[self.own.data_centre]
+        return [member for member in ranked if member is not self.own]
 
     def other_centres(self) -> set[str]:
         """Return the other data centres that are known."""
-        centres = {member.data_centre for member in self.others() if member.data_centre}
+        centres = {centre for centre, ranked in self._ranked.items() if ranked}
         return centres - {self.own.data_centre}
 
     def relays(self, data_centre: str) -> list[Member]:
         """Return the relays of a data centre, the first by rank first."""
         now_s = boottime_s()
-        inside = [one for one in self._by_address.values() if one.data_centre == data_centre]
-        choice = choose_relays(inside, self.own, now_s)
+        choice = choose_relays(self._ranked.get(data_centre, []), self.own, now_s)
         for member in [*choice.relays, *choice.silent]:
             if member is not self.own:
                 member.relay_since_s = member.relay_since_s or now_s
@@ -98,8 +119,7 @@
 
     def own_rank(self) -> int:
         """Return this gateway's rank among those of its data centre, from 0."""
-        ranked = sorted([*self.in_own_centre(), self.own], key=lambda one: one.rank_key)
-        return ranked.index(self.own)
+        return self._ranked[self.own.data_centre].index(self.own)
 
     def reachable(self, members: Iterable[Member]) -> list[str]:
         """Return the addresses of those that are sent a message now.
--- a/limeshelf/membership/receivers.py
+++ b/limeshelf/membership/receivers.py
@@ -10,7 +10,9 @@
 replica states     leader                  gateways of its data centre, relays of others
 the same, passed   first relay of another  gateways of its data centre
 on                 data centre
-rows               first relay             gateways of its data centre
+rows               who asked the store     gateways of its data centre, relays of others
+the same, passed   first relay of another  gateways of its data centre
+on                 data centre
 leaving            every gateway           all gateways
 =================  ======================  ==============================================
 
@@ -61,10 +63,15 @@
     return sorted({*own_centre(members), *relays_elsewhere(members)})
 
 
-def of_forwarded_states(members: Members, sender_centre: str) -> list[str]:
-    """Return whom this gateway passes the leader's states on to.
+def of_rows(members: Members) -> list[str]:
+    """Return who is sent rows by the gateway that asked the store."""
+    return of_states(members)
+
+
+def of_forwarded(members: Members, sender_centre: str) -> list[str]:
+    """Return whom this gateway passes states of replicas, or rows, on to.
 
-    :param sender_centre: data centre of the leader.
+    :param sender_centre: data centre of the leader, or of who asked the store.
     """
     if sender_centre == members.own.data_centre or not members.is_first_relay:
         return []
--- a/limeshelf/membership/relays.py
+++ b/limeshelf/membership/relays.py
@@ -15,7 +15,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from limeshelf.membership.member import Member
 
@@ -41,17 +41,19 @@
     standby: list[Member] = attrs.field(factory=list)
 
 
-def choose_relays(members: Iterable[Member], own: Member, now_s: float) -> RelayChoice:
+def choose_relays(ranked: Sequence[Member], own: Member, now_s: float) -> RelayChoice:
     """Choose the relays among the gateways of one data centre.
 
+    :param ranked: these gateways, the highest rank first.
     :param own: this gateway, which is never silent to itself.
     :param now_s: the time on the clock of the members.
     """
     choice = RelayChoice()
-    for member in sorted(members, key=lambda one: one.rank_key):
+    for place, member in enumerate(ranked):
         if len(choice.relays) == RELAYS:
-            choice.standby.append(member)
-        elif member is not own and _is_passed_over(member, now_s):
+            choice.standby.extend(ranked[place:])
+            break
+        if member is not own and _is_passed_over(member, now_s):
             choice.silent.append(member)
         else:
             choice.relays.append(member)
--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -1,8 +1,9 @@
 """Passes rows of the store on between gateways, so that few ask the store.
 
-Owns nothing; brings updates of other gateways into the copies of tables and sends the
-gateways of this data centre what the store answered. Who asks the store is decided in
-:mod:`~limeshelf.membership.store_polling`.
+Owns nothing; brings updates of other gateways into the copies of tables, and sends on what
+the store answered. Who asks the store is decided in
+:mod:`~limeshelf.membership.store_polling`, who is sent what in
+:mod:`~limeshelf.membership.receivers`.
 """
 
 from __future__ import annotations
@@ -17,7 +18,13 @@
 from limeshelf.feeds.rows import Row
 from limeshelf.membership import receivers
 from limeshelf.membership.messages import RowsQuery, TableRow, TableUpdate, TableUpdates
-from limeshelf.membership.store_polling import overdue_limit_s, polls_store
+from limeshelf.membership.relays import RELAYS
+from limeshelf.membership.store_polling import (
+    overdue_limit_s,
+    polls_store,
+    reading_order,
+    retry_spread_s,
+)
 from limeshelf.util.backoff import jittered_s
 
 if TYPE_CHECKING:
@@ -26,21 +33,26 @@
     from limeshelf.peers.codec import Envelope
     from limeshelf.peers.node import PeerNode
 
-#: The first relay sends this often how new its rows are, and a gateway with stale rows asks
-#: another one. Chosen, not measured.
-CONFIRM_INTERVAL_S = 0.3
+#: Whether what others pass on is new enough is checked this often at the least. Chosen, not
+#: measured.
+CHECK_INTERVAL_S = 0.25
+#: ...and no sooner than this after the check before. Chosen, not measured.
+LEAST_CHECK_S = 0.02
 
 
 @attrs.define
 class RowExchange:
     """Sends updates of tables and takes those of other gateways.
 
+    Implements :class:`limeshelf.feeds.follower.StorePolling`.
+
     :param copies: this gateway's copies, by the name of the table.
     """
 
     node: PeerNode
     members: Members
     copies: dict[str, TableCopy] = attrs.field(factory=dict)
+    _checked: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def start(self) -> None:
         """Take messages."""
@@ -49,36 +61,56 @@
 
     def is_due(self) -> bool:
         """Return whether this gateway asks the store itself now."""
-        return polls_store(
-            is_first_relay=self.members.is_first_relay,
-            rank=self.members.own_rank(),
-            overdue_s=max(copy.overdue_s for copy in self.copies.values()),
-        )
+        return polls_store(order=self._order(), overdue_s=self._overdue_s())
+
+    async def until_due(self) -> None:
+        """Return when it may have come to ask the store."""
+        await self._checked.wait()
+
+    def spread_s(self) -> float:
+        """Return the longest further pause after a call to the store that failed."""
+        return retry_spread_s(self._order(), len(self._centres()))
+
+    def _overdue_s(self) -> float:
+        return max(copy.peers_overdue_s for copy in self.copies.values())
 
-    def overdue_limit_s(self) -> float:
-        """Return how long copies may be overdue before this gateway asks the store, in seconds."""
-        return overdue_limit_s(self.members.own_rank())
+    def _order(self) -> int:
+        centres = self._centres()
+        own = self.members.own
+        relays = self.members.own_relays()
+        place = relays.index(own) if own in relays else max(RELAYS, self.members.own_rank())
+        return reading_order(place, centres.index(own.data_centre), len(centres))
+
+    def _centres(self) -> list[str]:
+        return sorted(self.members.other_centres() | {self.members.own.data_centre})
 
     def announce_page(self, copy: TableCopy, after: int) -> None:
-        """Send the gateways of this data centre what an answer of the store brought.
+        """Pass on what the store answered, and how new the other tables are.
 
-        :param after: the version of the copy before.
+        :param after: version of the copy before the answer.
         """
-        if copy.version > after:
-            self._send_to_own_centre([_update_of(copy, after)])
-
-    def _send_to_own_centre(self, updates: list[TableUpdate]) -> None:
-        self.node.send_all(receivers.own_centre(self.members), TableUpdates(updates))
+        updates = [_update_of(copy, after)]
+        updates += [
+            _update_of(other, other.version)
+            for other in self.copies.values()
+            if other is not copy and other.version
+        ]
+        self.node.send_all(receivers.of_rows(self.members), TableUpdates(updates))
 
     async def run(self) -> None:
-        """As first relay, send how new the rows are; while they are stale, ask others."""
+        """Check whether what others pass on is new enough; while it is stale, ask others."""
         while True:
-            await asyncio.sleep(jittered_s(CONFIRM_INTERVAL_S))
-            if self.members.is_first_relay:
-                copies = self.copies.values()
-                self._send_to_own_centre([_update_of(copy, copy.version) for copy in copies])
+            if self.is_due():
+                self._checked.set()
+                self._checked = asyncio.Event()
             if any(copy.is_stale for copy in self.copies.values()):
                 self._ask_another()
+            await asyncio.sleep(self._next_check_s())
+
+    def _next_check_s(self) -> float:
+        due_in_s = overdue_limit_s(self._order()) - self._overdue_s()
+        interval_s = jittered_s(CHECK_INTERVAL_S)
+        return max(LEAST_CHECK_S, min(interval_s, due_in_s)) if due_in_s > 0 else interval_s
 
     def _ask_another(self) -> None:
         # At a start nobody has sent anything yet; the seeds may have rows.
@@ -101,17 +133,24 @@
     def _take_updates(self, envelope: Envelope) -> None:
         self.members.note_message(envelope.sender, envelope.data_centre)
         missing: dict[str, int] = {}
+        passed_on: list[TableUpdate] = []
         for update in envelope.message.words:
             copy = self.copies.get(update.table)
             if copy is None:
                 # A table that only another version of the gateway follows.
                 continue
+            after = copy.version
             rows = [Row(row.key, row.value, row.version, row.gone) for row in update.rows]
             continuity = copy.take_update(rows, update.after, update.upto, update.age_ms / 1000)
             if continuity is Continuity.GAP:
                 missing[update.table] = copy.version
+            elif continuity is Continuity.CONTINUES:
+                passed_on.append(_update_of(copy, after))
         if missing:
             self.node.send(envelope.sender, RowsQuery(missing))
+        addresses = receivers.of_forwarded(self.members, envelope.data_centre)
+        if passed_on:
+            self.node.send_all(addresses, TableUpdates(passed_on))
 
 
 def _update_of(copy: TableCopy, after: int) -> TableUpdate:
--- a/limeshelf/membership/state_exchange.py
+++ b/limeshelf/membership/state_exchange.py
@@ -28,6 +28,8 @@
 
 #: Loads under way are sent at least this often. Chosen, not measured.
 STATES_INTERVAL_S = 0.25
+#: A gateway that does not lead checks this often whether it does. Chosen, not measured.
+FOLLOWER_CHECK_S = 0.5
 #: States of all replicas, changed or not, are sent this often. Chosen, not measured.
 ALL_STATES_INTERVAL_S = 1.0
 #: Changes of replicas that come closer together than this are sent together. Chosen, not
@@ -71,7 +73,8 @@
     async def run(self) -> None:
         """While this gateway leads, send what the replicas report."""
         while True:
-            await self.changes.wait(STATES_INTERVAL_S, CHANGES_GAP_S)
+            limit_s = STATES_INTERVAL_S if self.leader.is_self else FOLLOWER_CHECK_S
+            await self.changes.wait(limit_s, CHANGES_GAP_S)
             changed = self.changes.take()
             if not self.leader.is_self:
                 continue
@@ -107,7 +110,7 @@
             return
         self._newest_fence = message.fence
         self.leader.note_claim(envelope.sender, message.fence, message.may_order)
-        addresses = receivers.of_forwarded_states(self.members, envelope.data_centre)
+        addresses = receivers.of_forwarded(self.members, envelope.data_centre)
         self.node.forward_all(addresses, envelope)
         for state in message.states:
             self.directory.take_report(state.replica_id, report_of(state))
--- a/limeshelf/membership/store_polling.py
+++ b/limeshelf/membership/store_polling.py
@@ -1,34 +1,70 @@
 """Decides which gateways ask the store, so that few do and none is held back by others.
 
-The first relay of a data centre follows the store; the others go by its updates. When a
-copy is older than it should be, the others ask the store themselves, the next by rank
-first: age decides, not the role, so a relay that is cut from the store holds nobody back.
-All gateways of 71 asking sent 900 calls a second. Decides only;
+One gateway follows the store: the first relay of the first data centre by name. It passes
+what it learns on to the relays of all data centres, and these to their gateways. When
+what is passed on grows older than it should be, others ask the store themselves, in an
+order that everybody knows: age decides, not the role, so one that is cut off from the store
+holds nobody back. Whoever has begun goes on until what others pass on is new enough again.
+
+All gateways of 71 asking sent 900 calls a second; one relay of each data centre, with copies
+that counted as old too soon, 25 a second in a fleet of 20. Decides only;
 :class:`limeshelf.membership.row_exchange.RowExchange` applies it.
 """
 
 from __future__ import annotations
 
-#: Each gateway waits this much longer than the one before it by rank. Chosen, not measured.
+from limeshelf.membership.relays import RELAYS
+
+#: Each gateway waits this much longer than the one before it in the order. Chosen, not
+#: measured.
 OVERDUE_STEP_S = 0.08
 #: No gateway waits longer than this. Chosen, not measured.
 OVERDUE_LIMIT_S = 1.5
+#: Longest further pause after a failure of a gateway that is no relay: while the store is
+#: away, a call of each of hundreds of gateways tells no more than those of the relays. Chosen,
+#: not measured.
+SPREAD_S = 8.0
+
 
+def reading_order(place: int, centre: int, centres: int) -> int:
+    """Return a gateway's place in the order in which gateways ask the store, from 0.
+
+    The first relays of all data centres come first, then the second ones, then the others
+    by rank.
+
+    :param place: among the relays of its data centre, or by rank among all there, from 0.
+    :param centre: place of its data centre among all by name, from 0.
+    :param centres: data centres with gateways.
+    """
+    return place * centres + centre
 
-def overdue_limit_s(rank: int) -> float:
+
+def overdue_limit_s(order: int) -> float:
     """Return for how long copies may be overdue, in seconds, before a gateway asks the store.
 
-    :param rank: of the gateway in its data centre, from 0.
+    :param order: as :func:`reading_order` returns it.
+    """
+    return min(OVERDUE_LIMIT_S, OVERDUE_STEP_S * order)
+
+
+def retry_spread_s(order: int, centres: int) -> float:
+    """Return the longest further pause after a call to the store that failed, in seconds.
+
+    :param order: as :func:`reading_order` returns it.
+    :param centres: data centres with gateways.
     """
-    return min(OVERDUE_LIMIT_S, OVERDUE_STEP_S * rank)
+    is_relay = order < RELAYS * centres
+    return overdue_limit_s(order) if is_relay else SPREAD_S
 
 
-def polls_store(*, is_first_relay: bool, rank: int, overdue_s: float) -> bool:
+def polls_store(*, order: int, overdue_s: float) -> bool:
     """Return whether a gateway asks the store now.
 
-    :param overdue_s: for how long the oldest of its copies has been older than it should
-        be; negative while none is. One table that is old is a sign that the others may
-        be, too: a relay that lost the store sends no changes of any table
+    :param order: as :func:`reading_order` returns it.
+    :param overdue_s: for how long others have passed on nothing that is new enough, of the
+        table where that is longest; negative while they do for all. One table that is old
+        is a sign that the others may be, too: a gateway that lost the store passes on no
+        changes of any table
         (tests/membership/test_row_exchange.py::test_one_old_table_makes_all_due).
     """
-    return is_first_relay or overdue_s > overdue_limit_s(rank)
+    return order == 0 or overdue_s > overdue_limit_s(order)
--- a/limeshelf/metrics/prometheus.py
+++ b/limeshelf/metrics/prometheus.py
@@ -38,6 +38,12 @@
             ['outcome'],
             registry=self._registry,
         )
+        self._store_calls = Counter(
+            'limeshelf_store_calls',
+            'Calls to the store, by operation and table.',
+            ['operation', 'table'],
+            registry=self._registry,
+        )
 
     def observe_call(self, status: int, seconds: float) -> None:
         """Count a call that was answered with HTTP status *status* after *seconds*."""
@@ -51,6 +57,13 @@
         """
         self._orders.labels(outcome).inc()
 
+    def observe_store_call(self, operation: str, table: str) -> None:
+        """Count a call to the store.
+
+        :param operation: ``read``, ``follow`` or ``write``.
+        """
+        self._store_calls.labels(operation, table).inc()
+
     def watch(self, name: str, meaning: str, read: Callable[[], float]) -> None:
         """Serve what *read* returns as a gauge called *name*."""
         Gauge(f'limeshelf_{name}', meaning, registry=self._registry).set_function(read)
--- a/limeshelf/placement/service.py
+++ b/limeshelf/placement/service.py
@@ -36,6 +36,9 @@
 #: Time between plans, unless a call that waits for a model brings one forward. Chosen, not
 #: measured.
 ROUND_S = 0.2
+#: The same while another process leads: only the sums of demand are brought up to date. Chosen,
+#: not measured.
+FOLLOWER_ROUND_S = 0.5
 #: After a process's start, records of replicas come in for this long; copies counted earlier
 #: missed those of busy models (score of a quiet day 0.69, 1.00 with this and other changes).
 #: The figure is chosen, not measured.
@@ -105,7 +108,7 @@
     async def _until_due(self) -> None:
         """Wait for the next plan; a model that is waited for brings it forward."""
         try:
-            async with asyncio.timeout(ROUND_S):
+            async with asyncio.timeout(ROUND_S if self._leadership.term else FOLLOWER_ROUND_S):
                 await self._wanted.wait()
         except TimeoutError:
             # The usual case: nobody waits for a model that is not there.
--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -14,15 +14,22 @@
 
 import asyncio
 import base64
+import enum
+from typing import TYPE_CHECKING
 
 import aiohttp
 import msgspec
 
 from limeshelf.errors import PlatformUnavailable, PlatformUnknown
+from limeshelf.feeds.answer_clock import AnswerClock
 from limeshelf.feeds.rows import ConditionFailed, HistoryGone, Page, Row
 from limeshelf.platform.sessions import open_session
+from limeshelf.util.clock import boottime_s
 from limeshelf.util.sockets import keepalive_socket
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 #: Name of the store in errors and log lines.
 STORE = 'store'
 #: Longest wait for an answer, beyond what the call itself waits for.
@@ -39,10 +46,24 @@
 STATUS_CONDITION = 412
 #: The feed no longer has the changes after the asked version.
 STATUS_HISTORY_GONE = 410
+MS_PER_S = 1000
 #: Refused before anything was done: too many calls, or the store is not available.
 STATUS_NOT_DONE = frozenset({429, 503})
 
 
+class StoreOperation(enum.StrEnum):
+    """What a call to the store does, as the label of its counter."""
+
+    READ = 'read'
+    #: Waits for changes.
+    FOLLOW = 'follow'
+    WRITE = 'write'
+
+
+def _count_nothing(operation: StoreOperation, table: str) -> None:
+    """Stand for a counter where nobody counts."""
+
+
 class _Row(msgspec.Struct, rename={'key': 'Key', 'value': 'Value'}):
     key: str
     #: From one counter of the whole store, not one a row.
@@ -126,41 +147,55 @@
 class StoreClient:
     """Implements :class:`limeshelf.feeds.rows.RowTable`, whose errors it raises.
 
-    :ivar calls: calls made so far.
+    :param count_call: called with the operation and the table of each call.
     """
 
-    def __init__(self, address: str) -> None:
-        self.calls = 0
+    def __init__(
+        self, address: str, count_call: Callable[[StoreOperation, str], None] = _count_nothing
+    ) -> None:
         self._base_url = f'http://{address}'
+        self._count_call = count_call
+        self._clock = AnswerClock()
         self._session: aiohttp.ClientSession | None = None
 
     def change_address(self, address: str) -> None:
         """Send the next calls to another address."""
         self._base_url = f'http://{address}'
+        self._clock = AnswerClock()
 
     async def read(self, table: str) -> Page:
         """Return all rows of *table* as of one moment of each page."""
         rows: list[Row] = []
         version = 0
+        answered_s = 0.0
         start = ''
         while True:
             query = {'table': table, 'part': NO_PART}
             if start:
                 query['From'] = start
+            asked_s = boottime_s()
+            self._count_call(StoreOperation.READ, table)
             answer = await self._call('GET', '/rows-get', query)
             page = _rows(answer)
+            answered_s = answered_s or self._answered_s(asked_s, answer)
             rows.extend(page)
             version = min(version, answer.ver) if version else answer.ver
             if not answer.more or not page:
-                return Page(tuple(rows), version, int(answer.now_ms))
+                return Page(tuple(rows), version, int(answer.now_ms), answered_s)
             # The least key behind the last one.
             start = page[-1].key + '\0'
 
     async def changes(self, table: str, after: int, wait_s: float) -> Page:
         """Return what changed after a version, as soon as something has."""
         query = {'table': table, 'after': str(after), 'WaitMs': str(int(wait_s * 1000))}
+        asked_s = boottime_s()
+        self._count_call(StoreOperation.FOLLOW, table)
         answer = await self._call('GET', '/rows-feed', query, wait_s=wait_s)
-        return Page(_rows(answer), answer.ver, int(answer.now_ms))
+        answered_s = self._answered_s(asked_s, answer)
+        return Page(_rows(answer), answer.ver, int(answer.now_ms), answered_s)
+
+    def _answered_s(self, asked_s: float, answer: _Answer) -> float:
+        return self._clock.answered_s(asked_s, boottime_s(), answer.now_ms / MS_PER_S)
 
     async def write(self, table: str, key: str, value: bytes, expected: int | None) -> int:
         """Write a row and return the store's version.
@@ -171,6 +206,7 @@
         """
         conditions = _conditions(table, key, expected)
         put = _Put(table, NO_PART, key, value)
+        self._count_call(StoreOperation.WRITE, table)
         answer = await self._transact(_Transaction(conditions, put=[put], drop=[]))
         return answer.ver
 
@@ -178,6 +214,7 @@
         """Delete a row; arguments and errors as for :meth:`write`."""
         conditions = _conditions(table, key, expected)
         drop = _RowKey(table, NO_PART, key)
+        self._count_call(StoreOperation.WRITE, table)
         await self._transact(_Transaction(conditions, put=[], drop=[drop]))
 
     async def _transact(self, transaction: _Transaction) -> _Answer:
@@ -193,7 +230,6 @@
     ) -> _Answer:
         data = None if body is None else msgspec.json.encode(body)
         headers = {'Content-Type': 'application/json'} if data is not None else {}
-        self.calls += 1
         try:
             async with asyncio.timeout(wait_s + ANSWER_S):
                 async with self._open().request(
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -61,7 +61,7 @@
         self.node = node
         self.in_force = ConfigInForce()
         self.metrics = GatewayMetrics()
-        self.store = StoreClient(settings.store_address)
+        self.store = StoreClient(settings.store_address, self.metrics.observe_store_call)
         self.changes = StateChanges()
         self.directory = ReplicaDirectory(read_record, self.changes.note_replica)
         self.members = Members(Member(node.address, settings.data_centre, settings.weight))
@@ -139,7 +139,12 @@
         self.rows = RowExchange(self.node, self.members)
         config_rows = ConfigRows(self.in_force, self.directory)
         self.followers = follow_tables(
-            self.store, self.rows, config_rows, self.directory, self.registration
+            self.store,
+            self.rows,
+            config_rows,
+            self.directory,
+            self.registration,
+            settings.freshness,
         )
 
     def _make_path(self, settings: GatewaySettings) -> None:
--- a/limeshelf/programs/followed_tables.py
+++ b/limeshelf/programs/followed_tables.py
@@ -12,6 +12,7 @@
 
 from limeshelf.errors import InvalidDocument
 from limeshelf.feeds.follower import TableFollower
+from limeshelf.feeds.store_reach import StoreReach
 from limeshelf.feeds.table_copy import FollowRule, TableCopy
 from limeshelf.membership.member import MEMBER_TABLE
 from limeshelf.metrics.event_log import log_change
@@ -24,17 +25,41 @@
     from limeshelf.membership.registration import Registration
     from limeshelf.membership.row_exchange import RowExchange
     from limeshelf.replicas.directory import ReplicaDirectory
+    from limeshelf.settings.gateway import FreshnessSettings
 
-#: Rows of replicas change all the time, so they also show whether the store is in reach; a
-#: change must be known everywhere within two seconds, hence the age of 1.2 s at which others
-#: are no longer relied on. All figures of these rules are chosen to make fewer calls to the
-#: store, not measured one by one.
-REPLICA_RULE = FollowRule(wait_s=0.7, pace_s=0.55, stale_s=1.2)
-CONFIG_RULE = FollowRule(wait_s=1.4, stale_s=2.5)
+#: Shares of the time within which a change must be known everywhere (2 s or 4 s on the users'
+#: deployments). Every copy counts as old after STALE_SHARE of it: the next gateway then asks
+#: the store, which leaves the rest of the time for that call and the way of its answer. Rows of
+#: replicas change all the time, so after changes the store is asked again only after a pause,
+#: in which others come together; pause and wait together stay below the age. All chosen.
+STALE_SHARE = 0.7
+REPLICA_WAIT_SHARE = 0.4
+REPLICA_PACE_SHARE = 0.22
+CONFIG_WAIT_SHARE = 0.5
 #: Gateways come and go seldom, and those that are silent are found out by silence.
 MEMBER_RULE = FollowRule(wait_s=8.0, stale_s=12.0)
 
 
+def replica_rule(known_within_s: float) -> FollowRule:
+    """Return how the table of replicas is followed.
+
+    :param known_within_s: within which a change must be known everywhere.
+    """
+    return FollowRule(
+        wait_s=REPLICA_WAIT_SHARE * known_within_s,
+        pace_s=REPLICA_PACE_SHARE * known_within_s,
+        stale_s=STALE_SHARE * known_within_s,
+    )
+
+
+def config_rule(known_within_s: float) -> FollowRule:
+    """Return how the table of the configuration is followed; as for :func:`replica_rule`."""
+    return FollowRule(
+        wait_s=CONFIG_WAIT_SHARE * known_within_s,
+        stale_s=STALE_SHARE * known_within_s,
+    )
+
+
 @attrs.frozen
 class ConfigRows:
     """Takes rows of the table that holds the operator's configuration."""
@@ -65,15 +90,14 @@
     config_rows: ConfigRows,
     directory: ReplicaDirectory,
     registration: Registration,
+    freshness: FreshnessSettings,
 ) -> list[TableFollower]:
     """Return the followers of all tables; their copies are shared through *rows*."""
     copies = (
-        TableCopy(CONFIG_TABLE, config_rows.take_row, CONFIG_RULE),
-        TableCopy(REPLICA_TABLE, directory.take_row, REPLICA_RULE),
+        TableCopy(CONFIG_TABLE, config_rows.take_row, config_rule(freshness.config_s)),
+        TableCopy(REPLICA_TABLE, directory.take_row, replica_rule(freshness.replica_s)),
         TableCopy(MEMBER_TABLE, registration.take_row, MEMBER_RULE),
     )
     rows.copies.update({copy.table: copy for copy in copies})
-    return [
-        TableFollower(copy, store, rows.is_due, rows.overdue_limit_s, rows.announce_page)
-        for copy in copies
-    ]
+    reach = StoreReach()
+    return [TableFollower(copy, store, rows, reach, rows.announce_page) for copy in copies]
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -97,7 +97,7 @@
         self.settings = settings
         self.components.budgets.change_rule(retry_rule(settings))
         self.components.store.change_address(settings.store_address)
-        self.components.members.own.weight = settings.weight
+        self.components.members.change_own_weight(settings.weight)
         self.components.add_seeds(settings)
 
     def reload(self) -> None:
--- a/limeshelf/replicas/pool.py
+++ b/limeshelf/replicas/pool.py
@@ -53,6 +53,7 @@
         self.gateways = 1
         self._wire = wire
         self._by_replica: dict[str, ReplicaConnections] = {}
+        self._out_of_reach = asyncio.Event()
 
     def connections(self, replica: Replica, service: ServiceSpec) -> ReplicaConnections:
         """Return the connections to a replica."""
@@ -75,15 +76,22 @@
                 if replica is None or (replica.gone and replica.own.calls == 0):
                     await self._by_replica.pop(replica_id).close()
 
+    def note_out_of_reach(self) -> None:
+        """Note that a replica is out of reach, so that probes of it come due."""
+        self._out_of_reach.set()
+
     async def probe(self, directory: ReplicaDirectory) -> None:
-        """See, again and again, whether replicas out of reach can be reached.
+        """See, while replicas are out of reach, whether they can be reached again.
 
         A round lasts until each of its probes has ended.
         """
         while True:
-            await asyncio.sleep(PROBE_ROUND_S)
-            due = [replica for replica in directory.all() if replica.health.probe_due]
-            await asyncio.gather(*(_probe(replica) for replica in due))
+            await self._out_of_reach.wait()
+            self._out_of_reach.clear()
+            while any(replica.health.awaits_probe for replica in directory.all()):
+                await asyncio.sleep(PROBE_ROUND_S)
+                due = [replica for replica in directory.all() if replica.health.probe_due]
+                await asyncio.gather(*(_probe(replica) for replica in due))
 
     async def close(self) -> None:
         """Close all connections."""
--- a/limeshelf/settings/gateway.py
+++ b/limeshelf/settings/gateway.py
@@ -19,6 +19,8 @@
     from pathlib import Path
 
 
+#: Changes cannot be known sooner: the store is asked some times within that. Chosen.
+LEAST_FRESHNESS_MS = 500.0
 #: Leases of this length or less are a fault of the file. Chosen, not measured.
 LEAST_LEASE_S = 1.0
 #: Share of the platform's limit that a lease lasts at the most, so that a successor's first
@@ -67,6 +69,28 @@
         return min(self.lease_s, LEASE_LIMIT_SHARE * self.lease_limit_ms / MS_PER_S)
 
 
+@attrs.frozen
+class FreshnessSettings:
+    """How soon every gateway has to know what changed in the store.
+
+    :param config_ms: of a configuration, in milliseconds.
+    :param replica_ms: of a replica that leaves, in milliseconds.
+    """
+
+    config_ms: float = 2000.0
+    replica_ms: float = 2000.0
+
+    @property
+    def config_s(self) -> float:
+        """Return the time for a configuration, in seconds."""
+        return self.config_ms / MS_PER_S
+
+    @property
+    def replica_s(self) -> float:
+        """Return the time for a replica that leaves, in seconds."""
+        return self.replica_ms / MS_PER_S
+
+
 @attrs.frozen
 class GatewaySettings:
     """Everything that a gateway process reads at its start.
@@ -84,6 +108,7 @@
     :param figures_port: port at which metrics are served.
     :param retries: what may be sent again.
     :param placement: bounds of the leader.
+    :param freshness: how soon changes have to be known.
     :param weight: how much traffic the instance can carry, in proportion to the
         others (the deploy file gives its link's Mbit/s); the heaviest are relays.
     """
@@ -101,6 +126,7 @@
     retries: RetrySettings
     placement: PlacementSettings
     weight: float = 1.0
+    freshness: FreshnessSettings = attrs.field(factory=FreshnessSettings)
 
     @property
     def peer_port(self) -> int:
@@ -130,6 +156,10 @@
         problems.append(Problem('peer_ports', 'expected one port at least'))
     if settings.grace_s <= 0:
         problems.append(Problem('grace_s', 'expected more than 0 seconds'))
+    for name in ('config_ms', 'replica_ms'):
+        if getattr(settings.freshness, name) < LEAST_FRESHNESS_MS:
+            text = f'expected {LEAST_FRESHNESS_MS:.0f} milliseconds or more'
+            problems.append(Problem(f'freshness.{name}', text))
     if settings.placement.effective_lease_s <= LEAST_LEASE_S:
         problems.append(Problem('placement.lease_s', 'expected more than 1 second'))
     return problems
--- /dev/null
+++ b/tests/feeds/test_store_reach.py
@@ -0,0 +1,60 @@
+"""How often a process asks a store that is away, with several tables to follow."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from limeshelf.errors import PlatformUnavailable
+from limeshelf.feeds import store_reach
+from limeshelf.feeds.store_reach import StoreReach
+
+
+class Away:
+    """A store that is away until told otherwise; counts its calls."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.away = True
+
+    async def ask(self, reach: StoreReach) -> None:
+        async with reach.attempt(spread_s=0.0):
+            self.calls += 1
+            await asyncio.sleep(0)
+            if self.away:
+                raise PlatformUnavailable('store')
+
+    async def follow(self, reach: StoreReach) -> None:
+        while True:
+            try:
+                await self.ask(reach)
+            except PlatformUnavailable:
+                continue
+            return
+
+
+def test_tables_of_a_process_share_one_attempt(monkeypatch: Any) -> None:
+    """Before: each of three tables asked by itself, three times as often."""
+    monkeypatch.setattr(store_reach, 'full_jitter_s', lambda attempt, base_s, limit_s: 0.05)
+
+    async def play() -> None:
+        store, reach = Away(), StoreReach()
+        tasks = [asyncio.create_task(store.follow(reach)) for _ in range(3)]
+        await asyncio.sleep(0.5)
+        # Three at the start, then one each 0.05 s.
+        assert 5 <= store.calls <= 14
+        store.away = False
+        async with asyncio.timeout(1.0):
+            await asyncio.gather(*tasks)
+
+    asyncio.run(play())
+
+
+def test_failure_is_passed_on() -> None:
+    async def play() -> None:
+        with pytest.raises(PlatformUnavailable):
+            await Away().ask(StoreReach())
+
+    asyncio.run(play())
--- a/tests/feeds/test_table_copy.py
+++ b/tests/feeds/test_table_copy.py
@@ -23,7 +23,9 @@
         assert not copy.is_stale
         clock.advance(0.5)
         assert copy.is_stale
-        assert copy.overdue_s == 0.5
+        assert copy.age_s == 2.5
+        # No peer has ever passed anything on.
+        assert copy.peers_overdue_s > copy.age_s
 
 
 def test_confirmation_is_as_old_as_the_peer_says() -> None:
--- a/tests/forms/test_metrics.py
+++ b/tests/forms/test_metrics.py
@@ -127,6 +127,7 @@
         figures = GatewayMetrics()
         figures.observe_call(200, 0.3)
         figures.observe_order('taken')
+        figures.observe_store_call('read', 'members')
         figures.watch('some_gauge', 'Meaning.', lambda: 4.0)
         server = MetricsServer(figures)
         with socket.socket() as probe:
--- a/tests/forms/test_settings.py
+++ b/tests/forms/test_settings.py
@@ -49,6 +49,8 @@
     'Bounds.CeilingWindowS': 5.0,
     'Bounds.FencingEnforced': False,
     'Bounds.LeaseMs': 3000,
+    'Bounds.ConfigMs': 4000,
+    'Bounds.DrainMs': 3000,
 }
 
 
@@ -150,4 +152,5 @@
             'replicas_check_fences': False,
             'lease_limit_ms': 3000.0,
         },
+        'freshness': {'config_ms': 4000.0, 'replica_ms': 3000.0},
     }
--- a/tests/lease/test_leadership.py
+++ b/tests/lease/test_leadership.py
@@ -74,6 +74,37 @@
     play(scenario)
 
 
+def test_renewal_is_one_call() -> None:
+    """Before: two, a read and a write."""
+
+    async def scenario(store: StoreStandIn, first: Leadership, second: Leadership) -> None:
+        await first.step()
+        before = store.calls
+        for _ in range(3):
+            await asyncio.sleep(LEASE_S * 0.4)
+            await first.step()
+        assert store.calls - before == 3
+        await second.step()
+        assert (first.fence, second.fence) == (1, 0)
+
+    play(scenario)
+
+
+def test_renewal_whose_answer_was_lost_is_followed_by_another() -> None:
+    async def scenario(store: StoreStandIn, first: Leadership, second: Leadership) -> None:
+        await first.step()
+        store.faults.lose_answers = True
+        await asyncio.sleep(LEASE_S * 0.4)
+        await first.step()
+        store.faults.lose_answers = False
+        await first.step()
+        await asyncio.sleep(LEASE_S * 0.8)
+        await second.step()
+        assert (first.fence, second.fence) == (1, 0)
+
+    play(scenario)
+
+
 def test_lost_answer_of_a_take_over_makes_no_second_holder() -> None:
     async def scenario(store: StoreStandIn, first: Leadership, second: Leadership) -> None:
         store.faults.lose_answers = True
--- a/tests/membership/test_receivers.py
+++ b/tests/membership/test_receivers.py
@@ -27,9 +27,9 @@
 
 def test_states_of_another_centre_are_passed_on_by_the_first_relay() -> None:
     with virtual_clock():
-        assert receivers.of_forwarded_states(two_centres('a1'), 'c2') == ['a2', 'a3']
-        assert receivers.of_forwarded_states(two_centres('a1'), 'c1') == []
-        assert receivers.of_forwarded_states(two_centres('a2'), 'c2') == []
+        assert receivers.of_forwarded(two_centres('a1'), 'c2') == ['a2', 'a3']
+        assert receivers.of_forwarded(two_centres('a1'), 'c1') == []
+        assert receivers.of_forwarded(two_centres('a2'), 'c2') == []
 
 
 def test_bundles_go_to_the_leader_and_each_second_time_elsewhere() -> None:
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -12,7 +12,7 @@
     late = Member('late', 'c1', 9.0, last_message_s=90.0, relay_since_s=80.0)
     back = Member('back', 'c1', 8.0, last_message_s=90.0)
     heavy = Member('heavy', 'c1', 5.0, now_s - RELAY_SILENT_S / 2, relay_since_s=80.0)
-    choice = choose_relays([own, heavy, back, late], own, now_s)
+    choice = choose_relays([late, back, heavy, own], own, now_s)
     assert [one.address for one in choice.silent] == ['late']
     # One that has just come to rank as a relay gets a moment.
     assert [one.address for one in choice.relays] == ['back', 'heavy']
--- a/tests/membership/test_row_exchange.py
+++ b/tests/membership/test_row_exchange.py
@@ -12,7 +12,9 @@
 from limeshelf.membership.members import Members
 from limeshelf.membership.messages import RowsQuery, TableRow, TableUpdate, TableUpdates
 from limeshelf.membership.row_exchange import RowExchange
+from limeshelf.membership.store_polling import OVERDUE_STEP_S
 from limeshelf.peers.codec import Envelope
+from limeshelf.util.clock import boottime_s, virtual_clock
 
 
 class Node:
@@ -40,12 +42,28 @@
 
     async def read(self, table: str) -> Page:
         self.calls += 1
-        return Page(tuple(self.rows.values()), 7, 0)
+        return Page(tuple(self.rows.values()), 7, 0, boottime_s())
 
     async def changes(self, table: str, after: int, wait_s: float) -> Page:
         self.calls += 1
         await asyncio.sleep(wait_s)
-        return Page((), max(after, 7), 0)
+        return Page((), max(after, 7), 0, boottime_s())
+
+
+class WhenStale:
+    """Asks the store while a copy is stale."""
+
+    def __init__(self, copy: TableCopy) -> None:
+        self.copy = copy
+
+    def is_due(self) -> bool:
+        return self.copy.is_stale
+
+    async def until_due(self) -> None:
+        await asyncio.sleep(0.02)
+
+    def spread_s(self) -> float:
+        return 0.0
 
 
 def exchange(own: str, *others: str) -> RowExchange:
@@ -105,12 +123,45 @@
 
 
 def test_first_relay_follows_and_the_others_wait_in_turn() -> None:
-    assert exchange('g1', 'g2', 'g3').is_due()
-    second = exchange('g2', 'g1', 'g3')
-    third = exchange('g3', 'g1', 'g2')
-    assert 0.0 < second.overdue_limit_s() < third.overdue_limit_s()
-    second._take_updates(update(0, 9))
-    assert not second.is_due()
+    with virtual_clock() as clock:
+        first, second, third = (
+            exchange(own, *(one for one in ('g1', 'g2', 'g3') if one != own))
+            for own in ('g1', 'g2', 'g3')
+        )
+        for one in (first, second, third):
+            one._take_updates(update(0, 9))
+        assert [one.is_due() for one in (first, second, third)] == [True, False, False]
+        clock.advance(FollowRule().stale_s + 1.5 * OVERDUE_STEP_S)
+        for one in (first, second, third):
+            one.members.note_message('g1', 'c1')
+            one.members.note_message('g2', 'c1')
+        assert [one.is_due() for one in (first, second, third)] == [True, True, False]
+
+
+def test_gateway_that_took_over_goes_on_until_others_pass_rows_on() -> None:
+    with virtual_clock() as clock:
+        one = exchange('g2', 'g1')
+        one._take_updates(update(0, 9))
+        copy = one.copies['t']
+        clock.advance(copy.rule.stale_s + 1.0)
+        one.members.note_message('g1', 'c1')
+        copy.note_confirmed(clock.now_s)
+        assert one.is_due()
+        one._take_updates(update(9, 9))
+        assert not one.is_due()
+
+
+def test_rows_of_another_centre_are_passed_on_by_the_first_relay() -> None:
+    first, second = exchange('g1', 'g2', 'g3'), exchange('g2', 'g1', 'g3')
+    rows = update(0, 9, TableRow('a', b'1', 9, False))
+    for one in (first, second):
+        one._take_updates(Envelope('h1', 'c2', rows.message))
+    node: Any = first.node
+    assert [address for address, _ in node.sent] == ['g2', 'g3']
+    passed = node.sent[0][1].words[0]
+    assert (passed.after, passed.upto, [row.key for row in passed.rows]) == (0, 9, ['a'])
+    other_node: Any = second.node
+    assert other_node.sent == []
 
 
 def test_one_old_table_makes_all_due() -> None:
@@ -128,7 +179,7 @@
         store: Any = Store()
         rule = FollowRule(wait_s=0.01, stale_s=0.3)
         copy = TableCopy('t', lambda row: None, rule)
-        task = asyncio.create_task(TableFollower(copy, store, lambda: copy.is_stale).run())
+        task = asyncio.create_task(TableFollower(copy, store, WhenStale(copy)).run())
         await asyncio.sleep(0.05)
         assert store.calls == 1
         for _ in range(8):
--- a/tests/membership/test_store_polling.py
+++ b/tests/membership/test_store_polling.py
@@ -7,28 +7,40 @@
 from limeshelf.membership.store_polling import (
     OVERDUE_LIMIT_S,
     OVERDUE_STEP_S,
+    SPREAD_S,
     overdue_limit_s,
     polls_store,
+    reading_order,
+    retry_spread_s,
 )
 
 
 @pytest.mark.parametrize(
-    ('is_first_relay', 'overdue_s', 'expected'),
+    ('order', 'overdue_s', 'expected'),
     [
-        (True, -1.0, True),
-        (False, -1.0, False),
-        (False, 2 * OVERDUE_STEP_S, False),
-        (False, 2 * OVERDUE_STEP_S + 0.01, True),
+        (0, -1.0, True),
+        (2, -1.0, False),
+        (2, 2 * OVERDUE_STEP_S, False),
+        (2, 2 * OVERDUE_STEP_S + 0.01, True),
     ],
 )
-def test_store_is_asked_by_the_first_relay_or_when_copies_are_old(
-    is_first_relay: bool, overdue_s: float, expected: bool
+def test_store_is_asked_by_the_first_or_when_copies_are_old(
+    order: int, overdue_s: float, expected: bool
 ) -> None:
-    polls = polls_store(is_first_relay=is_first_relay, rank=2, overdue_s=overdue_s)
-    assert polls is expected
+    assert polls_store(order=order, overdue_s=overdue_s) is expected
 
 
-def test_overdue_limit_rises_with_the_rank_up_to_a_limit() -> None:
+def test_first_relays_of_all_centres_come_before_the_second_ones() -> None:
+    orders = [reading_order(place, centre, 3) for place in range(3) for centre in range(3)]
+    assert orders == list(range(9))
+
+
+def test_gateways_that_are_no_relays_ask_a_lost_store_seldom() -> None:
+    assert retry_spread_s(5, 3) == overdue_limit_s(5)
+    assert retry_spread_s(6, 3) == SPREAD_S
+
+
+def test_overdue_limit_rises_with_the_order_up_to_a_limit() -> None:
     assert overdue_limit_s(0) == 0.0
     assert overdue_limit_s(1) < overdue_limit_s(2)
     assert overdue_limit_s(1000) == OVERDUE_LIMIT_S
--- a/tests/replicas/test_pool.py
+++ b/tests/replicas/test_pool.py
@@ -69,7 +69,9 @@
         replica.health.failed(Failure.NO_CONNECTION)
         replica.health.suspended_until_s = 0.0
         directory: Any = Directory(replica)
-        probing = asyncio.create_task(ConnectionPool(PlatformWire()).probe(directory))
+        pool = ConnectionPool(PlatformWire())
+        probing = asyncio.create_task(pool.probe(directory))
+        pool.note_out_of_reach()
         async with asyncio.timeout(10.0):
             while replica.health.awaits_probe:
                 await asyncio.sleep(0.01)
