Grant model calls by one gateway a data centre, not by one for all

Cause: the leader granted every model call: one process carried queries, verdicts and reports of all calls beside polls and plans, and its loss left every gateway to grant by itself. It walked all granted requests for each query and the whole queue for each place in it. A gateway asks the owner of the near holders or of another data centre's, drawn at random, whichever has the less loaded replica; where one refuses, up to two others; where one is silent, others that have the model, and only then the own process. Owners elsewhere are announced by relays. Queues are kept by model, granted requests by their end. Refused calls and learned reading speeds reach the leader with digests.

--- a/limeshelf/demand/keys.py
+++ b/limeshelf/demand/keys.py
@@ -38,6 +38,8 @@
     :ivar wanted: times that a call found no replica that holds the key.
     :ivar objective_ms: the shortest objective of the calls; 0 before any.
     :ivar tokens: prompt tokens of the calls that began.
+    :ivar refused: times that a call was refused since the replicas that hold the key had no
+        room for it in time.
     """
 
     key: ModelKey
@@ -46,6 +48,7 @@
     wanted: int = 0
     objective_ms: int = 0
     tokens: int = 0
+    refused: int = 0
 
 
 def key_of(call: Call, service: str) -> ModelKey | None:
--- a/limeshelf/demand/meter.py
+++ b/limeshelf/demand/meter.py
@@ -89,6 +89,12 @@
         self._by_key.setdefault(key, KeyDemand(key)).wanted += 1
         self._on_missing(key)
 
+    def note_refused(self, call: Call, service: ServiceSpec) -> None:
+        """Count that the replicas which hold what the call needs had no room in time."""
+        key = key_of(call, service.name)
+        if key is not None:
+            self._by_key.setdefault(key, KeyDemand(key)).refused += 1
+
     def note_found(self, call: Call, service: ServiceSpec) -> None:
         """Note that a replica holds what the call needs."""
         key = key_of(call, service.name)
--- a/limeshelf/dispatch/reading_speed.py
+++ b/limeshelf/demand/reading_speed.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self._ms_per_token: dict[str, float] = {}
+        self._learned: set[str] = set()
 
     def read_ms(self, model: str, tokens: float) -> float:
         """Return the time that reading *tokens* tokens likely takes, in milliseconds."""
@@ -42,5 +43,20 @@
             return
         sample_ms = (first_event_ms - FIRST_EVENT_OVERHEAD_MS) / tokens
         sample_ms = min(MOST_MS, max(LEAST_MS, sample_ms))
+        self._take(model, sample_ms)
+        self._learned.add(model)
+
+    def take_learned(self) -> dict[str, float]:
+        """Return what was learned here since the last call, for the other gateways."""
+        learned = {model: self._ms_per_token[model] for model in self._learned}
+        self._learned.clear()
+        return learned
+
+    def take_from_peer(self, ms_per_token: dict[str, float]) -> None:
+        """Take what another gateway has learned: only who grants calls sees them read."""
+        for model, ms in ms_per_token.items():
+            self._take(model, ms)
+
+    def _take(self, model: str, sample_ms: float) -> None:
         known_ms = self._ms_per_token.get(model, FIRST_GUESS_MS)
         self._ms_per_token[model] = known_ms + NEWEST_SHARE * (sample_ms - known_ms)
--- a/limeshelf/demand/totals.py
+++ b/limeshelf/demand/totals.py
@@ -58,6 +58,7 @@
     started: int = 0
     wanted: int = 0
     tokens: int = 0
+    refused: int = 0
 
 
 @attrs.define
@@ -100,7 +101,7 @@
                 if is_missing:
                     totals.missing_s = now_s
             counted.started, counted.wanted = demand.started, demand.wanted
-            counted.tokens = demand.tokens
+            counted.tokens, counted.refused = demand.tokens, demand.refused
 
     def _totals_of(self, key: ModelKey) -> KeyTotals:
         return self._totals.setdefault(key, KeyTotals())
@@ -109,6 +110,7 @@
         arrivals = self._arrivals.setdefault(demand.key, _Arrivals())
         arrivals.calls += max(0, demand.started - counted.started)
         arrivals.tokens += max(0, demand.tokens - counted.tokens)
+        arrivals.refused += max(0, demand.refused - counted.refused)
 
     def _take_objective(self, demand: KeyDemand) -> None:
         if demand.objective_ms:
@@ -121,10 +123,6 @@
         totals = self._totals_of(key)
         totals.missing_s = totals.seen_s = boottime_s()
 
-    def note_refused(self, key: ModelKey, calls: int) -> None:
-        """Note calls that were refused since replicas that hold *key* had no room."""
-        self._arrivals.setdefault(key, _Arrivals()).refused += calls
-
     def step(self) -> dict[ModelKey, KeyTotals]:
         """Bring the averages up to now and return them."""
         now_s = boottime_s()
--- a/limeshelf/dispatch/__init__.py
+++ b/limeshelf/dispatch/__init__.py
@@ -1,10 +1,11 @@
-"""Which replica a model call goes to, and when: one gateway decides it for all.
+"""Which replica a model call goes to, and when: one gateway a data centre decides it.
 
-Reading order: :mod:`~limeshelf.dispatch.client` asks (:mod:`~limeshelf.dispatch.fallback`
-says whom), :mod:`~limeshelf.dispatch.dispatcher` queues and grants. The rules that it
-applies: :mod:`~limeshelf.dispatch.requests` (order of service),
+Reading order: :mod:`~limeshelf.dispatch.client` asks (:mod:`~limeshelf.dispatch.owners` and
+:mod:`~limeshelf.dispatch.fallback` say whom), :mod:`~limeshelf.dispatch.dispatcher` queues
+(:mod:`~limeshelf.dispatch.queue`) and grants (:mod:`~limeshelf.dispatch.granted`). The rules
+that it applies: :mod:`~limeshelf.dispatch.requests` (order of service),
 :mod:`~limeshelf.dispatch.selector` (which replica), :mod:`~limeshelf.dispatch.limits` (how
 much one may read and hold), :mod:`~limeshelf.dispatch.refusal` (when to refuse). What they
 go by: :mod:`~limeshelf.dispatch.granted_load`,
-:mod:`~limeshelf.dispatch.prompt_blocks`, :mod:`~limeshelf.dispatch.reading_speed`.
+:mod:`~limeshelf.dispatch.prompt_blocks`, :mod:`~limeshelf.demand.reading_speed`.
 """
--- a/limeshelf/dispatch/client.py
+++ b/limeshelf/dispatch/client.py
@@ -1,8 +1,8 @@
-"""Gets a replica for a model call from the dispatcher in force.
+"""Gets a replica for a model call from the owners of replicas that hold what it needs.
 
-Asks the leading gateway, or the dispatcher of this process where
-:mod:`limeshelf.dispatch.fallback` says so, and asks again while the request is queued, so
-that a new dispatcher learns of it.
+Asks one owner (:mod:`limeshelf.dispatch.owners` says which), another one where it refuses,
+and again while the request is queued, so that a new owner learns of it. Where an owner is
+silent, the dispatcher of this process stands in.
 Owns the requests of this process that have no final verdict yet, and this process's own
 dispatcher; relies on the connections to peers for the messages in
 :mod:`limeshelf.dispatch.messages`, which may get lost.
@@ -11,12 +11,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import attrs
 
 from limeshelf.dispatch.dispatcher import Dispatcher
-from limeshelf.dispatch.fallback import ANSWER_TIMEOUT_S, AVOID_S, LOCAL, Fallback
+from limeshelf.dispatch.fallback import ANSWER_TIMEOUT_S, AVOID_S, Fallback
 from limeshelf.dispatch.grants import Grant, GrantRequest, NoHolder, NoRoom
 from limeshelf.dispatch.messages import (
     DispatchProgress,
@@ -26,14 +27,17 @@
     Stage,
     VerdictKind,
 )
+from limeshelf.dispatch.owners import OwnerChooser
+from limeshelf.membership.member import LOCAL
 from limeshelf.metrics.event_log import log_change
 from limeshelf.util.clock import boottime_s
 from limeshelf.util.identifiers import new_id
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from limeshelf.calls.routes import ServingConfig
+    from limeshelf.dispatch.owners import Candidate
     from limeshelf.peers.codec import Envelope
     from limeshelf.peers.node import PeerNode
     from limeshelf.replicas.directory import ReplicaDirectory
@@ -41,6 +45,8 @@
 #: A queued request is sent again this often, so that a new dispatcher learns of it; four times
 #: within the dispatcher's ``UNASKED_LIFE_S``. Chosen, not measured.
 ASK_AGAIN_S = 0.25
+#: Owners that are asked for one call before it is refused. Chosen, not measured.
+MAX_OWNERS_ASKED = 3
 #: The own queue is tried this often while requests wait in it, because time alone makes room
 #: too. Chosen, not measured. Trying also an empty one woke each gateway 67 times a second, half
 #: of all that an idle gateway did.
@@ -51,25 +57,30 @@
 class _PendingRequest:
     """A request without a final verdict.
 
-    :ivar dispatcher: who was asked last.
     :ivar late_s: on the steady clock, when the first event is late.
-    :ivar ends_s: on the steady clock, when the caller gives up.
+    :ivar ends_s: when the caller gives up.
+    :ivar request_id: by which it is known to the gateway that was asked last. Each has
+        another one, so that a late verdict of one is not taken for that of the next.
+    :ivar asked: who was asked last; ``None`` if nobody has it in a queue.
+    :ivar waits_s: those that refused it, with the time until they likely have room;
+        infinite where they hold nothing that the call can use.
     """
 
-    request_id: str
     request: GrantRequest
-    dispatcher: str
     ends_s: float
     late_s: float
+    request_id: str = ''
+    asked: str | None = None
+    waits_s: dict[str, float] = attrs.field(factory=dict)
     verdicts: asyncio.Queue[DispatchVerdict] = attrs.field(factory=asyncio.Queue)
 
 
 class DispatchClient:
-    """Asks the dispatcher in force; holds this process's own dispatcher too.
+    """Asks the owners of replicas; holds this process's own dispatcher too.
 
     :param config: returns the configuration in force, ``None`` before the first.
-    :param leader: returns the peer address of the leading gateway, the empty string
-        for this process, or ``None`` if none is known.
+    :param owner_of: returns the owner of a data centre's replicas, as
+        :class:`~limeshelf.dispatch.owners.OwnerChooser` takes it.
     :param data_centre: of this process.
     """
 
@@ -78,15 +89,15 @@
         node: PeerNode,
         directory: ReplicaDirectory,
         config: Callable[[], ServingConfig | None],
-        leader: Callable[[], str | None],
+        owner_of: Callable[[str], str | None],
         data_centre: str,
     ) -> None:
-        self.dispatcher = Dispatcher(directory, config, self._send_verdict)
+        self.dispatcher = Dispatcher(directory, config, self._send_verdict, owner_of, data_centre)
         self._node = node
-        self._leader = leader
         self._data_centre = data_centre
         self._pending: dict[str, _PendingRequest] = {}
         self._fallback = Fallback()
+        self._owners = OwnerChooser(directory, self._fallback, owner_of, data_centre)
         self._queued = asyncio.Event()
 
     def start(self) -> None:
@@ -109,39 +120,48 @@
 
         Returns by the time that the request has left; then there is no room.
         """
-        pending = self._pending_request(request)
-        self._pending[pending.request_id] = pending
-        outcome: Grant | NoRoom | NoHolder | None = None
+        now_s = boottime_s()
+        pending = _PendingRequest(request, now_s + request.left_s, now_s + request.objective_s)
         try:
-            outcome = await self._settle(pending)
-            return outcome
+            return await self._settle(pending)
         finally:
-            del self._pending[pending.request_id]
-            if not isinstance(outcome, Grant):
-                self._withdraw(pending)
-
-    def _pending_request(self, request: GrantRequest) -> _PendingRequest:
-        return _PendingRequest(
-            new_id('t'),
-            request,
-            self._choose_dispatcher(),
-            ends_s=boottime_s() + request.left_s,
-            late_s=boottime_s() + request.objective_s,
-        )
+            self._withdraw(pending)
 
     async def _settle(self, pending: _PendingRequest) -> Grant | NoRoom | NoHolder:
-        """Ask until there is a final verdict or the request's time is over."""
+        """Ask one owner after the other, and again, until one grants or time is over."""
         while boottime_s() < pending.ends_s:
-            chosen = self._choose_dispatcher()
-            if chosen != pending.dispatcher:
-                self._withdraw(pending)
-                pending.dispatcher = chosen
-            self._send_query(chosen, self._query(pending))
+            candidates = self._candidates(pending)
+            if not candidates:
+                return _refusal(pending)
+            self._ask(pending, self._owners.choose(candidates, pending.asked), candidates)
             verdict = await self._final_verdict(pending)
-            if verdict is not None:
-                return self._outcome(pending, verdict)
+            if verdict is None:
+                continue
+            if verdict.kind is VerdictKind.GRANTED:
+                return self._grant(pending, verdict)
+            self._note_refused(pending, verdict)
         return NoRoom(wait_s=pending.request.objective_s)
 
+    def _candidates(self, pending: _PendingRequest) -> list[Candidate]:
+        """Return who may still grant a request."""
+        if len(pending.waits_s) >= MAX_OWNERS_ASKED:
+            return []
+        candidates = self._owners.candidates(pending.request, boottime_s())
+        return [one for one in candidates if one.address not in pending.waits_s]
+
+    def _ask(
+        self, pending: _PendingRequest, chosen: Candidate, candidates: list[Candidate]
+    ) -> None:
+        if chosen.address != pending.asked:
+            self._withdraw(pending)
+            pending.asked = chosen.address
+            pending.request_id = new_id('t')
+            self._pending[pending.request_id] = pending
+        excluded = set(pending.request.excluded)
+        if chosen.address == LOCAL:
+            excluded |= _replicas_of(one for one in candidates if one is not chosen)
+        self._send_query(chosen.address, self._query(pending, excluded))
+
     async def _final_verdict(self, pending: _PendingRequest) -> DispatchVerdict | None:
         """Return the final verdict on a query, or ``None`` if it is time to ask again."""
         verdict = await self._first_verdict(pending)
@@ -151,36 +171,42 @@
 
     async def _first_verdict(self, pending: _PendingRequest) -> DispatchVerdict | None:
         verdict = await _next_verdict(pending, ANSWER_TIMEOUT_S)
-        if verdict is None and pending.dispatcher != LOCAL:
-            self._fallback.note_silence(boottime_s())
-            log_change('dispatcher_silent', dispatcher=pending.dispatcher, avoided_s=AVOID_S)
+        if verdict is None and pending.asked:
+            self._fallback.note_silence(pending.asked, boottime_s())
+            log_change('dispatcher_silent', dispatcher=pending.asked, avoided_s=AVOID_S)
         return verdict
 
-    def _outcome(
-        self, pending: _PendingRequest, verdict: DispatchVerdict
-    ) -> Grant | NoRoom | NoHolder:
-        if verdict.kind is VerdictKind.ABSENT:
-            return NoHolder()
-        if verdict.kind is VerdictKind.REFUSED:
-            return NoRoom(wait_s=verdict.wait_ms / 1000)
-        dispatcher = pending.dispatcher
+    def _grant(self, pending: _PendingRequest, verdict: DispatchVerdict) -> Grant:
+        owner = pending.asked
+        assert owner is not None
+        self._forget(pending)
         return Grant(
             pending.request_id,
             verdict.replica_id,
-            lambda progress: self._send_progress(dispatcher, progress),
+            lambda progress: self._send_progress(owner, progress),
         )
 
-    def _choose_dispatcher(self) -> str:
-        choice = self._fallback.choose(self._leader(), boottime_s())
-        self.dispatcher.set_reading_share(choice.local_share)
-        return choice.address
+    def _note_refused(self, pending: _PendingRequest, verdict: DispatchVerdict) -> None:
+        """Note a verdict after which its sender has forgotten the request."""
+        assert pending.asked is not None
+        is_absent = verdict.kind is VerdictKind.ABSENT
+        pending.waits_s[pending.asked] = math.inf if is_absent else verdict.wait_ms / 1000
+        self._forget(pending)
 
     def _withdraw(self, pending: _PendingRequest) -> None:
-        """Take the request back from the dispatcher that was asked last."""
-        ended = DispatchProgress(pending.request_id, Stage.ENDED)
-        self._send_progress(pending.dispatcher, ended)
-
-    def _query(self, pending: _PendingRequest) -> DispatchQuery:
+        """Take the request back from who was asked last."""
+        if pending.asked is not None:
+            ended = DispatchProgress(pending.request_id, Stage.ENDED)
+            self._send_progress(pending.asked, ended)
+            self._forget(pending)
+
+    def _forget(self, pending: _PendingRequest) -> None:
+        """Take no more verdicts of who was asked last."""
+        del self._pending[pending.request_id]
+        pending.verdicts = asyncio.Queue()
+        pending.asked = None
+
+    def _query(self, pending: _PendingRequest, excluded: set[str]) -> DispatchQuery:
         request = pending.request
         need = request.need
         now_s = boottime_s()
@@ -196,7 +222,7 @@
             data_centre=self._data_centre,
             # The last block ends the prompt, so no other call shares it.
             parts=[SharedPart(part.part_id, part.tokens) for part in need.parts[:-1]],
-            excluded=sorted(request.excluded),
+            excluded=sorted(excluded),
             returned=request.returned,
         )
 
@@ -245,3 +271,13 @@
             return await pending.verdicts.get()
     except TimeoutError:
         return None
+
+
+def _refusal(pending: _PendingRequest) -> NoRoom | NoHolder:
+    """Return why nobody grants a request: all who may have refused it, or there is none."""
+    wait_s = min(pending.waits_s.values(), default=math.inf)
+    return NoRoom(wait_s) if math.isfinite(wait_s) else NoHolder()
+
+
+def _replicas_of(candidates: Iterable[Candidate]) -> set[str]:
+    return {replica.replica_id for one in candidates for replica in one.replicas}
--- a/limeshelf/dispatch/dispatcher.py
+++ b/limeshelf/dispatch/dispatcher.py
@@ -1,7 +1,7 @@
-"""Grants replicas to the model calls of all gateways, and queues or refuses the others.
+"""Grants the replicas of a data centre to model calls, and queues or refuses the others.
 
-One gateway dispatches for all, because gateways that choose on their own do not see what
-the others send (score of a quiet day: 0.61 before, 1.00 after).
+One gateway of a data centre grants its replicas for all, because gateways that choose on
+their own do not see what the others send (score of a quiet day: 0.61 before, 1.00 after).
 Owns the queue and the granted requests; a dispatcher that starts anew learns of the
 queued ones as they are asked for again, and of the granted ones by the loads that the
 gateways report. Relies on the rules in :mod:`limeshelf.dispatch.selector`,
@@ -11,9 +11,10 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
+from limeshelf.demand.reading_speed import ReadingSpeed
+from limeshelf.dispatch.granted import GrantedRequests
 from limeshelf.dispatch.messages import (
     DispatchProgress,
     DispatchQuery,
@@ -21,7 +22,7 @@
     Stage,
     VerdictKind,
 )
-from limeshelf.dispatch.reading_speed import ReadingSpeed
+from limeshelf.dispatch.queue import RequestQueue
 from limeshelf.dispatch.refusal import QueuePosition, estimate_wait
 from limeshelf.dispatch.requests import GrantedRequest, QueuedRequest
 from limeshelf.dispatch.selector import HolderSelector
@@ -41,19 +42,18 @@
 #: A queued request whose gateway does not ask again within this time is dropped. Chosen, not
 #: measured; four times the client's ``ASK_AGAIN_S``.
 UNASKED_LIFE_S = 1.0
-#: A granted request that nobody ended is dropped this long after its caller gave up. Chosen,
-#: not measured.
-GRANT_SLACK_S = 1.0
 
 
 class Dispatcher:
-    """Grants replicas to the requests of all gateways.
+    """Grants replicas to the requests of gateways.
 
     :param config: returns the configuration in force, ``None`` before the first.
     :param answer: sends a verdict to the gateway at a peer address, or to this process
         where that is empty.
+    :param owner_of: returns the owner of a data centre's replicas, as
+        :class:`~limeshelf.dispatch.owners.OwnerChooser` takes it.
+    :param data_centre: of this process.
     :ivar speed: how fast prompts are read, as this process has seen it.
-    :ivar refused: requests refused for want of room since they were last taken, by key.
     """
 
     def __init__(
@@ -61,29 +61,21 @@
         directory: ReplicaDirectory,
         config: Callable[[], ServingConfig | None],
         answer: Callable[[str, DispatchVerdict], None],
+        owner_of: Callable[[str], str | None],
+        data_centre: str,
     ) -> None:
         self.speed = ReadingSpeed()
-        self.refused: Counter[ModelKey] = Counter()
         self._config = config
         self._answer = answer
-        self._queue: dict[str, QueuedRequest] = {}
-        self._granted: dict[str, GrantedRequest] = {}
-        self._selector = HolderSelector(directory, self.speed)
-
-    def set_reading_share(self, share: float) -> None:
-        """Set the part of a replica's reading, 0 to 1, that may be granted here."""
-        self._selector.reading_share = share
+        self._queue = RequestQueue()
+        self._granted = GrantedRequests()
+        self._selector = HolderSelector(directory, self.speed, owner_of, data_centre)
 
     @property
     def waiting(self) -> int:
         """Return how many requests are queued."""
         return len(self._queue)
 
-    def take_refused(self) -> Counter[ModelKey]:
-        """Return the requests refused since the last call of this, by key."""
-        refused, self.refused = self.refused, Counter()
-        return refused
-
     def take_query(self, query: DispatchQuery, asker: str) -> None:
         """Take a new request, or one that is asked for again, and answer it."""
         now_s = boottime_s()
@@ -94,16 +86,16 @@
         request = self._queue.get(query.ticket_id)
         if request is None:
             request = QueuedRequest.from_query(query, asker, now_s)
-            self._queue[query.ticket_id] = request
+            self._queue.add(request)
         request.asked_s = now_s
-        self._drop_stale(now_s)
-        if query.ticket_id not in self._queue:
-            # Its time is over (tests/dispatch/test_dispatcher.py::
-            # test_request_asked_for_again_after_its_time_takes_no_room).
+        if now_s > request.ends_s:
+            # tests/dispatch/test_dispatcher.py::
+            # test_request_asked_for_again_after_its_time_takes_no_room
+            self._queue.remove(request.request_id)
             return
+        self._end_overdue(now_s)
         if self._is_next(request, now_s):
             self._selector.forget_holders()
-            self._end_overdue_reading(now_s)
             self._try_grant(request, now_s)
         if query.ticket_id in self._queue:
             self._answer_queued(request)
@@ -111,8 +103,8 @@
     def take_progress(self, progress: DispatchProgress) -> None:
         """Take how far a request has come; the next pump lets others in."""
         if progress.stage is Stage.ENDED:
-            self._queue.pop(progress.ticket_id, None)
-            granted = self._granted.pop(progress.ticket_id, None)
+            self._queue.remove(progress.ticket_id)
+            granted = self._granted.end(progress.ticket_id)
             if granted is not None:
                 self._selector.load(granted.replica).remove(granted)
         else:
@@ -127,11 +119,11 @@
         so each pass gives up on a model after :data:`MAX_MISSES`.
         """
         now_s = boottime_s()
-        self._drop_stale(now_s)
-        self._end_overdue_reading(now_s)
+        self._queue.drop_stale(now_s, UNASKED_LIFE_S)
+        self._end_overdue(now_s)
         self._selector.forget_holders()
         misses: dict[ModelKey, int] = {}
-        for request in sorted(self._queue.values(), key=lambda one: one.urgency(now_s)):
+        for request in self._queue.in_order(now_s):
             key = request.query.key
             if misses.get(key, 0) >= MAX_MISSES:
                 continue
@@ -140,24 +132,21 @@
 
     def _is_next(self, request: QueuedRequest, now_s: float) -> bool:
         """Return whether no more urgent request for the same model is queued."""
-        model, urgency = request.query.key.model, request.urgency(now_s)
-        return not any(
-            other.query.key.model == model and other.urgency(now_s) < urgency
-            for other in self._queue.values()
-        )
+        urgency = request.urgency(now_s)
+        same_model = self._queue.of_model(request.query.key.model)
+        return not any(other.urgency(now_s) < urgency for other in same_model)
 
     def _answer_queued(self, request: QueuedRequest) -> None:
         """Answer a request that got no replica now: absent, refused or queued."""
         self._selector.forget_holders()
-        holders = self._selector.holders(request.query)
+        holders = self._selector.holders(request)
         if not holders:
-            del self._queue[request.request_id]
+            self._queue.remove(request.request_id)
             self._send(request, VerdictKind.ABSENT)
             return
         wait = estimate_wait(self._position(request, len(holders)))
         if wait.is_too_long:
-            del self._queue[request.request_id]
-            self.refused[request.query.key] += 1
+            self._queue.remove(request.request_id)
             self._send(request, VerdictKind.REFUSED, int(wait.expected_ms))
             return
         self._send(request, VerdictKind.QUEUED)
@@ -168,8 +157,8 @@
         model, urgency = query.key.model, request.urgency(now_s)
         ahead_ms = sum(
             self.speed.read_ms(model, other.query.prompt_tokens)
-            for other in self._queue.values()
-            if other.query.key.model == model and other.urgency(now_s) <= urgency
+            for other in self._queue.of_model(model)
+            if other.urgency(now_s) <= urgency
         )
         return QueuePosition(ahead_ms, holders, query.objective_ms, query.left_ms, query.returned)
 
@@ -178,7 +167,7 @@
         service = config.services.get(request.query.key.service) if config else None
         if service is None or service.engine is None:
             return False
-        replica = self._selector.choose(request.query, service.engine)
+        replica = self._selector.choose(request, service.engine)
         if replica is None:
             return False
         self._grant(request, replica, now_s)
@@ -198,8 +187,8 @@
             granted_s=now_s,
         )
         load.add(granted)
-        del self._queue[request.request_id]
-        self._granted[request.request_id] = granted
+        self._queue.remove(request.request_id)
+        self._granted.add(granted)
         self._send_grant(granted)
 
     def _note_read(self, granted: GrantedRequest) -> None:
@@ -208,19 +197,10 @@
             self.speed.learn(granted.query.key.model, granted.unread_tokens, first_event_ms)
         self._selector.load(granted.replica).end_reading(granted)
 
-    def _end_overdue_reading(self, now_s: float) -> None:
-        for load in self._selector.loads.values():
-            load.end_overdue_reading(now_s)
-
-    def _drop_stale(self, now_s: float) -> None:
-        """Drop the requests whose callers or gateways have likely gone."""
-        for request_id, request in list(self._queue.items()):
-            if now_s > request.ends_s or now_s - request.asked_s > UNASKED_LIFE_S:
-                del self._queue[request_id]
-        for request_id, granted in list(self._granted.items()):
-            if now_s > granted.ends_s + GRANT_SLACK_S:
-                del self._granted[request_id]
-                self._selector.load(granted.replica).remove(granted)
+    def _end_overdue(self, now_s: float) -> None:
+        """Count no longer what was granted to gateways that have likely gone."""
+        for granted in self._granted.end_overdue(now_s):
+            self._selector.load(granted.replica).remove(granted)
 
     def _send(self, request: QueuedRequest, kind: VerdictKind, wait_ms: int = 0) -> None:
         verdict = DispatchVerdict(request.request_id, kind, '', wait_ms)
--- a/limeshelf/dispatch/selector.py
+++ b/limeshelf/dispatch/selector.py
@@ -12,16 +12,21 @@
 
 from typing import TYPE_CHECKING
 
+from limeshelf.dispatch.fallback import reading_share
 from limeshelf.dispatch.granted_load import GrantedLoad
 from limeshelf.dispatch.limits import Occupancy, ReadingWindow
+from limeshelf.membership.member import LOCAL
 from limeshelf.replicas.penalties import with_penalties
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from limeshelf.calls.routes import EngineSpec
     from limeshelf.demand.keys import ModelKey
+    from limeshelf.demand.reading_speed import ReadingSpeed
     from limeshelf.dispatch.messages import DispatchQuery
-    from limeshelf.dispatch.reading_speed import ReadingSpeed
+    from limeshelf.dispatch.requests import QueuedRequest
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
 
@@ -29,15 +34,24 @@
 class HolderSelector:
     """Chooses among the replicas that hold a model, by what granted requests take of them.
 
-    :ivar reading_share: part of a replica's reading, 0 to 1, that may be granted here.
+    :param owner_of: returns the owner of a data centre's replicas, as
+        :class:`~limeshelf.dispatch.owners.OwnerChooser` takes it.
+    :param data_centre: of this process.
     :ivar loads: what granted requests take, by id of the replica.
     """
 
-    def __init__(self, directory: ReplicaDirectory, speed: ReadingSpeed) -> None:
-        self.reading_share = 1.0
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        speed: ReadingSpeed,
+        owner_of: Callable[[str], str | None],
+        data_centre: str,
+    ) -> None:
         self.loads: dict[str, GrantedLoad] = {}
         self._directory = directory
         self._speed = speed
+        self._owner_of = owner_of
+        self._data_centre = data_centre
         self._holders: dict[ModelKey, list[Replica]] = {}
 
     def forget_holders(self) -> None:
@@ -48,9 +62,19 @@
         """Return what granted requests take of a replica."""
         return self.loads.setdefault(replica.replica_id, GrantedLoad())
 
-    def holders(self, query: DispatchQuery) -> list[Replica]:
-        """Return the replicas that hold what a call needs, but for those it excludes."""
-        key = query.key
+    def holders(self, request: QueuedRequest) -> list[Replica]:
+        """Return the replicas that may take a call, but for those that it excludes.
+
+        Other gateways ask for the replicas of this data centre. Calls of this process name
+        as excluded whatever is not to be granted here.
+        """
+        query = request.query
+        holders = self._holders_of(query.key)
+        if request.asker != LOCAL:
+            holders = [one for one in holders if one.record.data_centre == self._data_centre]
+        return [one for one in holders if one.replica_id not in query.excluded]
+
+    def _holders_of(self, key: ModelKey) -> list[Replica]:
         holders = self._holders.get(key)
         if holders is None:
             holders = self._holders[key] = [
@@ -58,27 +82,32 @@
                 for replica in self._directory.of_service(key.service)
                 if replica.holds(key.model, key.adapter)
             ]
-        return [one for one in holders if one.replica_id not in query.excluded]
+        return holders
 
-    def choose(self, query: DispatchQuery, engine: EngineSpec) -> Replica | None:
+    def choose(self, request: QueuedRequest, engine: EngineSpec) -> Replica | None:
         """Return the replica that takes a call best now, ``None`` if none has room."""
-        holders = self.holders(query)
+        holders = self.holders(request)
         healthy = [replica for replica in holders if not replica.health.is_suspended()]
-        window = ReadingWindow.from_pause(query.pause_ms, engine.event_tokens, self.reading_share)
         best: Replica | None = None
         best_cost = float('inf')
         for replica in healthy or holders:
-            cost = self._cost_if_admitted(replica, query, engine, window)
+            cost = self._cost_if_admitted(replica, request.query, engine)
             if cost is not None and cost < best_cost:
                 best, best_cost = replica, cost
         return best
 
+    def _window(self, replica: Replica, query: DispatchQuery, engine: EngineSpec) -> ReadingWindow:
+        share = reading_share(self._owner_of(replica.record.data_centre))
+        return ReadingWindow.from_pause(query.pause_ms, engine.event_tokens, share)
+
     def _cost_if_admitted(
-        self, replica: Replica, query: DispatchQuery, engine: EngineSpec, window: ReadingWindow
+        self, replica: Replica, query: DispatchQuery, engine: EngineSpec
     ) -> float | None:
         """Return what the call costs at a replica, ``None`` if that has no room for it."""
         load = self.load(replica)
         now_s = boottime_s()
+        load.end_overdue_reading(now_s)
+        window = self._window(replica, query, engine)
         read_ms = self._speed.read_ms(query.key.model, load.blocks.unread_tokens(query, now_s))
         if not window.admits(load.read_ms_since(now_s - window.span_s), read_ms):
             return None
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -174,6 +174,7 @@
 
     def _refuse_overloaded(self, state: CallState, queue_wait_s: float) -> Ending:
         left_s = state.left_s
+        self._demand.note_refused(state.call, state.service)
         copy_in_s = self._demand.announced_in_s(state.call, state.service)
         log_overloaded(state, queue_wait_s, copy_in_s)
         retry_after_s = come_back.when_room_s(queue_wait_s, copy_in_s, left_s)
--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -4,8 +4,8 @@
 and, where replicas compare fences, on them for shutting out a predecessor.
 
 The end of a lease lets others take it; it does not end the term of its holder. While the
-store is away the last holder goes on dispatching: without it every gateway would grant by
-itself. Whether it also goes on ordering depends on the replicas:
+store is away the last holder goes on planning: nobody else could take its place. Whether it
+also goes on ordering depends on the replicas:
 
 * where they compare fences it does, since nobody else would place models, and the first
   order of a successor at a replica shuts it out there;
--- a/limeshelf/membership/digest_exchange.py
+++ b/limeshelf/membership/digest_exchange.py
@@ -23,8 +23,10 @@
 if TYPE_CHECKING:
     from limeshelf.calls.in_force import ConfigInForce
     from limeshelf.demand.meter import DemandMeter
+    from limeshelf.demand.reading_speed import ReadingSpeed
     from limeshelf.demand.totals import DemandTotals
     from limeshelf.lease.leadership import Leadership
+    from limeshelf.membership.dispatchers import Dispatchers
     from limeshelf.membership.leader import LeaderView
     from limeshelf.membership.members import Members
     from limeshelf.peers.codec import Envelope
@@ -48,6 +50,8 @@
     meter: DemandMeter
     totals: DemandTotals
     in_force: ConfigInForce
+    dispatchers: Dispatchers
+    speed: ReadingSpeed
     _book: DigestBook = attrs.field(factory=DigestBook)
     _digest_count: int = 0
     _summary_gateways: int = 0
@@ -106,21 +110,23 @@
             self.leadership.fence,
             loads,
             self.meter.recent(),
+            self.speed.take_learned(),
         )
 
     def _send_summary(self, own: GatewayDigest) -> None:
         """Send the gateways of this data centre what all gateways have under way."""
         own_loads = [load for load in own.loads if load.calls]
         loads = sum_loads([*self._book.loads(), *own_loads])
-        summary = FleetSummary(self.gateway_count, loads)
+        summary = FleetSummary(self.gateway_count, loads, self.dispatchers.announced())
         self.node.send_all(receivers.own_centre(self.members), summary)
 
     def _send_bundle(self, own: GatewayDigest) -> None:
         """Pass the digests of this data centre on to the leader and other relays."""
         digests = [own, *self._book.fresh(self.members.own.data_centre)]
-        leader = self.leader.address if self.leader.is_active and not self.leader.is_self else None
+        leader = self.leader.current() or None
         addresses = receivers.of_bundle(self.members, leader, self._digest_count)
-        self.node.send_all(addresses, DigestBundle(digests))
+        bundle = DigestBundle(digests, self.dispatchers.own_address())
+        self.node.send_all(addresses, bundle)
 
     def _take_digest(self, envelope: Envelope) -> None:
         digest: GatewayDigest = envelope.message
@@ -130,8 +136,10 @@
         self._note_digest(digest)
 
     def _take_bundle(self, envelope: Envelope) -> None:
+        bundle: DigestBundle = envelope.message
         self.members.note_message(envelope.sender, envelope.data_centre)
-        for digest in envelope.message.digests:
+        self.dispatchers.note(envelope.data_centre, bundle.dispatcher)
+        for digest in bundle.digests:
             if digest.instance_id != self.instance_id:
                 self.members.add(digest.address, digest.data_centre, digest.weight)
                 self._note_digest(digest)
@@ -144,6 +152,7 @@
             self.leader.note_claim(digest.address, digest.fence)
         self.directory.take_peer_loads(digest.instance_id, digest.loads)
         self.totals.take(digest.instance_id, digest.demands)
+        self.speed.take_from_peer(digest.reading_ms)
 
     def _take_summary(self, envelope: Envelope) -> None:
         summary: FleetSummary = envelope.message
@@ -152,4 +161,6 @@
             # These have the digests themselves.
             return
         self._summary_gateways = summary.gateways
+        for data_centre, address in summary.dispatchers.items():
+            self.dispatchers.note(data_centre, address)
         self.directory.take_total_loads(summary.loads)
--- /dev/null
+++ b/limeshelf/membership/dispatchers.py
@@ -0,0 +1,68 @@
+"""Which gateway of each data centre grants the replicas there, as this gateway knows it.
+
+The last relay by rank: the first one has the store, the sums and the states to pass on
+already. Relays see one another fall silent; who is further away goes by what they announce.
+Owns what was announced for other data centres; relies on
+:class:`~limeshelf.membership.members.Members` for the relays of the own one.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import attrs
+
+from limeshelf.membership.member import LOCAL
+from limeshelf.membership.silence import is_active
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from limeshelf.membership.members import Members
+
+
+class _Announced(NamedTuple):
+    address: str
+    heard_s: float
+
+
+@attrs.define
+class Dispatchers:
+    """The dispatcher of each data centre."""
+
+    members: Members
+    _announced: dict[str, _Announced] = attrs.field(factory=dict)
+
+    def of_centre(self, data_centre: str) -> str | None:
+        """Return the peer address of a data centre's dispatcher.
+
+        :data:`~limeshelf.membership.member.LOCAL` for this process, ``None`` for nobody known.
+        """
+        if data_centre == self.members.own.data_centre:
+            return self._local()
+        announced = self._announced.get(data_centre)
+        if announced is None or not is_active(boottime_s() - announced.heard_s):
+            return None
+        return announced.address
+
+    def _local(self) -> str | None:
+        relays = self.members.own_relays()
+        if not relays:
+            return None
+        return LOCAL if relays[-1] is self.members.own else relays[-1].address
+
+    def own_address(self) -> str:
+        """Return the address of the own data centre's dispatcher; empty if none is known."""
+        relays = self.members.own_relays()
+        return relays[-1].address if relays else ''
+
+    def announced(self) -> dict[str, str]:
+        """Return the dispatchers that are known, by data centre."""
+        known = {self.members.own.data_centre: self.own_address()}
+        for data_centre in self._announced:
+            known[data_centre] = self.of_centre(data_centre) or ''
+        return {data_centre: address for data_centre, address in known.items() if address}
+
+    def note(self, data_centre: str, address: str) -> None:
+        """Note whom a relay announced for another data centre; empty for nobody."""
+        if address and data_centre != self.members.own.data_centre:
+            self._announced[data_centre] = _Announced(address, boottime_s())
--- a/limeshelf/membership/leader.py
+++ b/limeshelf/membership/leader.py
@@ -1,4 +1,4 @@
-"""Which gateway leads by the latest messages, and so who dispatches calls.
+"""Which gateway leads by the latest messages.
 
 Owns the newest claim of another gateway to lead. Relies on
 :class:`~limeshelf.lease.leadership.Leadership` for whether this gateway leads itself,
@@ -12,6 +12,7 @@
 import attrs
 
 from limeshelf.membership.contention import may_contend
+from limeshelf.membership.member import LOCAL
 from limeshelf.membership.silence import is_active
 from limeshelf.util.clock import boottime_s
 
@@ -30,7 +31,7 @@
     :ivar fence: of its lease; 0 before any claim. Claims with a lower one are late.
     :ivar last_message_s: when it claimed so; 0 if it has stopped.
     :ivar may_order: whether it said that its orders may leave. One that is cut off from
-        the store goes on dispatching, but lets others contend: while it did not, nobody
+        the store keeps its term, but lets others contend: while it did not, nobody
         placed models for the 11 s of a cut, and two of five calls at its end found no
         replica.
     """
@@ -72,13 +73,13 @@
         if address == self.address:
             self.last_message_s = 0.0
 
-    def dispatcher(self) -> str | None:
-        """Return the address of the gateway that dispatches calls: the leader.
+    def current(self) -> str | None:
+        """Return the peer address of the gateway that leads.
 
-        The empty string stands for this process, ``None`` for nobody known.
+        :data:`~limeshelf.membership.member.LOCAL` for this process, ``None`` for nobody known.
         """
         if self.is_self:
-            return ''
+            return LOCAL
         return self.address if self.is_active else None
 
     def may_contend(self) -> bool:
--- a/limeshelf/membership/member.py
+++ b/limeshelf/membership/member.py
@@ -12,6 +12,8 @@
 from limeshelf.util.clock import boottime_s
 
 MEMBER_TABLE = 'members'
+#: Stands for this process where the peer address of a gateway is meant.
+LOCAL = ''
 
 
 class MemberValue(msgspec.Struct):
--- a/limeshelf/membership/messages.py
+++ b/limeshelf/membership/messages.py
@@ -101,6 +101,8 @@
     :param fence: of the lease that it holds; 0 if it holds none.
     :param loads: at the replicas where it has calls under way or that it suspended.
     :param demands: of the models that were asked for lately.
+    :param reading_ms: of a prompt token of each model, where this gateway has learned it
+        lately by granting.
     """
 
     instance_id: str
@@ -112,14 +114,20 @@
     fence: int
     loads: list[ReplicaLoad]
     demands: list[KeyDemand]
+    reading_ms: dict[str, float] = attrs.field(factory=dict)
 
 
 @add_message('digest-bundle')
 @attrs.frozen
 class DigestBundle:
-    """The digests of a data centre, from its first relay to the leader and other relays."""
+    """The digests of a data centre, from its first relay to the leader and other relays.
+
+    :param dispatcher: peer address of the gateway that grants the replicas of the data
+        centre; empty where none is known.
+    """
 
     digests: list[GatewayDigest]
+    dispatcher: str = ''
 
 
 @add_message('fleet-summary')
@@ -129,10 +137,13 @@
 
     :param gateways: how many there are, over all data centres.
     :param loads: what all of them have under way at each replica.
+    :param dispatchers: peer address of the gateway that grants the replicas of each data
+        centre, as far as known.
     """
 
     gateways: int
     loads: list[ReplicaLoad]
+    dispatchers: dict[str, str] = attrs.field(factory=dict)
 
 
 @add_message('gateway-leaving')
--- a/limeshelf/membership/want_exchange.py
+++ b/limeshelf/membership/want_exchange.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from limeshelf.membership.member import LOCAL
 from limeshelf.membership.messages import ModelWanted
 
 if TYPE_CHECKING:
@@ -34,10 +35,11 @@
 
     def report(self, key: ModelKey) -> None:
         """Report to the leader that a call waits for *key*; nothing if none is known."""
-        if self.leader.is_self:
+        leader = self.leader.current()
+        if leader == LOCAL:
             self.placement.want(key)
-        elif self.leader.is_active:
-            self.node.send(self.leader.address, ModelWanted(key))
+        elif leader is not None:
+            self.node.send(leader, ModelWanted(key))
 
     def _take_wanted(self, envelope: Envelope) -> None:
         wanted: ModelWanted = envelope.message
--- a/limeshelf/placement/service.py
+++ b/limeshelf/placement/service.py
@@ -23,7 +23,7 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Mapping
+    from collections.abc import Callable, Iterator
 
     from limeshelf.calls.routes import EngineSpec, ServingConfig
     from limeshelf.demand.totals import KeyTotals
@@ -54,8 +54,6 @@
     :param config: returns the configuration in force.
     :param window_s: window in which loads from the weight store are counted.
     :param read_ms: returns the milliseconds that reading tokens of a model takes.
-    :param take_refused: returns the calls that the dispatcher refused for want of room
-        since it was last asked, by key.
     :param on_load: called when the load of a model begins.
     """
 
@@ -68,7 +66,6 @@
         config: Callable[[], ServingConfig | None],
         window_s: float,
         read_ms: Callable[[str, float], float],
-        take_refused: Callable[[], Mapping[ModelKey, int]],
         on_load: Callable[[], None],
     ) -> None:
         self.totals = DemandTotals()
@@ -77,7 +74,6 @@
         self._sender = sender
         self._config = config
         self._read_ms = read_ms
-        self._take_refused = take_refused
         self._replicas = ReplicaWatch(directory, leadership, sender, tasks)
         self._moves = MoveRunner(directory, sender, tasks, on_load)
         self._pace = LoadPace(window_s)
@@ -94,8 +90,6 @@
         """Plan and order for as long as this process may; wait otherwise."""
         while True:
             await self._until_due()
-            for key, calls in self._take_refused().items():
-                self.totals.note_refused(key, calls)
             loads = self.totals.step()
             config = self._config()
             if not self.may_order() or config is None:
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -18,6 +18,7 @@
 from limeshelf.gateway.selection import ReplicaSelector
 from limeshelf.lease.leadership import Leadership
 from limeshelf.membership.digest_exchange import DigestExchange
+from limeshelf.membership.dispatchers import Dispatchers
 from limeshelf.membership.leader import LeaderView
 from limeshelf.membership.member import Member
 from limeshelf.membership.members import Members
@@ -72,6 +73,7 @@
             settings.placement.replicas_check_fences,
         )
         self.leader = LeaderView(self.members, self.leadership)
+        self.dispatchers = Dispatchers(self.members)
         self._make_dispatch(settings)
         self._make_placement(settings, tasks)
         self._make_exchanges(settings)
@@ -83,7 +85,7 @@
             self.node,
             self.directory,
             self.in_force.get,
-            self.leader.dispatcher,
+            self.dispatchers.of_centre,
             settings.data_centre,
         )
 
@@ -105,7 +107,6 @@
             self.in_force.get,
             settings.placement.window_s,
             self.dispatch.dispatcher.speed.read_ms,
-            self.dispatch.dispatcher.take_refused,
             self.changes.note_load,
         )
 
@@ -125,6 +126,8 @@
             self.meter,
             self.placement.totals,
             self.in_force,
+            self.dispatchers,
+            self.dispatch.dispatcher.speed,
         )
         self.states = StateExchange(
             self.node,
--- a/tests/dispatch/test_reading_speed.py
+++ b/tests/demand/test_reading_speed.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from limeshelf.dispatch.reading_speed import FIRST_EVENT_OVERHEAD_MS, ReadingSpeed
+from limeshelf.demand.reading_speed import FIRST_EVENT_OVERHEAD_MS, ReadingSpeed
 
 
 def test_guess_until_something_was_seen() -> None:
