Ask for keys; tell replicas the organisation; treat the configuration as a lease on its keys

Cause: a configuration may name organisations with keys.

Change: organisations/ (keys as digests, who may begin), platform/organisations.py (the row), gateway/access.py (before a call counts, and again before each send). Where revocation is strict, the age of the configuration is bounded: confirmations carry the store's own time, and each gateway bounds how that clock stands to its own by what it asked before an answer was given. Ruled out: the age in the message, which a message in a buffer makes too young (the state machine fails with it). A newer configuration that cannot be read takes the one in force out of use for keys. test_lost_update_is_asked_for compares what is asked for, not the time in the query.

Recorded frames of rows-query and table-words have new fields; the old frames are still read.

--- a/limeshelf/admission/come_back.py
+++ b/limeshelf/admission/come_back.py
@@ -27,6 +27,10 @@
 #: measured.
 NOT_READY_COME_BACK_S = 0.5
 
+#: A gateway that is cut off does not know until when; another one takes the call sooner than
+#: this one would. Chosen, not measured.
+CONFIG_TOO_OLD_COME_BACK_S = 0.3
+
 
 def after_wait_s(expected_wait_s: float, left_s: float) -> float:
     """Return when to come back where a replica has room after *expected_wait_s*.
--- a/limeshelf/calls/call.py
+++ b/limeshelf/calls/call.py
@@ -6,9 +6,13 @@
 from __future__ import annotations
 
 import enum
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from limeshelf.organisations.organisation import KeyDigest
+
 
 class CallKind(enum.StrEnum):
     """What may be repeated of the calls on a route."""
@@ -66,6 +70,7 @@
         said nothing.
     :param model_need: ``None`` for a call to a plain service.
     :param last_event_id: the last event that the caller has, on resumption.
+    :param key: stands for the key that the caller sent; ``None`` for none, or a malformed one.
     """
 
     call_id: str
@@ -78,6 +83,7 @@
     budget_s: float | None
     model_need: ModelNeed | None
     last_event_id: str | None
+    key: KeyDigest | None = attrs.field(default=None, repr=False)
 
     @property
     def path(self) -> str:
--- a/limeshelf/calls/in_force.py
+++ b/limeshelf/calls/in_force.py
@@ -19,9 +19,12 @@
     """The newest configuration that was seen; it never goes back.
 
     :ivar config: ``None`` until the first is known.
+    :ivar is_superseded: whether a later one came that cannot be read, so that nobody knows
+        which keys and routes it took away.
     """
 
     config: ServingConfig | None = None
+    is_superseded: bool = False
 
     @property
     def version(self) -> int:
@@ -37,4 +40,5 @@
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
+        self.is_superseded = False
         return True
--- a/limeshelf/calls/routes.py
+++ b/limeshelf/calls/routes.py
@@ -11,6 +11,7 @@
 import attrs
 
 from limeshelf.calls.call import CallKind
+from limeshelf.organisations.organisation import Organisations
 
 #: Callers give up a stream after a gap of this time, so many objectives or so many pauses,
 #: whichever is longest, and before its first event too (the platform's page on requests).
@@ -44,6 +45,7 @@
         of calls that are not :attr:`repeatable`, one may, whatever this says.
     :param priority: rank among the routes; 0 is the most urgent.
     :param resumable: whether a stream may go on at another replica.
+    :param is_public: whether its calls need no key.
     """
 
     name: str
@@ -57,6 +59,7 @@
     priority: int
     resumable: bool
     pause_s: float = DEFAULT_PAUSE_S
+    is_public: bool = False
 
     @property
     def patience_s(self) -> float:
@@ -163,12 +166,14 @@
 
     :param version: rises with each change.
     :param services: by name.
+    :param organisations: who may send calls, by their keys; ``None`` where no key is needed.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: ClientLimits
+    organisations: Organisations | None = attrs.field(default=None, eq=False)
     _by_host: dict[str, list[Route]] = attrs.field(init=False, factory=dict, eq=False)
 
     def __attrs_post_init__(self) -> None:
--- a/limeshelf/calls/wire.py
+++ b/limeshelf/calls/wire.py
@@ -20,14 +20,16 @@
 
     :param left_s: time that the replica may work, in seconds.
     :param replica_id: the incarnation that is meant; no other may run the call.
-    :param priority: rank of the call's route; 0 is the most urgent.
+    :param priority: rank of the call; 0 is the most urgent.
     :param last_event_id: go on behind this event, on resumption.
+    :param organisation: name of the one that holds the call's key; ``None`` without one.
     """
 
     left_s: float
     replica_id: str
     priority: int
     last_event_id: str | None
+    organisation: str | None = None
 
 
 @attrs.frozen
@@ -77,10 +79,11 @@
         """Return what the head of a replica's answer says."""
 
     def refusal_headers(
-        self, call_id: str | None, retry_after_s: float | None
+        self, call_id: str | None, retry_after_s: float | None, *, asks_for_key: bool = False
     ) -> list[tuple[str, str]]:
         """Return the headers of an answer of our own.
 
         :param call_id: ``None`` where the request is no call.
         :param retry_after_s: when to come back, in seconds; ``None`` if not at all.
+        :param asks_for_key: whether the call lacks a key that is known.
         """
--- a/limeshelf/demand/model_demand.py
+++ b/limeshelf/demand/model_demand.py
@@ -13,7 +13,7 @@
 
 from limeshelf.demand.keys import ModelKey
 from limeshelf.demand.totals import KeyTotals
-from limeshelf.util.clock import boottime_s
+from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -37,7 +37,6 @@
 ACTIVE_ADAPTER_S = 1.5
 #: A call that found no copy counts as waiting for this long. Chosen, not measured.
 WAITING_S = 3.0
-MS_PER_S = 1000
 
 
 @attrs.frozen
--- a/limeshelf/errors.py
+++ b/limeshelf/errors.py
@@ -21,6 +21,8 @@
     KEY_REUSED = 'idempotency_key_reused'
     STARTING = 'starting'
     STOPPING = 'stopping'
+    UNKNOWN_KEY = 'unknown_key'
+    CONFIG_TOO_OLD = 'config_too_old'
 
 
 class DoubtReason(enum.StrEnum):
--- a/limeshelf/feeds/follower.py
+++ b/limeshelf/feeds/follower.py
@@ -101,7 +101,7 @@
                 # settles it either way.
                 copy.needs_full_read = True
                 continue
-            copy.note_confirmed(page.answered_s)
+            copy.note_confirmed(page.answered_s, page.as_of_ms)
             self._note_reached()
             self._on_page(copy, after)
             if page.rows:
--- a/limeshelf/feeds/rows.py
+++ b/limeshelf/feeds/rows.py
@@ -35,12 +35,15 @@
     :param now_ms: the store's steady clock when it answered.
     :param answered_s: the same moment, on this machine's boot clock; no part of what the page
         says, so pages are equal without it.
+    :param as_of_ms: the store's clock at the first of its answers, where it took several: since
+        then no row may be missing.
     """
 
     rows: tuple[Row, ...]
     version: int
     now_ms: int = 0
     answered_s: float = attrs.field(default=0.0, eq=False)
+    as_of_ms: int = attrs.field(default=0, eq=False)
 
 
 @dataclass(eq=False)
--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -53,7 +53,8 @@
     :ivar version: of the store, up to which the rows are complete; 0 before any.
     :ivar confirmed_s: when the store last confirmed that to somebody, on the clock of
         :func:`~limeshelf.util.clock.boottime_s`; 0 if never.
-    :ivar peer_confirmed_s: the same, of what peers passed on; at the start peers have as
+    :ivar confirmed_ms: the latest such moment on the store's own clock; 0 if never, or unknown.
+    :ivar peer_confirmed_s: as ``confirmed_s``, of what peers passed on; at the start peers have as
         long as ever to pass something on, or hundreds of processes that start together would
         all follow the store until the first of them has found the others.
     :ivar needs_full_read: whether changes may be missing that the store no longer keeps,
@@ -67,6 +68,7 @@
         self.rule = rule or FollowRule()
         self.version = 0
         self.confirmed_s = 0.0
+        self.confirmed_ms = 0
         self.peer_confirmed_s = boottime_s()
         self.needs_full_read = True
         self._rows: dict[str, Row] = {}
@@ -106,12 +108,15 @@
                 self._rows[row.key] = row
                 self._listener(row)
 
-    def take_update(self, rows: Iterable[Row], after: int, upto: int, age_s: float) -> Continuity:
+    def take_update(
+        self, rows: Iterable[Row], after: int, upto: int, age_s: float, confirmed_ms: int = 0
+    ) -> Continuity:
         """Take a peer's update with the changes after one version up to another.
 
         :param after: version of the store after which all changes are in the update.
         :param upto: version of the store up to which they are.
         :param age_s: how long ago the store confirmed them to the peer, in seconds.
+        :param confirmed_ms: the same moment on the store's clock; 0 if the peer does not say.
         :return: how it continues the copy.
         """
         self.take(rows)
@@ -119,7 +124,7 @@
         if continuity is Continuity.CONTINUES:
             self.version = upto
             confirmed_s = boottime_s() - age_s
-            self.note_confirmed(confirmed_s)
+            self.note_confirmed(confirmed_s, confirmed_ms)
             self.peer_confirmed_s = max(self.peer_confirmed_s, confirmed_s)
             self.needs_full_read = False
         return continuity
@@ -143,6 +148,11 @@
         self.take(page.rows)
         self.needs_full_read = False
 
-    def note_confirmed(self, at_s: float) -> None:
-        """Note that the store confirmed at a time that the rows are the newest."""
+    def note_confirmed(self, at_s: float, store_ms: int = 0) -> None:
+        """Note that the store confirmed at a time that the rows are the newest.
+
+        :param at_s: as estimated, on this machine's clock.
+        :param store_ms: on the store's clock; 0 where that is not known.
+        """
         self.confirmed_s = max(self.confirmed_s, at_s)
+        self.confirmed_ms = max(self.confirmed_ms, store_ms)
--- /dev/null
+++ b/limeshelf/gateway/access.py
@@ -0,0 +1,63 @@
+"""Whether a call may begin here, or be sent, and what its caller is told where it may not.
+
+Owns nothing; applies :mod:`limeshelf.organisations.access` to the configuration in force.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.admission import come_back
+from limeshelf.errors import NotRun, RefusalReason
+from limeshelf.gateway.settling import STATUS_UNAUTHORISED, STATUS_UNAVAILABLE, Refuse
+from limeshelf.organisations.access import Admitted, Denial, check_access
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from limeshelf.calls.call import Call
+    from limeshelf.calls.in_force import ConfigInForce
+    from limeshelf.calls.routes import Route
+    from limeshelf.organisations.access import AccessRule
+
+
+@attrs.define
+class AccessGuard:
+    """Checks the keys of calls.
+
+    :param config_age_s: returns for how long, at the most, the configuration in force may not
+        have been the newest, in seconds.
+    :param rule: may be replaced while calls run.
+    """
+
+    in_force: ConfigInForce
+    config_age_s: Callable[[], float]
+    rule: AccessRule
+
+    def check(self, call: Call, route: Route) -> Admitted | Refuse:
+        """Return who sends a call, or how it is refused.
+
+        :param route: of the call.
+        """
+        config = self.in_force.config
+        if config is None:
+            return Refuse(
+                STATUS_UNAVAILABLE, NotRun(RefusalReason.STARTING, come_back.NOT_READY_COME_BACK_S)
+            )
+        checked = check_access(
+            config.organisations,
+            call.key,
+            is_public=route.is_public,
+            config_age_s=self.config_age_s(),
+            rule=self.rule,
+        )
+        return checked if isinstance(checked, Admitted) else _refusal_of(checked)
+
+
+def _refusal_of(denial: Denial) -> Refuse:
+    if denial is Denial.UNKNOWN_KEY:
+        return Refuse(STATUS_UNAUTHORISED, NotRun(RefusalReason.UNKNOWN_KEY))
+    outcome = NotRun(RefusalReason.CONFIG_TOO_OLD, come_back.CONFIG_TOO_OLD_COME_BACK_S)
+    return Refuse(STATUS_UNAVAILABLE, outcome)
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -31,6 +31,7 @@
 )
 from limeshelf.gateway.selection import Selected
 from limeshelf.gateway.settling import (
+    STATUS_UNAUTHORISED,
     STATUS_UNAVAILABLE,
     STATUS_UNKNOWN_ROUTE,
     Answered,
@@ -39,6 +40,7 @@
     Refuse,
     SendAgain,
     give_up,
+    refuse,
     settle,
 )
 from limeshelf.gateway.state import CallState
@@ -50,10 +52,12 @@
     from limeshelf.calls.routes import ServingConfig
     from limeshelf.calls.wire import CallWire
     from limeshelf.demand.meter import DemandMeter
+    from limeshelf.gateway.access import AccessGuard
     from limeshelf.gateway.answer import Answer
     from limeshelf.gateway.exchange import Result
     from limeshelf.gateway.selection import ReplicaSelector
     from limeshelf.gateway.settling import Ending
+    from limeshelf.organisations.organisation import Organisation
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.pool import ConnectionPool
     from limeshelf.replicas.replica import Replica
@@ -76,6 +80,7 @@
         demand: DemandMeter,
         budgets: RetryBudgets,
         in_force: ConfigInForce,
+        access: AccessGuard,
     ) -> None:
         self._wire = wire
         self._directory = directory
@@ -84,6 +89,7 @@
         self._demand = demand
         self._budgets = budgets
         self._in_force = in_force
+        self._access = access
         self._waiting: set[asyncio.Task[object]] = set()
         self._stopping = False
 
@@ -110,19 +116,27 @@
         route = config.route_for(call.host, call.path)
         if route is None:
             return Refuse(STATUS_UNKNOWN_ROUTE, NotRun(RefusalReason.UNKNOWN_ROUTE))
+        admitted = self._access.check(call, route)
+        if isinstance(admitted, Refuse):
+            return admitted
         service = config.services.get(route.draw_service())
         if service is None:
             return _not_ready(RefusalReason.NO_READY_REPLICA)
         allowed_s = min(call.budget_s or DEFAULT_BUDGET_S, route.timeout_s)
         ends_s = call.arrived_s + allowed_s - ANSWER_MARGIN_S
-        return CallState(call, answer, route, service, ends_s)
+        return CallState(call, answer, route, service, ends_s, admitted.organisation)
 
     async def _run(self, state: CallState) -> Ending:
         while True:
             selected = await self._select_unless_stopped(state)
             if not isinstance(selected, Selected):
                 return selected
-            result = await self._attempt(state, selected)
+            # Keys go while calls wait.
+            admitted = self._access.check(state.call, state.route)
+            if isinstance(admitted, Refuse):
+                selected.note_end()
+                return refuse(state.progress(), admitted)
+            result = await self._attempt(state, selected, admitted.organisation)
             state.note_result(result)
             self._learn(state, selected.replica, result)
             settled = settle(state.progress())
@@ -157,6 +171,9 @@
             reason = reason_not_to_send(state.refusals, state.left_s)
             if reason is not None:
                 return give_up(state.progress(), reason)
+            admitted = self._access.check(state.call, state.route)
+            if isinstance(admitted, Refuse):
+                return refuse(state.progress(), admitted)
             selection = await self._selector.select(state)
             if isinstance(selection, NoRoom):
                 return self._refuse_overloaded(state, selection.wait_s)
@@ -199,7 +216,9 @@
             answer_started=state.answer.started,
         )
 
-    async def _attempt(self, state: CallState, selected: Selected) -> Result:
+    async def _attempt(
+        self, state: CallState, selected: Selected, organisation: Organisation | None
+    ) -> Result:
         call = state.call
         replica = selected.replica
         tokens = call.model_need.memory_tokens if call.model_need else 0
@@ -207,8 +226,9 @@
         facts = SendFacts(
             left_s=state.left_s,
             replica_id=replica.replica_id,
-            priority=state.route.priority,
+            priority=state.priority,
             last_event_id=state.splitter.last_id or call.last_event_id,
+            organisation=organisation.name if organisation else None,
         )
         connections = self._pool.connections(replica, state.service)
         exchange = Exchange(
@@ -265,7 +285,11 @@
 
     async def _refuse(self, call: Call, refusal: Refuse, answer: Answer) -> None:
         log_refused(call, refusal, self._version)
-        headers = self._wire.refusal_headers(call.call_id, refusal.outcome.retry_after_s)
+        headers = self._wire.refusal_headers(
+            call.call_id,
+            refusal.outcome.retry_after_s,
+            asks_for_key=refusal.status == STATUS_UNAUTHORISED,
+        )
         await answer.whole(refusal.status, headers, b'')
 
 
--- a/limeshelf/gateway/selection.py
+++ b/limeshelf/gateway/selection.py
@@ -80,7 +80,7 @@
         return GrantRequest(
             key=ModelKey(state.service.name, need.model, need.adapter),
             need=need,
-            priority=state.route.priority,
+            priority=state.priority,
             objective_s=state.route.objective_s - waited_s,
             left_s=min(state.left_s, patience_left_s(state.route, waited_s)),
             pause_s=state.route.pause_s,
--- a/limeshelf/gateway/settling.py
+++ b/limeshelf/gateway/settling.py
@@ -20,6 +20,7 @@
     from limeshelf.calls.routes import Route
     from limeshelf.gateway.exchange import Result
 
+STATUS_UNAUTHORISED = 401
 STATUS_UNKNOWN_ROUTE = 404
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
@@ -106,15 +107,21 @@
     :param retry_after_s: when to come back, in seconds; ``None`` where nothing says
         when a replica will take the call.
     """
+    if retry_after_s is None:
+        retry_after_s = come_back.after_refusals_s(progress.route)
+    return refuse(progress, Refuse(STATUS_UNAVAILABLE, NotRun(reason, retry_after_s)))
+
+
+def refuse(progress: Progress, refusal: Refuse) -> Ending:
+    """Return how a call ends that is to be refused, if it can still be told that it never ran."""
     if progress.answer_started:
         return BreakOff()
     if isinstance(progress.last, WholeAnswer):
         return PassOn(progress.last)
     if progress.runs:
-        return _end_broken(progress, reason is RefusalReason.DEADLINE_TOO_SHORT)
-    if retry_after_s is None:
-        retry_after_s = come_back.after_refusals_s(progress.route)
-    return Refuse(STATUS_UNAVAILABLE, NotRun(reason, retry_after_s))
+        too_late = refusal.outcome.reason is RefusalReason.DEADLINE_TOO_SHORT
+        return _end_broken(progress, too_late)
+    return refusal
 
 
 def _end_broken(progress: Progress, too_late: bool) -> BreakOff | GatewayFailure:
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -17,6 +17,7 @@
     from limeshelf.calls.routes import Route, ServiceSpec
     from limeshelf.gateway.answer import Answer
     from limeshelf.gateway.exchange import Result
+    from limeshelf.organisations.organisation import Organisation
 
 
 @attrs.define
@@ -24,6 +25,7 @@
     """How far a call has come.
 
     :ivar answer: where its answer goes.
+    :ivar organisation: that holds its key; ``None`` without one.
     :ivar ends_s: when its final answer must go out, on the steady clock.
     :ivar splitter: keeps the place in a stream across attempts.
     :ivar runs: replicas that ran it or may have run it.
@@ -39,6 +41,7 @@
     route: Route
     service: ServiceSpec
     ends_s: float
+    organisation: Organisation | None = None
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     runs: int = 0
     sends: int = 0
@@ -64,6 +67,17 @@
         """Return what decides how the call ends."""
         return Progress(self.route, self.runs, self.last, self.left_s, self.answer.started)
 
+    @property
+    def priority(self) -> int:
+        """Return the call's rank; 0 is the most urgent.
+
+        The one of its organisation goes before that of its route.
+        """
+        organisation = self.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        return organisation.priority
+
     @property
     def returned(self) -> bool:
         """Return whether the caller was likely refused before and has come back."""
--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -41,7 +41,7 @@
     read_value,
 )
 from limeshelf.metrics.event_log import log_change
-from limeshelf.util.clock import boottime_s
+from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
     from limeshelf.feeds.rows import Page, RowTable
@@ -53,7 +53,6 @@
 #: be over: time for its way to the replica, and for clocks that run at unlike speeds.
 #: Chosen, not measured.
 ORDER_MARGIN_S = 0.2
-MS_PER_S = 1000
 
 
 @attrs.define
--- a/limeshelf/membership/messages.py
+++ b/limeshelf/membership/messages.py
@@ -81,6 +81,8 @@
     :ivar after: version of the store after which all changes are in the update.
     :ivar upto: version of the store up to which they are.
     :ivar age_ms: how long before the update was sent the store last confirmed it.
+    :ivar confirmed_ms: the same moment on the store's clock; 0 from a release that does not
+        say.
     """
 
     table: str
@@ -88,6 +90,7 @@
     upto: int
     age_ms: int
     rows: list[TableRow]
+    confirmed_ms: int = 0
 
 
 @add_message('gateway-digest')
@@ -189,9 +192,11 @@
     """Asks a peer for its rows of the store.
 
     :param versions: table to the highest version that the asker has.
+    :param asked_ms: the asker's steady clock as it asks; 0 from a release that does not say.
     """
 
     versions: dict[str, int]
+    asked_ms: int = 0
 
 
 @add_message('table-words')
@@ -200,6 +205,11 @@
     """Updates of tables, sent unasked or as the answer to a query.
 
     :param words: the updates; the name is the one on the wire.
+    :param asked_ms: in an answer, what the query said; otherwise 0.
+    :param store_ms: in an answer, what the store's clock shows at the most as it is given; 0
+        where that is unknown.
     """
 
     words: list[TableUpdate]
+    asked_ms: int = 0
+    store_ms: int = 0
--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -16,6 +16,7 @@
 
 from limeshelf.feeds.continuity import Continuity
 from limeshelf.feeds.rows import Row
+from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.membership import receivers
 from limeshelf.membership.messages import RowsQuery, TableRow, TableUpdate, TableUpdates
 from limeshelf.membership.relays import RELAYS
@@ -26,6 +27,7 @@
     retry_spread_s,
 )
 from limeshelf.util.backoff import jittered_s
+from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
     from limeshelf.feeds.table_copy import TableCopy
@@ -46,11 +48,13 @@
 
     Implements :class:`limeshelf.feeds.follower.StorePolling`.
 
+    :param clock: of the store, as far as this gateway knows it.
     :param copies: this gateway's copies, by the name of the table.
     """
 
     node: PeerNode
     members: Members
+    clock: StoreClock = attrs.field(factory=StoreClock)
     copies: dict[str, TableCopy] = attrs.field(factory=dict)
     _checked: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -103,7 +107,7 @@
             if self.is_due():
                 self._checked.set()
                 self._checked = asyncio.Event()
-            if any(copy.is_stale for copy in self.copies.values()):
+            if not self.clock.is_known or any(copy.is_stale for copy in self.copies.values()):
                 self._ask_another()
             await asyncio.sleep(self._next_check_s())
 
@@ -117,7 +121,10 @@
         members = self.members.active() or self.members.others()
         if members:
             versions = {name: copy.version for name, copy in self.copies.items()}
-            self.node.send(random.choice(members).address, RowsQuery(versions))
+            self._ask(random.choice(members).address, versions)
+
+    def _ask(self, address: str, versions: dict[str, int]) -> None:
+        self.node.send(address, RowsQuery(versions, int(boottime_s() * MS_PER_S)))
 
     def _answer_query(self, envelope: Envelope) -> None:
         query: RowsQuery = envelope.message
@@ -128,10 +135,12 @@
         ]
         self.members.add(envelope.sender, envelope.data_centre)
         if updates:
-            self.node.send(envelope.sender, TableUpdates(updates))
+            answer = TableUpdates(updates, query.asked_ms, self.clock.latest_ms())
+            self.node.send(envelope.sender, answer)
 
     def _take_updates(self, envelope: Envelope) -> None:
         self.members.note_message(envelope.sender, envelope.data_centre)
+        self._note_clock(envelope.message)
         missing: dict[str, int] = {}
         passed_on: list[TableUpdate] = []
         for update in envelope.message.words:
@@ -141,18 +150,31 @@
                 continue
             after = copy.version
             rows = [Row(row.key, row.value, row.version, row.gone) for row in update.rows]
-            continuity = copy.take_update(rows, update.after, update.upto, update.age_ms / 1000)
+            continuity = copy.take_update(
+                rows,
+                update.after,
+                update.upto,
+                update.age_ms / MS_PER_S,
+                update.confirmed_ms,
+            )
             if continuity is Continuity.GAP:
                 missing[update.table] = copy.version
             elif continuity is Continuity.CONTINUES:
                 passed_on.append(_update_of(copy, after))
         if missing:
-            self.node.send(envelope.sender, RowsQuery(missing))
+            self._ask(envelope.sender, missing)
         addresses = receivers.of_forwarded(self.members, envelope.data_centre)
         if passed_on:
             self.node.send_all(addresses, TableUpdates(passed_on))
 
+    def _note_clock(self, updates: TableUpdates) -> None:
+        """Learn from a peer's answer how the store's clock stands."""
+        if updates.asked_ms and updates.store_ms:
+            asked_s = updates.asked_ms / MS_PER_S
+            self.clock.note_answer(asked_s, updates.store_ms / MS_PER_S)
+
 
 def _update_of(copy: TableCopy, after: int) -> TableUpdate:
     rows = [TableRow(row.key, row.value, row.version, row.gone) for row in copy.rows_after(after)]
-    return TableUpdate(copy.table, after, copy.version, int(copy.age_s * 1000), rows)
+    age_ms = int(copy.age_s * MS_PER_S)
+    return TableUpdate(copy.table, after, copy.version, age_ms, rows, copy.confirmed_ms)
--- a/limeshelf/platform/configuration.py
+++ b/limeshelf/platform/configuration.py
@@ -19,6 +19,7 @@
     WeightedService,
 )
 from limeshelf.errors import InvalidDocument, Problem
+from limeshelf.platform.organisations import OrganisationEntry, read_organisations
 
 #: Table and key of the row that holds the newest configuration, whole.
 CONFIG_TABLE = 'op'
@@ -54,6 +55,8 @@
     resumable: bool = False
     #: Longest pause between two events; one event may hold several tokens.
     itl_slo_ms: float = 300.0
+    #: Not who may see it: its calls need no key.
+    public: bool = False
 
 
 class _Model(msgspec.Struct, rename='pascal'):
@@ -108,6 +111,8 @@
     version: int
     routes: list[_Route]
     services: list[_Service]
+    #: ``None`` where no key is needed.
+    tenants: list[OrganisationEntry] | None = None
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -136,6 +141,7 @@
             header_timeout_s=limits.header_timeout_ms / _MS,
             idle_timeout_s=limits.idle_timeout_ms / _MS,
         ),
+        organisations=None if document.tenants is None else read_organisations(document.tenants),
     )
 
 
@@ -155,6 +161,7 @@
         priority=route.priority,
         resumable=route.resumable,
         pause_s=route.itl_slo_ms / _MS,
+        is_public=route.public,
     )
 
 
--- a/limeshelf/platform/headers.py
+++ b/limeshelf/platform/headers.py
@@ -10,9 +10,12 @@
 
 from limeshelf.calls.call import ModelNeed, PromptPart
 from limeshelf.errors import InvalidRequest
+from limeshelf.organisations.organisation import digest_of
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Mapping, Sequence
+
+    from limeshelf.organisations.organisation import KeyDigest
 
 #: One attempt of a caller; the caller's own retry has another id. A replica
 #: sends it back, which shows what its answer belongs to.
@@ -53,6 +56,15 @@
 NOT_EXECUTED = 'Limeshelf-Not-Executed'
 #: Seconds, with fractions.
 RETRY_AFTER = 'Retry-After'
+#: The caller's key, behind :data:`KEY_SCHEME`. It ends here: no replica sees it.
+AUTHORIZATION = 'Authorization'
+#: Who holds the key, as a replica is told; a caller's own is thrown away.
+ORGANISATION = 'Limeshelf-Tenant'
+#: Which kind of key a call without a known one lacks (RFC 9110, section 11.6.1).
+CHALLENGE = 'WWW-Authenticate'
+
+#: Stands before the key; in any case (RFC 9110, section 11.1).
+KEY_SCHEME = 'Token'
 
 #: Lower numbers are more urgent.
 MOST_URGENT = 0
@@ -96,6 +108,8 @@
         CACHE_BACKUP,
         CACHE_SOURCE,
         CACHE_COPY,
+        AUTHORIZATION,
+        ORGANISATION,
     )
 )
 #: What says which call this is and what it needs. A replica gets it as the caller sent it,
@@ -114,6 +128,21 @@
     return name not in HOP_HEADERS and name not in SET_BY_SYSTEM and name not in bound
 
 
+def read_key(texts: Sequence[str]) -> KeyDigest | None:
+    """Return what stands for the key in the headers that carry keys.
+
+    ``None`` where there is none, more than one, another scheme, or no single word: such a call
+    is treated as one without a key.
+    """
+    if len(texts) != 1:
+        return None
+    scheme, _, key = texts[0].strip().partition(' ')
+    key = key.strip()
+    if scheme.lower() != KEY_SCHEME.lower() or not key.isascii() or not key.isprintable():
+        return None
+    return digest_of(key) if key and ' ' not in key else None
+
+
 def read_count(text: str, name: str) -> int:
     """Return the whole number in header *name*.
 
--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -21,10 +21,10 @@
 import msgspec
 
 from limeshelf.errors import PlatformUnavailable, PlatformUnknown
-from limeshelf.feeds.answer_clock import AnswerClock
 from limeshelf.feeds.rows import ConditionFailed, HistoryGone, Page, Row
+from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.platform.sessions import open_session
-from limeshelf.util.clock import boottime_s
+from limeshelf.util.clock import MS_PER_S, boottime_s
 from limeshelf.util.sockets import keepalive_socket
 
 if TYPE_CHECKING:
@@ -46,7 +46,6 @@
 STATUS_CONDITION = 412
 #: The feed no longer has the changes after the asked version.
 STATUS_HISTORY_GONE = 410
-MS_PER_S = 1000
 #: Refused before anything was done: too many calls, or the store is not available.
 STATUS_NOT_DONE = frozenset({429, 503})
 
@@ -148,26 +147,31 @@
     """Implements :class:`limeshelf.feeds.rows.RowTable`, whose errors it raises.
 
     :param count_call: called with the operation and the table of each call.
+    :param clock: learns from each answer how the store's clock stands.
     """
 
     def __init__(
-        self, address: str, count_call: Callable[[StoreOperation, str], None] = _count_nothing
+        self,
+        address: str,
+        count_call: Callable[[StoreOperation, str], None] = _count_nothing,
+        clock: StoreClock | None = None,
     ) -> None:
         self._base_url = f'http://{address}'
         self._count_call = count_call
-        self._clock = AnswerClock()
+        self._clock = clock or StoreClock()
         self._session: aiohttp.ClientSession | None = None
 
     def change_address(self, address: str) -> None:
-        """Send the next calls to another address."""
+        """Send the next calls to another address of the same store."""
         self._base_url = f'http://{address}'
-        self._clock = AnswerClock()
+        self._clock.forget_ways()
 
     async def read(self, table: str) -> Page:
         """Return all rows of *table* as of one moment of each page."""
         rows: list[Row] = []
         version = 0
         answered_s = 0.0
+        as_of_ms = 0
         start = ''
         while True:
             query = {'table': table, 'part': NO_PART}
@@ -178,10 +182,12 @@
             answer = await self._call('GET', '/rows-get', query)
             page = _rows(answer)
             answered_s = answered_s or self._answered_s(asked_s, answer)
+            as_of_ms = as_of_ms or int(answer.now_ms)
             rows.extend(page)
             version = min(version, answer.ver) if version else answer.ver
             if not answer.more or not page:
-                return Page(tuple(rows), version, int(answer.now_ms), answered_s)
+                now_ms = int(answer.now_ms)
+                return Page(tuple(rows), version, now_ms, answered_s, as_of_ms)
             # The least key behind the last one.
             start = page[-1].key + '\0'
 
@@ -192,7 +198,8 @@
         self._count_call(StoreOperation.FOLLOW, table)
         answer = await self._call('GET', '/rows-feed', query, wait_s=wait_s)
         answered_s = self._answered_s(asked_s, answer)
-        return Page(_rows(answer), answer.ver, int(answer.now_ms), answered_s)
+        now_ms = int(answer.now_ms)
+        return Page(_rows(answer), answer.ver, now_ms, answered_s, now_ms)
 
     def _answered_s(self, asked_s: float, answer: _Answer) -> float:
         return self._clock.answered_s(asked_s, boottime_s(), answer.now_ms / MS_PER_S)
@@ -218,7 +225,11 @@
         await self._transact(_Transaction(conditions, put=[], drop=[drop]))
 
     async def _transact(self, transaction: _Transaction) -> _Answer:
-        return await self._call('POST', '/rows-tx', body=transaction)
+        asked_s = boottime_s()
+        answer = await self._call('POST', '/rows-tx', body=transaction)
+        if answer.now_ms:
+            self._clock.note_answer(asked_s, answer.now_ms / MS_PER_S)
+        return answer
 
     async def _call(
         self,
--- a/limeshelf/platform/wire.py
+++ b/limeshelf/platform/wire.py
@@ -56,6 +56,7 @@
             budget_s=headers.read_count(deadline, headers.DEADLINE) / 1000 if deadline else None,
             model_need=headers.read_model_need(fields),
             last_event_id=fields.get(headers.LAST_EVENT),
+            key=headers.read_key(fields.getall(headers.AUTHORIZATION, [])),
         )
 
     def send_headers(self, call: Call, facts: SendFacts) -> list[tuple[str, str]]:
@@ -66,6 +67,8 @@
         if call.model_need is not None:
             rank = min(headers.LEAST_URGENT, max(headers.MOST_URGENT, facts.priority))
             sent.append((headers.PRIORITY, str(rank)))
+        if facts.organisation is not None:
+            sent.append((headers.ORGANISATION, facts.organisation))
         if facts.last_event_id is not None:
             sent.append((headers.LAST_EVENT, facts.last_event_id))
         return sent
@@ -93,13 +96,16 @@
         )
 
     def refusal_headers(
-        self, call_id: str | None, retry_after_s: float | None
+        self, call_id: str | None, retry_after_s: float | None, *, asks_for_key: bool = False
     ) -> list[tuple[str, str]]:
         """Return the headers of an answer of our own.
 
         :param retry_after_s: when to come back, in seconds; ``None`` says nothing.
+        :param asks_for_key: whether the call lacks a key that is known.
         """
         sent = [(headers.CALL_ID, call_id)] if call_id else []
         if retry_after_s is not None:
             sent.append((headers.RETRY_AFTER, f'{max(0.0, retry_after_s):.3f}'))
+        if asks_for_key:
+            sent.append((headers.CHALLENGE, headers.KEY_SCHEME))
         return sent
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -7,12 +7,15 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from limeshelf.admission.retry_budget import RetryBudgets, RetryRule
 from limeshelf.calls.in_force import ConfigInForce
 from limeshelf.demand.meter import DemandMeter
 from limeshelf.dispatch.client import DispatchClient
+from limeshelf.feeds.store_clock import StoreClock
+from limeshelf.gateway.access import AccessGuard
 from limeshelf.gateway.edge import Edge
 from limeshelf.gateway.pipeline import Pipeline
 from limeshelf.gateway.selection import ReplicaSelector
@@ -29,7 +32,9 @@
 from limeshelf.membership.want_exchange import WantExchange
 from limeshelf.metrics.prometheus import GatewayMetrics
 from limeshelf.orders.sender import OrderSender
+from limeshelf.organisations.access import AccessRule
 from limeshelf.placement.service import PlacementService
+from limeshelf.platform.configuration import CONFIG_TABLE
 from limeshelf.platform.orders import ReplicaOrderClient
 from limeshelf.platform.replicas import read_record
 from limeshelf.platform.store import StoreClient
@@ -51,6 +56,11 @@
     return RetryRule(retries.ratio, retries.slack, retries.window_s)
 
 
+def access_rule(settings: GatewaySettings) -> AccessRule:
+    """Return how soon keys that were taken away must be out of use, by the settings."""
+    return AccessRule(settings.organisations.revoked_within_s)
+
+
 class GatewayComponents:
     """Everything that one gateway consists of, wired.
 
@@ -62,7 +72,10 @@
         self.node = node
         self.in_force = ConfigInForce()
         self.metrics = GatewayMetrics()
-        self.store = StoreClient(settings.store_address, self.metrics.observe_store_call)
+        self.store_clock = StoreClock()
+        self.store = StoreClient(
+            settings.store_address, self.metrics.observe_store_call, self.store_clock
+        )
         self.changes = StateChanges()
         self.directory = ReplicaDirectory(read_record, self.changes.note_replica)
         self.members = Members(Member(node.address, settings.data_centre, settings.weight))
@@ -139,7 +152,7 @@
             self.placement,
             self.changes,
         )
-        self.rows = RowExchange(self.node, self.members)
+        self.rows = RowExchange(self.node, self.members, self.store_clock)
         config_rows = ConfigRows(self.in_force, self.directory)
         self.followers = follow_tables(
             self.store,
@@ -156,6 +169,7 @@
         self.pool = ConnectionPool(wire)
         chooser = Chooser(self.directory, settings.data_centre)
         selector = ReplicaSelector(self.directory, chooser, self.dispatch)
+        self.access = AccessGuard(self.in_force, self.config_age_s, access_rule(settings))
         self.pipeline = Pipeline(
             wire,
             self.directory,
@@ -164,9 +178,19 @@
             self.meter,
             self.budgets,
             self.in_force,
+            self.access,
         )
         self.edge = Edge(self.pipeline, wire, self.metrics)
 
+    def config_age_s(self) -> float:
+        """Return for how long, at the most, the configuration may not have been the newest.
+
+        In seconds; infinite once a later one came that cannot be read.
+        """
+        if self.in_force.is_superseded:
+            return math.inf
+        return self.store_clock.greatest_age_s(self.rows.copies[CONFIG_TABLE].confirmed_ms)
+
     def add_seeds(self, settings: GatewaySettings) -> None:
         """Add the gateways that the settings name, so that a start without the store works."""
         for seed in settings.seeds:
--- a/limeshelf/programs/followed_tables.py
+++ b/limeshelf/programs/followed_tables.py
@@ -77,6 +77,7 @@
             config = read_config(row.value)
         except InvalidDocument as error:
             log_change('config_invalid', row_version=row.version, problem=str(error))
+            self.in_force.is_superseded = True
             return
         if not self.in_force.take(config):
             return
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -23,7 +23,7 @@
 from limeshelf.metrics.event_log import event_log, log_change
 from limeshelf.metrics.prometheus import MetricsServer
 from limeshelf.peers.node import PeerNode
-from limeshelf.programs.components import GatewayComponents, retry_rule
+from limeshelf.programs.components import GatewayComponents, access_rule, retry_rule
 from limeshelf.programs.settings_watch import SettingsWatch
 from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
 from limeshelf.util.backoff import jittered_s
@@ -96,6 +96,7 @@
     def _take_settings(self, settings: GatewaySettings) -> None:
         self.settings = settings
         self.components.budgets.change_rule(retry_rule(settings))
+        self.components.access.rule = access_rule(settings)
         self.components.store.change_address(settings.store_address)
         self.components.members.change_own_weight(settings.weight)
         self.components.add_seeds(settings)
--- a/limeshelf/settings/gateway.py
+++ b/limeshelf/settings/gateway.py
@@ -14,6 +14,7 @@
 
 from limeshelf.errors import InvalidDocument, Problem
 from limeshelf.settings.structure import structure_file
+from limeshelf.util.clock import MS_PER_S
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -26,7 +27,6 @@
 #: Share of the platform's limit that a lease lasts at the most, so that a successor's first
 #: order comes within the limit. Chosen, not measured.
 LEASE_LIMIT_SHARE = 0.8
-MS_PER_S = 1000
 
 
 @attrs.frozen
@@ -91,6 +91,24 @@
         return self.replica_ms / MS_PER_S
 
 
+@attrs.frozen
+class OrganisationSettings:
+    """What is promised of the keys and limits of organisations.
+
+    :param strict_revocation: whether a key that was taken away must be out of use everywhere,
+        also at gateways that are cut off.
+    :param revoke_ms: within which it must, in milliseconds.
+    """
+
+    strict_revocation: bool = False
+    revoke_ms: float = 5000.0
+
+    @property
+    def revoked_within_s(self) -> float | None:
+        """Return the time within which a key must be out of use; ``None`` for no bound."""
+        return self.revoke_ms / MS_PER_S if self.strict_revocation else None
+
+
 @attrs.frozen
 class GatewaySettings:
     """Everything that a gateway process reads at its start.
@@ -109,6 +127,7 @@
     :param retries: what may be sent again.
     :param placement: bounds of the leader.
     :param freshness: how soon changes have to be known.
+    :param organisations: what is promised of their keys and limits.
     :param weight: how much traffic the instance can carry, in proportion to the
         others (the deploy file gives its link's Mbit/s); the heaviest are relays.
     """
@@ -127,6 +146,7 @@
     placement: PlacementSettings
     weight: float = 1.0
     freshness: FreshnessSettings = attrs.field(factory=FreshnessSettings)
+    organisations: OrganisationSettings = attrs.field(factory=OrganisationSettings)
 
     @property
     def peer_port(self) -> int:
@@ -160,6 +180,8 @@
         if getattr(settings.freshness, name) < LEAST_FRESHNESS_MS:
             text = f'expected {LEAST_FRESHNESS_MS:.0f} milliseconds or more'
             problems.append(Problem(f'freshness.{name}', text))
+    if settings.organisations.revoke_ms <= 0:
+        problems.append(Problem('organisations.revoke_ms', 'expected more than 0'))
     if settings.placement.effective_lease_s <= LEAST_LEASE_S:
         problems.append(Problem('placement.lease_s', 'expected more than 1 second'))
     return problems
--- a/limeshelf/util/clock.py
+++ b/limeshelf/util/clock.py
@@ -16,6 +16,9 @@
     from collections.abc import Iterator
 
 
+MS_PER_S = 1000
+
+
 @attrs.define
 class VirtualClock:
     """A clock that is moved by hand, for experiments and tests.
--- a/tests/docs/test_named_things.py
+++ b/tests/docs/test_named_things.py
@@ -93,7 +93,7 @@
 #: Packages of the users' platform whose modules decide.
 DECIDING = (
     'admission', 'demand', 'dispatch', 'feeds', 'gateway', 'lease', 'membership', 'orders',
-    'placement', 'replicas', 'routing',
+    'organisations', 'placement', 'replicas', 'routing',
 )  # fmt: skip
 #: Figures of these time or bound the applying code; no rule goes by them.
 NO_RULE = {
@@ -103,6 +103,7 @@
     'membership/digest_exchange.py': 'the period of its message',
     'membership/registration.py': 'backoff of one write',
     'membership/row_exchange.py': 'the period of its message',
+    'organisations/organisation.py': 'the length of a digest',
 }
 
 
--- a/tests/feeds/test_answer_clock.py
+++ b/tests/feeds/test_store_clock.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from limeshelf.feeds.answer_clock import AnswerClock
+from limeshelf.feeds.store_clock import StoreClock
 
 #: The store's clock minus that of the machine.
 AHEAD_S = 5000.0
@@ -17,7 +17,7 @@
     calls: list[tuple[float, float, float]],
 ) -> None:
     """Each call takes a way there, is held back, and takes a way back."""
-    clock = AnswerClock()
+    clock = StoreClock()
     now_s = 100.0
     shortest_s = 2.0
     for there_s, held_s, back_s in calls:
@@ -31,6 +31,6 @@
 
 
 def test_answer_that_was_held_back_counts_from_its_end() -> None:
-    clock = AnswerClock()
+    clock = StoreClock()
     clock.answered_s(100.0, 100.01, 5100.005)
     assert clock.answered_s(101.0, 101.71, 5101.705) > 101.70
--- a/tests/forms/test_messages.py
+++ b/tests/forms/test_messages.py
@@ -62,6 +62,17 @@
     '32c2ab646174615f63656e747265a27a31a46b696e64ad666c6565742d73756d6d617279a673656e'
     '646572ad31302e302e302e313a37303031'
 )
+#: Frames of the release that told no time of the store's clock.
+OLD_ROWS_QUERY = (
+    '84a4626f647981a876657273696f6e7382a26f7007a77365727665727366ab646174615f63656e74'
+    '7265a27a31a46b696e64aa726f77732d7175657279a673656e646572ad31302e302e302e313a3730'
+    '3031'
+)
+OLD_UPDATES = (
+    '84a4626f647981a5776f7264739195a7736572766572735a660f9294a3722d31c4107b2253657276'
+    '696365223a226c6d227d65c294a3722d32c40066c3ab646174615f63656e747265a27a31a46b696e'
+    '64ab7461626c652d776f726473a673656e646572ad31302e302e302e313a37303031'
+)
 
 
 def named(value: Any) -> Any:
@@ -119,3 +130,11 @@
     assert (len(bundle.digests), bundle.dispatcher) == (2, '')
     summary = decode(bytes.fromhex(OLD_SUMMARY)).message
     assert (summary.gateways, summary.dispatchers) == (12, {})
+
+
+def test_query_and_updates_of_a_gateway_that_does_not_tell_the_time_of_the_store() -> None:
+    query = decode(bytes.fromhex(OLD_ROWS_QUERY)).message
+    assert (query.versions, query.asked_ms) == ({'op': 7, 'servers': 102}, 0)
+    updates = decode(bytes.fromhex(OLD_UPDATES)).message
+    assert (updates.asked_ms, updates.store_ms) == (0, 0)
+    assert [update.confirmed_ms for update in updates.words] == [0]
--- a/tests/forms/test_settings.py
+++ b/tests/forms/test_settings.py
@@ -17,7 +17,11 @@
 import attrs
 import pytest
 
-from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
+from limeshelf.settings.gateway import (
+    GatewaySettings,
+    OrganisationSettings,
+    load_gateway_settings,
+)
 from limeshelf.settings.load import load_settings
 from limeshelf.settings.model import Settings
 from tests.forms.recorded import ROOT, check_recorded
@@ -51,7 +55,14 @@
     'Bounds.LeaseMs': 3000,
     'Bounds.ConfigMs': 4000,
     'Bounds.DrainMs': 3000,
+    'Bounds.StrictRevocation': True,
+    'Bounds.RevokeMs': 4500,
 }
+#: What older deployments of the platform leave out.
+NOT_EVERYWHERE = ('Bounds.StrictRevocation', 'Bounds.RevokeMs')
+#: A part that stands if a value is there and true (``#``), or if it is not (``^``).
+SECTION = re.compile(r'\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}', re.DOTALL)
+VALUE = re.compile(r'\{\{([\w.]+)\|json\}\}')
 
 
 def inner_class(hint: Any) -> Any:
@@ -125,14 +136,23 @@
     assert names_in(document) == {line.partition(':')[0] for line in lines_of(kind)}
 
 
+def rendered(template: str, values: dict[str, Any]) -> str:
+    """Return the template as the platform fills it in."""
+
+    def section(found: re.Match[str]) -> str:
+        stands = values.get(found[2]) not in (None, False)
+        return found[3] if stands == (found[1] == '#') else ''
+
+    text = SECTION.sub(section, template)
+    return VALUE.sub(lambda found: json.dumps(values[found[1]]), text)
+
+
 def test_template_of_the_deploy_file_loads(tmp_path: Path) -> None:
     template = (ROOT / 'deploy' / 'settings.json.in').read_text()
-    asked = re.findall(r'\{\{([\w.]+)\|json\}\}', template)
-    assert sorted(asked) == sorted(RENDERED)
+    asked = VALUE.findall(template) + [name for _, name, _ in SECTION.findall(template)]
+    assert sorted(set(asked)) == sorted(RENDERED)
     path = tmp_path / 'settings.toml'
-    path.write_text(
-        re.sub(r'\{\{([\w.]+)\|json\}\}', lambda m: json.dumps(RENDERED[m[1]]), template)
-    )
+    path.write_text(rendered(template, RENDERED))
     assert attrs.asdict(load_gateway_settings(path)) == {
         'instance_id': 'g-1',
         'ip': '10.0.0.1',
@@ -153,4 +173,13 @@
             'lease_limit_ms': 3000.0,
         },
         'freshness': {'config_ms': 4000.0, 'replica_ms': 3000.0},
+        'organisations': {'strict_revocation': True, 'revoke_ms': 4500.0},
     }
+
+
+def test_template_loads_where_the_platform_leaves_values_out(tmp_path: Path) -> None:
+    template = (ROOT / 'deploy' / 'settings.json.in').read_text()
+    values = {name: value for name, value in RENDERED.items() if name not in NOT_EVERYWHERE}
+    path = tmp_path / 'settings.toml'
+    path.write_text(rendered(template, values))
+    assert load_gateway_settings(path).organisations == OrganisationSettings()
--- a/tests/membership/test_row_exchange.py
+++ b/tests/membership/test_row_exchange.py
@@ -95,7 +95,7 @@
     one._take_updates(update(8, 9, TableRow('c', b'1', 9, False)))
     assert one.copies['t'].version == 5
     node: Any = one.node
-    assert node.sent == [('g1', RowsQuery({'t': 5}))]
+    assert [(address, query.versions) for address, query in node.sent] == [('g1', {'t': 5})]
     one._take_updates(update(5, 9, TableRow('b', b'1', 7, False), TableRow('c', b'1', 9, False)))
     assert one.copies['t'].version == 9
     assert len(one.copies['t'].rows()) == 3
@@ -203,3 +203,33 @@
         task.cancel()
 
     asyncio.run(play())
+
+
+def test_gateway_that_never_reached_the_store_learns_its_clock_from_an_answer() -> None:
+    with virtual_clock() as clock:
+        one, other = exchange('g1', 'g2'), exchange('g2', 'g1')
+        # The store's clock shows 5 s while the one of this machine shows 1,000 s.
+        other.clock.note_answer(clock.now_s, 5.0)
+        other.copies['t'].take_update([], 0, 9, 0.0, 5000)
+        node: Any = one.node
+        one._ask_another()
+        clock.advance(0.4)
+        other._answer_query(Envelope('g1', 'c1', node.sent[-1][1]))
+        clock.advance(0.7)
+        other_node: Any = other.node
+        one._take_updates(Envelope('g2', 'c1', other_node.sent[-1][1]))
+        # Older than it is by the way of the query; never younger by that of the answer.
+        age_s = one.clock.greatest_age_s(one.copies['t'].confirmed_ms)
+        assert 1.1 <= age_s <= 1.5 + 0.01
+
+
+def test_update_that_waited_makes_nothing_younger() -> None:
+    """A message that lay in the buffer of a process that stood still: before, its age at
+    the send counted from the moment at which it was read."""
+    with virtual_clock() as clock:
+        one = exchange('g2', 'g1')
+        one.clock.note_answer(clock.now_s, 5.0)
+        waiting = TableUpdate('t', 0, 9, 0, [], 5000)
+        clock.advance(6.0)
+        one._take_updates(Envelope('g1', 'c1', TableUpdates([waiting])))
+        assert one.clock.greatest_age_s(one.copies['t'].confirmed_ms) >= 6.0
--- /dev/null
+++ b/tests/organisations/test_access.py
@@ -0,0 +1,52 @@
+"""Whether a call may begin: its key, its route, the age of the configuration."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from limeshelf.organisations.access import AccessRule, Admitted, Denial, check_access
+from limeshelf.organisations.organisation import Organisation, Organisations, digest_of
+
+ACME = Organisation('acme', priority=0)
+KNOWN = digest_of('k-1')
+UNKNOWN = digest_of('k-2')
+ORGANISATIONS = Organisations([(ACME, [KNOWN])])
+STRICT = AccessRule(revoked_within_s=5.0)
+LENIENT = AccessRule()
+
+
+@pytest.mark.parametrize(
+    ('key', 'is_public', 'age_s', 'rule', 'expected'),
+    [
+        (KNOWN, False, 0.1, STRICT, Admitted(ACME)),
+        (UNKNOWN, False, 0.1, STRICT, Denial.UNKNOWN_KEY),
+        (None, False, 0.1, STRICT, Denial.UNKNOWN_KEY),
+        # A newer configuration may hold a key that is not known here.
+        (KNOWN, False, 4.9, STRICT, Denial.CONFIG_TOO_OLD),
+        (UNKNOWN, False, 4.9, STRICT, Denial.CONFIG_TOO_OLD),
+        (KNOWN, False, math.inf, STRICT, Denial.CONFIG_TOO_OLD),
+        (KNOWN, False, math.inf, LENIENT, Admitted(ACME)),
+        (UNKNOWN, False, math.inf, LENIENT, Denial.UNKNOWN_KEY),
+        # Public routes go on, and say who sends where that is known.
+        (None, True, math.inf, STRICT, Admitted(None)),
+        (UNKNOWN, True, 0.1, STRICT, Admitted(None)),
+        (KNOWN, True, math.inf, STRICT, Admitted(ACME)),
+    ],
+)
+def test_who_may_begin(
+    key: bytes, is_public: bool, age_s: float, rule: AccessRule, expected: object
+) -> None:
+    found = check_access(ORGANISATIONS, key, is_public=is_public, config_age_s=age_s, rule=rule)
+    assert found == expected
+
+
+def test_configuration_without_organisations_asks_for_no_key() -> None:
+    found = check_access(None, UNKNOWN, is_public=False, config_age_s=math.inf, rule=STRICT)
+    assert found == Admitted(None)
+
+
+def test_keys_count_for_less_than_the_time_within_which_they_must_be_out_of_use() -> None:
+    assert 4.0 < STRICT.max_age_s < 5.0
+    assert math.isinf(LENIENT.max_age_s)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -26,6 +26,8 @@
     'Limeshelf-Kv-Backup',
     'Kv-Fetch',
     'Kv-From',
+    'Authorization',
+    'Limeshelf-Tenant',
 )
 CALLER_NAMES = (
     'Limeshelf-Attempt-Id',
