Hold the limits of organisations over all gateways, one limiter a data centre

Cause: the configuration states how many tokens a second an organisation may use, summed over all gateways, in touch or not; nothing counted them.

Change: each data centre has a fixed part of what is tolerated; its first relay decides each call, by what gateways report with their digests and what it granted since; the second one takes over without a handover. Reserved before the queue, counted from the send, given back if no replica ran it. Unknown use counts as used: parts of silent gateways, predecessors of young processes, all of it after a start of all. 429 with the time until there is room; a caller that comes again at once is refused without a question.

Found by the state machine while building: two limiters asked at once granted 1.005 of what is tolerated; the second one now grants 0.05 between two reports, and the first leaves that to it.

Recorded forms: gateway-digest and digest-bundle gained two fields (old frames are read), limit-query and limit-verdict are new, settings gained organisations.limit_* and data_centres.

--- a/limeshelf/admission/come_back.py
+++ b/limeshelf/admission/come_back.py
@@ -31,6 +31,10 @@
 #: this one would. Chosen, not measured.
 CONFIG_TOO_OLD_COME_BACK_S = 0.3
 
+#: A relay that fell silent is replaced within 1.2 s, and another gateway may hear one. Chosen,
+#: not measured.
+LIMIT_UNKNOWN_COME_BACK_S = 0.3
+
 
 def after_wait_s(expected_wait_s: float, left_s: float) -> float:
     """Return when to come back where a replica has room after *expected_wait_s*.
--- a/limeshelf/calls/call.py
+++ b/limeshelf/calls/call.py
@@ -71,6 +71,8 @@
     :param model_need: ``None`` for a call to a plain service.
     :param last_event_id: the last event that the caller has, on resumption.
     :param key: stands for the key that the caller sent; ``None`` for none, or a malformed one.
+    :param stated_tokens: of the prompt and the most that may be generated, as its organisation
+        is charged; ``None`` where the caller states none.
     """
 
     call_id: str
@@ -84,6 +86,7 @@
     model_need: ModelNeed | None
     last_event_id: str | None
     key: KeyDigest | None = attrs.field(default=None, repr=False)
+    stated_tokens: int | None = None
 
     @property
     def path(self) -> str:
--- a/limeshelf/errors.py
+++ b/limeshelf/errors.py
@@ -23,6 +23,8 @@
     STOPPING = 'stopping'
     UNKNOWN_KEY = 'unknown_key'
     CONFIG_TOO_OLD = 'config_too_old'
+    OVER_LIMIT = 'over_limit'
+    LIMIT_UNKNOWN = 'limit_unknown'
 
 
 class DoubtReason(enum.StrEnum):
--- /dev/null
+++ b/limeshelf/gateway/limits.py
@@ -0,0 +1,47 @@
+"""What a call counts for its organisation, and how it is refused where that is too much.
+
+Owns nothing; relies on :mod:`limeshelf.membership.limit_exchange` for the decision.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.admission import come_back
+from limeshelf.errors import NotRun, RefusalReason
+from limeshelf.gateway.settling import STATUS_OVER_LIMIT, STATUS_UNAVAILABLE, Refuse
+from limeshelf.organisations.limiter import Decision, Ruling
+
+if TYPE_CHECKING:
+    from limeshelf.calls.call import Call
+    from limeshelf.membership.limit_exchange import LimitExchange
+    from limeshelf.organisations.organisation import Organisation
+    from limeshelf.organisations.usage import Reservation
+
+
+@attrs.frozen
+class LimitGuard:
+    """Reserves what calls use of the limits of their organisations."""
+
+    limits: LimitExchange
+
+    async def reserve(
+        self, call: Call, organisation: Organisation | None
+    ) -> Reservation | Refuse | None:
+        """Return what a call reserved, ``None`` where it has no limit, or how it is refused."""
+        if organisation is None or organisation.limit is None:
+            return None
+        limit = organisation.limit
+        amount = limit.cost_of(call.stated_tokens)
+        reserved = await self.limits.reserve(organisation.name, limit, amount)
+        return _refusal_of(reserved) if isinstance(reserved, Decision) else reserved
+
+
+def _refusal_of(decision: Decision) -> Refuse:
+    if decision.ruling is Ruling.OVER:
+        retry_after_s = max(come_back.LEAST_COME_BACK_S, decision.wait_s)
+        return Refuse(STATUS_OVER_LIMIT, NotRun(RefusalReason.OVER_LIMIT, retry_after_s))
+    outcome = NotRun(RefusalReason.LIMIT_UNKNOWN, come_back.LIMIT_UNKNOWN_COME_BACK_S)
+    return Refuse(STATUS_UNAVAILABLE, outcome)
--- a/limeshelf/gateway/lines.py
+++ b/limeshelf/gateway/lines.py
@@ -40,6 +40,7 @@
         request=state.call.call_id,
         route=state.route.name,
         service=state.service.name,
+        organisation=state.organisation.name if state.organisation else '',
         replica=replica.replica_id,
         result=type(result).__name__,
         detail=_detail(result),
@@ -128,8 +129,13 @@
     log_request('failed', request=call.call_id, status=status, config=config_version)
 
 
-def log_refused(call: Call, refusal: Refuse, config_version: int | None) -> None:
-    """Log the status and the promise with which a call ends."""
+def log_refused(
+    call: Call, refusal: Refuse, config_version: int | None, organisation: str = ''
+) -> None:
+    """Log the status and the promise with which a call ends.
+
+    :param organisation: that holds the call's key; empty where none is known.
+    """
     outcome = refusal.outcome
     log_request(
         'refused',
@@ -138,4 +144,5 @@
         reason=outcome.reason,
         retry_after_s=outcome.retry_after_s,
         config=config_version,
+        organisation=organisation,
     )
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -55,6 +55,7 @@
     from limeshelf.gateway.access import AccessGuard
     from limeshelf.gateway.answer import Answer
     from limeshelf.gateway.exchange import Result
+    from limeshelf.gateway.limits import LimitGuard
     from limeshelf.gateway.selection import ReplicaSelector
     from limeshelf.gateway.settling import Ending
     from limeshelf.organisations.organisation import Organisation
@@ -81,6 +82,7 @@
         budgets: RetryBudgets,
         in_force: ConfigInForce,
         access: AccessGuard,
+        limits: LimitGuard,
     ) -> None:
         self._wire = wire
         self._directory = directory
@@ -90,6 +92,7 @@
         self._budgets = budgets
         self._in_force = in_force
         self._access = access
+        self._limits = limits
         self._waiting: set[asyncio.Task[object]] = set()
         self._stopping = False
 
@@ -104,10 +107,23 @@
         if isinstance(state, Refuse):
             await self._answer(call, state, answer)
             return
+        reserved = await self._limits.reserve(call, state.organisation)
+        if isinstance(reserved, Refuse):
+            await self._answer(call, reserved, answer, state.organisation)
+            return
+        state.reservation = reserved
+        try:
+            await self._serve_within_limit(state)
+        finally:
+            if reserved is not None:
+                reserved.close()
+
+    async def _serve_within_limit(self, state: CallState) -> None:
+        call = state.call
         self._budgets.of(state.service.name).note_call()
         with self._demand.track(call, state.service.name, state.route.objective_s):
             ending = await self._run(state)
-            await self._answer(call, ending, answer)
+            await self._answer(call, ending, state.answer, state.organisation)
 
     def _route(self, call: Call, answer: Answer) -> CallState | Refuse:
         config = self.config
@@ -266,7 +282,13 @@
     def _version(self) -> int | None:
         return self.config.version if self.config else None
 
-    async def _answer(self, call: Call, ending: Ending, answer: Answer) -> None:
+    async def _answer(
+        self,
+        call: Call,
+        ending: Ending,
+        answer: Answer,
+        organisation: Organisation | None = None,
+    ) -> None:
         """Give the caller its final answer, if it does not have it yet."""
         if isinstance(ending, Answered):
             return
@@ -277,6 +299,7 @@
             whole = ending.answer
             await answer.whole(whole.facts.status, whole.facts.headers, whole.body)
         elif isinstance(ending, Refuse):
+            log_refused(call, ending, self._version, organisation.name if organisation else '')
             await self._refuse(call, ending, answer)
         else:
             log_failed(call, ending.status, self._version)
@@ -284,7 +307,6 @@
             await answer.whole(ending.status, headers, b'')
 
     async def _refuse(self, call: Call, refusal: Refuse, answer: Answer) -> None:
-        log_refused(call, refusal, self._version)
         headers = self._wire.refusal_headers(
             call.call_id,
             refusal.outcome.retry_after_s,
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -18,6 +18,7 @@
     from limeshelf.gateway.answer import Answer
     from limeshelf.gateway.exchange import Result
     from limeshelf.organisations.organisation import Organisation
+    from limeshelf.organisations.usage import Reservation
 
 
 @attrs.define
@@ -26,6 +27,7 @@
 
     :ivar answer: where its answer goes.
     :ivar organisation: that holds its key; ``None`` without one.
+    :ivar reservation: of what it uses of its organisation's limit; ``None`` without a limit.
     :ivar ends_s: when its final answer must go out, on the steady clock.
     :ivar splitter: keeps the place in a stream across attempts.
     :ivar runs: replicas that ran it or may have run it.
@@ -42,6 +44,7 @@
     service: ServiceSpec
     ends_s: float
     organisation: Organisation | None = None
+    reservation: Reservation | None = None
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     runs: int = 0
     sends: int = 0
@@ -53,6 +56,8 @@
     def note_send(self) -> None:
         """Count an attempt that begins now."""
         self.sends += 1
+        if self.reservation is not None:
+            self.reservation.note_sent()
         self.waited_s = self.since_arrival_s
 
     def note_result(self, result: Result) -> None:
@@ -60,6 +65,8 @@
         self.last = result
         if isinstance(result, NeverRan | NotSent):
             self.refusals += 1
+            if self.reservation is not None:
+                self.reservation.note_not_run()
         elif not isinstance(result, Delivered):
             self.runs += 1
 
--- a/limeshelf/membership/digest_exchange.py
+++ b/limeshelf/membership/digest_exchange.py
@@ -29,6 +29,7 @@
     from limeshelf.lease.leadership import Leadership
     from limeshelf.membership.dispatchers import Dispatchers
     from limeshelf.membership.leader import LeaderView
+    from limeshelf.membership.limit_exchange import LimitExchange
     from limeshelf.membership.members import Members
     from limeshelf.peers.codec import Envelope
     from limeshelf.peers.node import PeerNode
@@ -55,6 +56,7 @@
     in_force: ConfigInForce
     dispatchers: Dispatchers
     speed: ReadingSpeed
+    limits: LimitExchange
     _book: DigestBook = attrs.field(factory=DigestBook)
     _centre_demand: CentreDemand = attrs.field(factory=CentreDemand)
     _bundled_gateways: dict[str, int] = attrs.field(factory=dict)
@@ -86,6 +88,7 @@
         """Send digests, and as a relay what was made of those of the others."""
         while True:
             self._digest_count += 1
+            self.limits.check_role()
             digest = self._own_digest()
             self._take_demand(digest)
             own = self.members.own
@@ -121,6 +124,8 @@
             loads,
             self.meter.recent(),
             self.speed.take_learned(),
+            self.limits.used(),
+            self.limits.started_ms,
         )
 
     def _send_summary(self, own: GatewayDigest) -> None:
@@ -158,6 +163,8 @@
             loads=loads,
             demands=self._centre_demand.recent(digest.demands for digest in digests),
             reading_ms=speeds,
+            usage={},
+            started_ms=0,
         )
 
     def _take_digest(self, envelope: Envelope) -> None:
@@ -202,6 +209,8 @@
         self.directory.take_peer_loads(digest.instance_id, digest.loads)
         self._take_demand(digest)
         self.speed.take_from_peer(digest.reading_ms)
+        if digest.data_centre == self.members.own.data_centre:
+            self.limits.take_report(digest)
 
     def _take_demand(self, digest: GatewayDigest) -> None:
         self.totals.take(digest.instance_id, digest.demands)
--- a/limeshelf/membership/messages.py
+++ b/limeshelf/membership/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from limeshelf.demand.keys import KeyDemand, ModelKey
+from limeshelf.organisations.limiter import Ruling
 from limeshelf.peers.messages import add_message
 
 
@@ -106,6 +107,10 @@
     :param demands: of the models that were asked for lately.
     :param reading_ms: of a prompt token of each model, where this gateway has learned it
         lately by granting.
+    :param usage: of the limits of organisations in the window that counts, by name; not filled
+        in in sums.
+    :param started_ms: when the process started, on the clock of *number*; 0 from a release
+        that does not say, and in sums.
     """
 
     instance_id: str
@@ -118,6 +123,8 @@
     loads: list[ReplicaLoad]
     demands: list[KeyDemand]
     reading_ms: dict[str, float] = attrs.field(factory=dict)
+    usage: dict[str, int] = attrs.field(factory=dict)
+    started_ms: int = 0
 
 
 @add_message('digest-bundle')
@@ -152,6 +159,33 @@
     dispatchers: dict[str, str] = attrs.field(factory=dict)
 
 
+@add_message('limit-query')
+@attrs.frozen
+class LimitQuery:
+    """Asks the limiter of the data centre whether a call lies within its organisation's limit.
+
+    :param query_id: given by the asking gateway.
+    :param amount: what the call counts, in units of the limit.
+    """
+
+    query_id: str
+    organisation: str
+    amount: int
+
+
+@add_message('limit-verdict')
+@attrs.frozen
+class LimitVerdict:
+    """Answers a query.
+
+    :param wait_ms: until there is likely room, where the call would exceed the limit.
+    """
+
+    query_id: str
+    ruling: Ruling
+    wait_ms: int = 0
+
+
 @add_message('gateway-leaving')
 @attrs.frozen
 class GatewayLeaving:
--- a/limeshelf/organisations/organisation.py
+++ b/limeshelf/organisations/organisation.py
@@ -71,8 +71,17 @@
     """All organisations of a configuration, by key."""
 
     def __init__(self, entries: Iterable[tuple[Organisation, Iterable[KeyDigest]]]) -> None:
-        self._by_key = {key: organisation for organisation, keys in entries for key in keys}
+        self._by_key: dict[KeyDigest, Organisation] = {}
+        self._by_name: dict[str, Organisation] = {}
+        for organisation, keys in entries:
+            self._by_name[organisation.name] = organisation
+            self._by_key.update(dict.fromkeys(keys, organisation))
 
     def holder_of(self, key: KeyDigest | None) -> Organisation | None:
         """Return the organisation that holds a key; ``None`` if none does."""
         return None if key is None else self._by_key.get(key)
+
+    def limit_of(self, name: str) -> UsageLimit | None:
+        """Return the limit of an organisation; ``None`` without one, or if it is not known."""
+        organisation = self._by_name.get(name)
+        return None if organisation is None else organisation.limit
--- a/limeshelf/platform/headers.py
+++ b/limeshelf/platform/headers.py
@@ -180,6 +180,17 @@
     )
 
 
+def read_stated_tokens(headers: Mapping[str, str]) -> int | None:
+    """Return the tokens of prompt and answer together; ``None`` if the caller states none.
+
+    :raises InvalidRequest: the header is malformed.
+    """
+    text = headers.get(TOKENS)
+    if text is None:
+        return None
+    return sum(read_count(part or '0', TOKENS) for part in text.split(',')[:2])
+
+
 def _read_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.split(','):
--- a/limeshelf/platform/wire.py
+++ b/limeshelf/platform/wire.py
@@ -57,6 +57,7 @@
             model_need=headers.read_model_need(fields),
             last_event_id=fields.get(headers.LAST_EVENT),
             key=headers.read_key(fields.getall(headers.AUTHORIZATION, [])),
+            stated_tokens=headers.read_stated_tokens(fields),
         )
 
     def send_headers(self, call: Call, facts: SendFacts) -> list[tuple[str, str]]:
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -17,12 +17,14 @@
 from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.gateway.access import AccessGuard
 from limeshelf.gateway.edge import Edge
+from limeshelf.gateway.limits import LimitGuard
 from limeshelf.gateway.pipeline import Pipeline
 from limeshelf.gateway.selection import ReplicaSelector
 from limeshelf.lease.leadership import Leadership
 from limeshelf.membership.digest_exchange import DigestExchange
 from limeshelf.membership.dispatchers import Dispatchers
 from limeshelf.membership.leader import LeaderView
+from limeshelf.membership.limit_exchange import LimitExchange
 from limeshelf.membership.member import Member
 from limeshelf.membership.members import Members
 from limeshelf.membership.registration import Registration
@@ -33,6 +35,7 @@
 from limeshelf.metrics.prometheus import GatewayMetrics
 from limeshelf.orders.sender import OrderSender
 from limeshelf.organisations.access import AccessRule
+from limeshelf.organisations.limits import LimitRule
 from limeshelf.placement.service import PlacementService
 from limeshelf.platform.configuration import CONFIG_TABLE
 from limeshelf.platform.orders import ReplicaOrderClient
@@ -61,6 +64,17 @@
     return AccessRule(settings.organisations.revoked_within_s)
 
 
+def limit_rule(settings: GatewaySettings) -> LimitRule:
+    """Return what is tolerated of the limits of organisations, by the settings."""
+    organisations = settings.organisations
+    return LimitRule(
+        organisations.limit_window_s,
+        organisations.limit_overrun,
+        organisations.limit_slack,
+        len({*settings.data_centres, settings.data_centre}),
+    )
+
+
 class GatewayComponents:
     """Everything that one gateway consists of, wired.
 
@@ -129,6 +143,7 @@
         self.wants = WantExchange(self.node, self.leader, self.placement)
         self.meter = DemandMeter(self.directory, self.wants.report)
         self.registration = Registration(instance_id, self.node, self.members, self.leader)
+        self.limits = LimitExchange(self.node, self.members, self.in_force, limit_rule(settings))
         self.digests = DigestExchange(
             instance_id,
             self.node,
@@ -141,6 +156,7 @@
             self.in_force,
             self.dispatchers,
             self.dispatch.dispatcher.speed,
+            self.limits,
         )
         self.states = StateExchange(
             self.node,
@@ -179,6 +195,7 @@
             self.budgets,
             self.in_force,
             self.access,
+            LimitGuard(self.limits),
         )
         self.edge = Edge(self.pipeline, wire, self.metrics)
 
@@ -202,6 +219,7 @@
         """Take the peers' messages from now on."""
         self.registration.start()
         self.digests.start()
+        self.limits.start()
         self.states.start()
         self.wants.start()
         self.rows.start()
--- a/limeshelf/settings/gateway.py
+++ b/limeshelf/settings/gateway.py
@@ -98,10 +98,16 @@
     :param strict_revocation: whether a key that was taken away must be out of use everywhere,
         also at gateways that are cut off.
     :param revoke_ms: within which it must, in milliseconds.
+    :param limit_window_s: any window in which usage stays within a limit, in seconds.
+    :param limit_overrun: share by which a limit may be exceeded there, 0 or more.
+    :param limit_slack: units beyond that.
     """
 
     strict_revocation: bool = False
     revoke_ms: float = 5000.0
+    limit_window_s: float = 10.0
+    limit_overrun: float = 0.0
+    limit_slack: float = 0.0
 
     @property
     def revoked_within_s(self) -> float | None:
@@ -128,6 +134,8 @@
     :param placement: bounds of the leader.
     :param freshness: how soon changes have to be known.
     :param organisations: what is promised of their keys and limits.
+    :param data_centres: all in which gateways stand; empty where there is no other than
+        this one.
     :param weight: how much traffic the instance can carry, in proportion to the
         others (the deploy file gives its link's Mbit/s); the heaviest are relays.
     """
@@ -147,6 +155,7 @@
     weight: float = 1.0
     freshness: FreshnessSettings = attrs.field(factory=FreshnessSettings)
     organisations: OrganisationSettings = attrs.field(factory=OrganisationSettings)
+    data_centres: list[str] = attrs.field(factory=list)
 
     @property
     def peer_port(self) -> int:
@@ -180,8 +189,18 @@
         if getattr(settings.freshness, name) < LEAST_FRESHNESS_MS:
             text = f'expected {LEAST_FRESHNESS_MS:.0f} milliseconds or more'
             problems.append(Problem(f'freshness.{name}', text))
-    if settings.organisations.revoke_ms <= 0:
-        problems.append(Problem('organisations.revoke_ms', 'expected more than 0'))
+    problems += _organisation_problems(settings.organisations)
     if settings.placement.effective_lease_s <= LEAST_LEASE_S:
         problems.append(Problem('placement.lease_s', 'expected more than 1 second'))
     return problems
+
+
+def _organisation_problems(settings: OrganisationSettings) -> list[Problem]:
+    problems = []
+    for name in ('revoke_ms', 'limit_window_s'):
+        if getattr(settings, name) <= 0:
+            problems.append(Problem(f'organisations.{name}', 'expected more than 0'))
+    for name in ('limit_overrun', 'limit_slack'):
+        if getattr(settings, name) < 0:
+            problems.append(Problem(f'organisations.{name}', 'expected 0 or more'))
+    return problems
--- a/tests/forms/test_platform_wire.py
+++ b/tests/forms/test_platform_wire.py
@@ -364,7 +364,12 @@
     'plain': (PLAIN_HEADERS, PLAIN_CALL),
     'to a model': (
         PLAIN_HEADERS + MODEL_HEADERS,
-        attrs.evolve(PLAIN_CALL, headers=PLAIN_HEADERS + MODEL_HEADERS, model_need=NEED),
+        attrs.evolve(
+            PLAIN_CALL,
+            headers=PLAIN_HEADERS + MODEL_HEADERS,
+            model_need=NEED,
+            stated_tokens=580,
+        ),
     ),
     'to a model, barely said': (
         (*PLAIN_HEADERS, ('limeshelf-model', 'm1')),
--- a/tests/forms/test_settings.py
+++ b/tests/forms/test_settings.py
@@ -57,9 +57,19 @@
     'Bounds.DrainMs': 3000,
     'Bounds.StrictRevocation': True,
     'Bounds.RevokeMs': 4500,
+    'Bounds.QuotaWindowS': 8,
+    'Bounds.QuotaOverrun': 0.1,
+    'Bounds.QuotaSlack': 11000,
+    'Zones': {'z1': 'r1', 'z2': 'r1'},
 }
 #: What older deployments of the platform leave out.
-NOT_EVERYWHERE = ('Bounds.StrictRevocation', 'Bounds.RevokeMs')
+NOT_EVERYWHERE = (
+    'Bounds.StrictRevocation',
+    'Bounds.RevokeMs',
+    'Bounds.QuotaWindowS',
+    'Bounds.QuotaOverrun',
+    'Bounds.QuotaSlack',
+)
 #: A part that stands if a value is there and true (``#``), or if it is not (``^``).
 SECTION = re.compile(r'\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}', re.DOTALL)
 VALUE = re.compile(r'\{\{([\w.]+)\|json\}\}')
@@ -140,7 +150,10 @@
     """Return the template as the platform fills it in."""
 
     def section(found: re.Match[str]) -> str:
-        stands = values.get(found[2]) not in (None, False)
+        value = values.get(found[2])
+        if isinstance(value, dict):
+            return ','.join(found[3].replace('{{@}}', key).replace('{{,}}', '') for key in value)
+        stands = value not in (None, False)
         return found[3] if stands == (found[1] == '#') else ''
 
     text = SECTION.sub(section, template)
@@ -173,7 +186,14 @@
             'lease_limit_ms': 3000.0,
         },
         'freshness': {'config_ms': 4000.0, 'replica_ms': 3000.0},
-        'organisations': {'strict_revocation': True, 'revoke_ms': 4500.0},
+        'organisations': {
+            'strict_revocation': True,
+            'revoke_ms': 4500.0,
+            'limit_window_s': 8.0,
+            'limit_overrun': 0.1,
+            'limit_slack': 11000.0,
+        },
+        'data_centres': ['z1', 'z2'],
     }
 
 
--- /dev/null
+++ b/tests/gateway/test_limits.py
@@ -0,0 +1,126 @@
+"""Limits of organisations on the way of a call: what is over gets 429 and runs nowhere."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import Any
+
+import attrs
+
+from limeshelf.settings.gateway import GatewaySettings, OrganisationSettings
+from standins.users_platform.replica import Fault
+from tests.support.gateway import PLAIN, GatewayWorld, configuration, route
+
+WINDOW_S = 2.0
+#: Four plain calls a window, of those that a limiter grants (0.95 of 0.95 of it).
+LIMITED = {
+    'Name': 'small',
+    'Keys': ['key-of-small'],
+    'Unit': 'tokens',
+    'UncachedTokens': 200,
+    'RatePerS': 450,
+    'Burst': 0,
+}
+FREE = {'Name': 'free', 'Keys': ['key-of-free'], 'Unit': 'tokens', 'UncachedTokens': 200}
+SMALL = {'Authorization': 'Token key-of-small'}
+OTHER = {'Authorization': 'Token key-of-free'}
+
+
+class LimitWorld(GatewayWorld):
+    """A gateway under a configuration with limits."""
+
+    def settings(self) -> GatewaySettings:
+        return attrs.evolve(
+            super().settings(),
+            organisations=OrganisationSettings(limit_window_s=WINDOW_S, limit_overrun=0.1),
+        )
+
+    async def with_limits(self, version: int, *entries: dict[str, Any]) -> None:
+        routes = (route('safe', 'safe', PLAIN), route('unsafe', 'unsafe', PLAIN))
+        self.configure({**configuration(version, *routes), 'Tenants': list(entries)})
+        assert self.gateway is not None
+        in_force = self.gateway.components.in_force
+        await self.until(lambda: in_force.version == version)
+
+    def runs(self) -> int:
+        return sum(len(replica.seen) for replica in self.plain)
+
+
+def run(scenario: Any) -> None:
+    async def play() -> None:
+        async with LimitWorld() as world:
+            await world.with_limits(2, LIMITED, FREE)
+            # After a start nobody knows what was used before.
+            await asyncio.sleep(WINDOW_S)
+            await scenario(world)
+
+    asyncio.run(play())
+
+
+def test_calls_beyond_the_limit_are_refused_and_told_when_there_is_room() -> None:
+    async def scenario(world: LimitWorld) -> None:
+        answers = [await world.call('/unsafe/x', **SMALL) for _ in range(8)]
+        statuses = [answer.status for answer in answers]
+        assert statuses == [200] * 4 + [429] * 4
+        assert world.runs() == 4
+        wait_s = max(float(answer.headers['Retry-After']) for answer in answers[4:])
+        assert 0.0 < wait_s <= WINDOW_S
+        # Others are served as ever.
+        assert (await world.call('/unsafe/x', **OTHER)).status == 200
+        await asyncio.sleep(WINDOW_S + 0.5)
+        assert (await world.call('/unsafe/x', **SMALL)).status == 200
+
+    run(scenario)
+
+
+def test_call_that_no_replica_runs_gives_back_what_it_reserved() -> None:
+    async def scenario(world: LimitWorld) -> None:
+        for replica in world.plain:
+            replica.fault = Fault.FULL
+        for _ in range(6):
+            answer = await world.call('/unsafe/x', Limeshelf_Deadline_Ms='200', **SMALL)
+            assert answer.status == 503
+            await asyncio.sleep(0.3)
+        for replica in world.plain:
+            replica.fault = Fault.NONE
+        assert (await world.call('/unsafe/x', **SMALL)).status == 200
+
+    run(scenario)
+
+
+def test_lowered_limit_holds_at_once_and_a_raised_one_too() -> None:
+    async def scenario(world: LimitWorld) -> None:
+        await world.with_limits(3, {**LIMITED, 'RatePerS': 120}, FREE)
+        assert (await world.call('/unsafe/x', **SMALL)).status == 200
+        assert (await world.call('/unsafe/x', **SMALL)).status == 429
+        await world.with_limits(4, {**LIMITED, 'RatePerS': 45_000}, FREE)
+        await asyncio.sleep(0.2)
+        answers = [await world.call('/unsafe/x', **SMALL) for _ in range(20)]
+        assert {answer.status for answer in answers} == {200}
+
+    run(scenario)
+
+
+def test_refusing_costs_next_to_nothing() -> None:
+    """Refusals of a caller that comes again and again: 0.1 s pass between two questions."""
+
+    async def scenario(world: LimitWorld) -> None:
+        limits = world.gateway.components.limits
+        asked = 0
+        decide = limits._decide
+
+        async def count(*arguments: Any) -> Any:
+            nonlocal asked
+            asked += 1
+            return await decide(*arguments)
+
+        limits._decide = count
+        began_s = asyncio.get_running_loop().time()
+        answers = [await world.call('/unsafe/x', **SMALL) for _ in range(200)]
+        took_s = asyncio.get_running_loop().time() - began_s
+        refused = sum(answer.status == 429 for answer in answers)
+        assert refused >= 200 - 4 * math.ceil(1 + took_s / WINDOW_S) * 2
+        assert asked <= 8 + 4 * math.ceil(took_s / WINDOW_S) + took_s / 0.1
+
+    run(scenario)
--- a/tests/membership/test_digest_exchange.py
+++ b/tests/membership/test_digest_exchange.py
@@ -14,6 +14,7 @@
 from limeshelf.membership.digests import DIGEST_LIFE_S
 from limeshelf.membership.dispatchers import Dispatchers
 from limeshelf.membership.leader import LeaderView
+from limeshelf.membership.limit_exchange import LimitExchange
 from limeshelf.membership.member import Member
 from limeshelf.membership.members import Members
 from limeshelf.membership.messages import (
@@ -22,6 +23,7 @@
     GatewayDigest,
     ReplicaLoad,
 )
+from limeshelf.organisations.limits import LimitRule
 from limeshelf.peers.codec import Envelope
 from limeshelf.platform.replicas import read_record
 from limeshelf.replicas.directory import ReplicaDirectory
@@ -29,6 +31,7 @@
 from limeshelf.util.clock import virtual_clock
 
 KEY = ModelKey('lm', 'm1')
+RULE = LimitRule(window_s=8.0, overrun=0.1, slack=0.0, centres=1)
 
 
 @attrs.define
@@ -89,6 +92,8 @@
         'dispatchers': Dispatchers(members),
         'speed': ReadingSpeed(),
     }
+    node = known['node']
+    known['limits'] = LimitExchange(node, members, known['in_force'], RULE)
     return DigestExchange(**known)
 
 
--- /dev/null
+++ b/tests/organisations/test_limit_machine.py
@@ -0,0 +1,165 @@
+"""In every window what runs stays within the tolerated limit, whatever fails.
+
+A machine of one data centre: gateways with a ledger each, two limiters that hear their
+reports, and messages that are lost, held back and delivered in any order. Gateways are cut off
+from the limiters one by one, freeze and start again; calls wait between their reservation and
+their run. The limiters may take turns, or be asked both.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from limeshelf.organisations.limiter import Limiter, LimitQuestion, Ruling
+from limeshelf.organisations.limits import USED_SHARE, LimitRule
+from limeshelf.organisations.organisation import UsageLimit
+from limeshelf.organisations.usage import Reservation, UsageLedger
+from limeshelf.util.clock import virtual_clock
+
+WINDOW_S = 8.0
+RULE = LimitRule(window_s=WINDOW_S, overrun=0.1, slack=0.0, centres=1)
+LIMIT = UsageLimit(per_s=1000.0, burst=0.0, in_tokens=True)
+TOLERATED = RULE.of_centre(LIMIT) / USED_SHARE
+GATEWAYS = 5
+#: Largest call: 0.02 of what is tolerated in a window.
+LARGEST = 170
+NUMBERS = st.integers(0, GATEWAYS - 1)
+
+
+@attrs.define(eq=False)
+class Gateway:
+    started_s: float
+    ledger: UsageLedger = attrs.field(factory=lambda: UsageLedger(WINDOW_S))
+    waiting: list[tuple[int, Reservation]] = attrs.field(factory=list)
+
+
+class Limits(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.time = virtual_clock()
+        self.now = self.time.__enter__()
+        self.gateways = [Gateway(self.now.now_s) for _ in range(GATEWAYS)]
+        self.limiters = [Limiter(RULE, self.now.now_s) for _ in range(2)]
+        self.cut_off: set[int] = set()
+        self.runs: list[tuple[float, int]] = []
+        # A while passes without a fault.
+        for _ in range(int(2 * WINDOW_S)):
+            self.now.advance(1.0)
+            self.report_all()
+
+    def teardown(self) -> None:
+        self.time.__exit__(None, None, None)
+
+    def report_all(self) -> None:
+        for number in range(GATEWAYS):
+            self.report(number)
+
+    def report(self, number: int) -> None:
+        gateway = self.gateways[number]
+        if number in self.cut_off:
+            return
+        for limiter in self.limiters:
+            limiter.take_report(
+                str(number),
+                int(gateway.started_s * 1000),
+                self.now.now_s - gateway.started_s,
+                gateway.ledger.used(),
+                self.now.now_s,
+            )
+
+    @rule(quarters=st.integers(1, 12))
+    def wait(self, quarters: int) -> None:
+        """Time passes; those that are not cut off report as often as ever."""
+        for _ in range(quarters):
+            self.now.advance(0.25)
+            self.report_all()
+
+    @rule(number=NUMBERS, which=st.integers(0, 1), calls=st.integers(1, 40), data=st.data())
+    def ask(self, number: int, which: int, calls: int, data: Any) -> None:
+        """Calls come one after the other; each is sent now or waits."""
+        waits = data.draw(st.booleans())
+        for _ in range(calls):
+            self.one_call(number, which, LARGEST, waits)
+
+    def one_call(self, number: int, which: int, amount: int, waits: bool) -> None:
+        gateway = self.gateways[number]
+        window = gateway.ledger.of('acme')
+        if number in self.cut_off:
+            age_s = self.now.now_s - gateway.started_s
+            if window.used() + amount > RULE.of_gateway(LIMIT, GATEWAYS, age_s):
+                return
+        else:
+            question = LimitQuestion(str(number), 'acme', LIMIT, amount, GATEWAYS)
+            limiter = self.limiters[which]
+            decision = limiter.decide(question, self.now.now_s, is_first=which == 0)
+            if decision.ruling is not Ruling.WITHIN:
+                return
+        reservation = window.reserve(amount)
+        if waits:
+            gateway.waiting.append((amount, reservation))
+        else:
+            self.run_call(amount, reservation)
+
+    def run_call(self, amount: int, reservation: Reservation) -> None:
+        reservation.note_sent()
+        reservation.close()
+        self.runs.append((self.now.now_s, amount))
+
+    @rule(number=NUMBERS)
+    def send_waiting(self, number: int) -> None:
+        gateway = self.gateways[number]
+        for amount, reservation in gateway.waiting:
+            self.run_call(amount, reservation)
+        gateway.waiting.clear()
+
+    @rule(number=NUMBERS)
+    def give_up_waiting(self, number: int) -> None:
+        for _, reservation in self.gateways[number].waiting:
+            reservation.close()
+        self.gateways[number].waiting.clear()
+
+    @rule(number=NUMBERS)
+    def cut(self, number: int) -> None:
+        """The report before the cut was the last one; it is at most a quarter old."""
+        self.report(number)
+        self.cut_off.add(number)
+
+    @rule()
+    def heal(self) -> None:
+        self.cut_off.clear()
+        self.report_all()
+
+    @rule(number=NUMBERS)
+    def restart(self, number: int) -> None:
+        self.report(number)
+        self.gateways[number] = Gateway(self.now.now_s)
+
+    @rule(which=st.integers(0, 1))
+    def lose_limiter(self, which: int) -> None:
+        """Another gateway takes its place, which has heard nothing so far."""
+        self.limiters[which] = Limiter(RULE, self.now.now_s)
+        self.report_all()
+
+    @rule()
+    def lose_all(self) -> None:
+        """All lose power and start again."""
+        self.cut_off.clear()
+        self.now.advance(0.5)
+        self.gateways = [Gateway(self.now.now_s) for _ in range(GATEWAYS)]
+        self.limiters = [Limiter(RULE, self.now.now_s) for _ in range(2)]
+        self.report_all()
+
+    @invariant()
+    def every_window_is_within_the_tolerated_limit(self) -> None:
+        oldest_s = self.now.now_s - WINDOW_S
+        self.runs = [(at_s, amount) for at_s, amount in self.runs if at_s > oldest_s]
+        assert sum(amount for _, amount in self.runs) <= TOLERATED
+
+
+TestLimits = Limits.TestCase
+TestLimits.settings = settings(max_examples=100, stateful_step_count=40, deadline=None)
--- /dev/null
+++ b/tests/organisations/test_usage.py
@@ -0,0 +1,84 @@
+"""What a gateway has used: reserved while a call waits, counted from its send on."""
+
+from __future__ import annotations
+
+from limeshelf.organisations.usage import LATE_ARRIVAL_S, UsageLedger, UsageWindow
+from limeshelf.util.clock import virtual_clock
+
+WINDOW_S = 8.0
+
+
+def test_call_counts_while_it_waits_and_for_a_window_after_its_send() -> None:
+    with virtual_clock() as clock:
+        window = UsageWindow(WINDOW_S)
+        call = window.reserve(100)
+        clock.advance(20.0)
+        assert window.used() == 100
+        call.note_sent()
+        call.close()
+        clock.advance(WINDOW_S)
+        assert window.used() == 100
+        clock.advance(2 * LATE_ARRIVAL_S)
+        assert window.used() == 0
+
+
+def test_call_that_is_never_sent_gives_back_what_it_reserved() -> None:
+    window = UsageWindow(WINDOW_S)
+    call = window.reserve(100)
+    call.close()
+    call.close()
+    assert window.used() == 0
+
+
+def test_call_that_its_replica_did_not_run_counts_once() -> None:
+    with virtual_clock() as clock:
+        window = UsageWindow(WINDOW_S)
+        call = window.reserve(100)
+        call.note_sent()
+        call.note_not_run()
+        assert window.used() == 100
+        call.note_sent()
+        call.close()
+        assert window.used() == 100
+        clock.advance(WINDOW_S + 1.0)
+        assert window.used() == 0
+
+
+def test_call_that_ends_without_a_run_gives_back_what_it_sent() -> None:
+    window = UsageWindow(WINDOW_S)
+    call = window.reserve(100)
+    call.note_sent()
+    call.note_not_run()
+    call.close()
+    assert window.used() == 0
+
+
+def test_further_run_counts_again() -> None:
+    window = UsageWindow(WINDOW_S)
+    call = window.reserve(100)
+    call.note_sent()
+    call.note_sent()
+    call.close()
+    assert window.used() == 200
+
+
+def test_ledger_names_only_what_is_used() -> None:
+    with virtual_clock() as clock:
+        ledger = UsageLedger(WINDOW_S)
+        call = ledger.of('one').reserve(100)
+        ledger.of('other')
+        call.note_sent()
+        call.close()
+        assert ledger.used() == {'one': 100}
+        clock.advance(WINDOW_S + 1.0)
+        assert ledger.used() == {}
+
+
+def test_call_that_waits_long_stays_in_the_ledger() -> None:
+    with virtual_clock() as clock:
+        ledger = UsageLedger(WINDOW_S)
+        call = ledger.of('one').reserve(100)
+        clock.advance(WINDOW_S + 1.0)
+        assert ledger.used() == {'one': 100}
+        call.note_sent()
+        assert ledger.used() == {'one': 100}
