Soak: keys that are given and taken away, a limit, and no key in a log

Callers carry keys, some taken away or of nobody; checked from what replicas saw: no key reaches one, each call is said to be of the organisation that holds its key, none runs that was sent longer than the bound after its key was taken away, the limited organisation stays within its limit in every window, and no key stands in any gateway's log.

--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -38,13 +38,17 @@
 
 @attrs.define
 class Seen:
-    """A call as it arrived."""
+    """A call as it arrived.
+
+    :ivar at_s: on the clock of the loop.
+    """
 
     call_id: str
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at_s: float = attrs.field(factory=lambda: asyncio.get_running_loop().time())
 
 
 @attrs.define
--- a/tests/platform_soak/callers.py
+++ b/tests/platform_soak/callers.py
@@ -22,6 +22,8 @@
     """A call and its answer.
 
     :ivar status: 0 where the connection ended before a whole answer.
+    :ivar key: that the call carries.
+    :ivar sent_s: when it was sent, on the clock of the loop.
     """
 
     call_id: str
@@ -30,6 +32,8 @@
     status: int = 0
     body: bytes = b''
     stamp: str = ''
+    key: str = ''
+    sent_s: float = 0.0
 
 
 class Callers:
@@ -61,6 +65,10 @@
         for session in self._sessions:
             await session.close()
 
+    def newest_key(self) -> str:
+        """Return a key that should be known everywhere soon, and has no limit."""
+        return self._world.keys.newest()
+
     async def ready_gateways(self) -> list[str]:
         """Return the addresses of the gateways that call themselves ready."""
         found = await asyncio.gather(*(self._is_ready(one.ip) for one in self._world.gateways))
@@ -90,10 +98,16 @@
                 ip = self._random.choice(self._ready)
                 await self.call(session, ip, self._random.choice(KINDS))
 
-    async def call(self, session: aiohttp.ClientSession, ip: str, kind: str) -> Asked:
+    async def call(
+        self, session: aiohttp.ClientSession, ip: str, kind: str, key: str = ''
+    ) -> Asked:
         """Make one call and keep it."""
         asked = Asked(f's{self._seed}-{next(self._numbers)}', kind, '')
+        asked.key = key or self._world.keys.draw()
+        asked.sent_s = asyncio.get_running_loop().time()
         headers = {
+            'Authorization': f'Token {asked.key}',
+            'Limeshelf-Tenant': 'whoever',
             'Host': HOST,
             'Limeshelf-Attempt-Id': asked.call_id,
             'Limeshelf-Deadline-Ms': str(DEADLINE_MS),
--- a/tests/platform_soak/checks.py
+++ b/tests/platform_soak/checks.py
@@ -6,24 +6,73 @@
 from typing import TYPE_CHECKING
 
 from tests.platform_soak.callers import NOT_RUN, Asked
+from tests.platform_soak.keys import (
+    LIMIT_BURST,
+    LIMIT_PER_S,
+    LIMIT_WINDOW_S,
+    LIMITED,
+    REVOKE_S,
+)
 from tests.platform_soak.world import MOST_ADAPTERS, MOST_MODELS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
     from standins.users_platform.replica import ReplicaStandIn
+    from tests.platform_soak.keys import Keys
 
 
-def broken_promises(history: list[Asked], replicas: Iterable[ReplicaStandIn]) -> list[str]:
-    """Return one line for each promise that did not hold."""
+def broken_promises(
+    history: list[Asked], replicas: Iterable[ReplicaStandIn], keys: Keys | None = None
+) -> list[str]:
+    """Return one line for each promise that did not hold.
+
+    :param keys: that the calls carried; ``None`` where they carried none.
+    """
     replicas = list(replicas)
     runs = collections.Counter(call_id for one in replicas for call_id in one.runs)
     lines = [line for asked in history for line in _of_call(asked, runs[asked.call_id])]
     known = {asked.call_id for asked in history}
     lines += [f'{call_id}: ran, but nobody asked' for call_id in runs if call_id not in known]
+    if keys is not None:
+        asked_of = {asked.call_id: asked for asked in history}
+        lines += [line for one in replicas for line in _of_keys(one, asked_of, keys)]
+        lines += _of_limit(replicas)
     return [*lines, *_of_replicas(replicas), *_of_holders(replicas)]
 
 
+def _of_keys(replica: ReplicaStandIn, asked_of: dict[str, Asked], keys: Keys) -> Iterator[str]:
+    for seen in replica.seen:
+        asked = asked_of.get(seen.call_id)
+        if asked is None:
+            continue
+        key = keys.get(asked.key)
+        if 'Authorization' in seen.headers or asked.key in str(seen.headers):
+            yield f'{seen.call_id}: its key reached {replica.replica_id}'
+        if key is None:
+            yield f'{seen.call_id}: ran with a key that nobody holds'
+        elif seen.headers.get('Limeshelf-Tenant') != key.organisation:
+            yield f'{seen.call_id}: not said to be of {key.organisation}: {seen.headers}'
+        elif key.taken_s is not None and asked.sent_s > key.taken_s + REVOKE_S:
+            late_s = asked.sent_s - key.taken_s
+            yield f'{seen.call_id}: sent {late_s:.2f} s after its key was taken away, and ran'
+
+
+def _of_limit(replicas: list[ReplicaStandIn]) -> Iterator[str]:
+    runs = sorted(
+        seen.at_s
+        for one in replicas
+        for seen in one.seen
+        if seen.headers.get('Limeshelf-Tenant') == LIMITED and seen.call_id in one.runs
+    )
+    most = LIMIT_PER_S * LIMIT_WINDOW_S + LIMIT_BURST
+    for place, at_s in enumerate(runs):
+        count = sum(at_s <= other_s < at_s + LIMIT_WINDOW_S for other_s in runs[place:])
+        if count > most:
+            yield f'{LIMITED}: {count} calls in {LIMIT_WINDOW_S:.0f} s, {most:.0f} allowed'
+            return
+
+
 def _of_call(asked: Asked, runs: int) -> Iterator[str]:
     once = asked.kind in ('unsafe', 'stream')
     if once and runs > 1:
--- a/tests/platform_soak/run.py
+++ b/tests/platform_soak/run.py
@@ -46,7 +46,8 @@
         recovered = await _recovered(world, callers)
         await asyncio.sleep(SETTLE_S)
         await callers.stop()
-        broken = broken_promises(callers.history, world.replicas)
+        broken = broken_promises(callers.history, world.replicas, world.keys)
+        broken += [f'a log holds {key}' for key in world.logged_keys()]
         if recovered:
             broken += [recovered, world.log_tail()]
         return Outcome(callers.history, faults.struck, broken)
@@ -80,7 +81,7 @@
     ends_s = asyncio.get_running_loop().time() + RECOVERY_LIMIT_S
     in_a_row = 0
     while asyncio.get_running_loop().time() < ends_s:
-        asked = await callers.call(session, ip, kind)
+        asked = await callers.call(session, ip, kind, callers.newest_key())
         in_a_row = in_a_row + 1 if asked.status == 200 else 0
         if in_a_row == STEADY_CALLS:
             return True
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -16,6 +16,7 @@
 
 from standins.users_platform.replica import ReplicaStandIn
 from standins.users_platform.store import StoreStandIn
+from tests.platform_soak.keys import LIMIT_WINDOW_S, REVOKE_S, Keys
 from tests.platform_soak.link import Link
 from tests.support.gateway import ENGINE, PLAIN, configuration, encoded, free_port, route
 
@@ -81,6 +82,7 @@
         self.links: dict[str, Link] = {}
         self.gateways: list[GatewayProcess] = []
         self.version = 1
+        self.keys = Keys()
         self.ports = {name: free_port() for name in ('calls', 'ready', 'peers', 'figures')}
         self._count = gateways
         self._folder = tempfile.TemporaryDirectory()
@@ -111,22 +113,18 @@
             gateway.start()
 
     def configure(self) -> None:
-        """Put the next configuration into the store; it has a route of its own."""
+        """Put the next configuration into the store, with a route of its own and other keys."""
         self.version += 1
-        self.store.put(
-            'op',
-            'config',
-            encoded(
-                configuration(
-                    self.version,
-                    route('safe', 'safe', PLAIN),
-                    route('unsafe', 'unsafe', PLAIN),
-                    route('stream', 'streaming', ENGINE),
-                    route('resume', 'streaming', ENGINE, Resumable=True),
-                    route(f'only{self.version}', 'safe', PLAIN),
-                )
-            ),
+        document = configuration(
+            self.version,
+            route('safe', 'safe', PLAIN),
+            route('unsafe', 'unsafe', PLAIN),
+            route('stream', 'streaming', ENGINE),
+            route('resume', 'streaming', ENGINE, Resumable=True),
+            route(f'only{self.version}', 'safe', PLAIN),
         )
+        document['Tenants'] = self.keys.change()
+        self.store.put('op', 'config', encoded(document))
 
     def _announce(self) -> None:
         self._beat += 1
@@ -159,6 +157,12 @@
             'figures_port': self.ports['figures'],
             'retries': {'ratio': 0.2, 'slack': 50, 'window_s': 10},
             'placement': {'lease_s': 2.4, 'window_s': 5},
+            'organisations': {
+                'strict_revocation': True,
+                'revoke_ms': REVOKE_S * 1000,
+                'limit_window_s': LIMIT_WINDOW_S,
+            },
+            'data_centres': ['z1', 'z2', 'z3'],
         }
         path = folder / f'{name}.json'
         path.write_text(json.dumps(settings))
@@ -173,6 +177,11 @@
             if one.log_path.exists()
         )
 
+    def logged_keys(self) -> list[str]:
+        """Return the keys that stand in a log; none should."""
+        logs = [one.log_path.read_text(errors='replace') for one in self.gateways]
+        return [key for key in self.keys.all() if any(key in log for log in logs)]
+
     async def close(self) -> None:
         """End everything that was started, by its id."""
         for task in self._tasks:
