Close the descriptor of a connection that is given up once

Cause: where a connection is given up between its handshake and its first use, the event loop closes the descriptor and leaves the socket object with the number; when the object is collected, the number is closed again, and may be another connection's by then.

Change: connectors of all sessions take the number from the socket object in that case (util/connector.py).

--- a/limeshelf/platform/sessions.py
+++ b/limeshelf/platform/sessions.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from limeshelf.util.connector import SingleCloseConnector
 from limeshelf.util.http import without_silent_retry
 
 if TYPE_CHECKING:
@@ -32,11 +33,8 @@
     :param make_socket: makes the socket of a new connection.
     :param limit_per_host: connections to one address; 0 for no limit.
     """
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        limit_per_host=limit_per_host,
-        keepalive_timeout=idle_s,
-        socket_factory=make_socket,
+    connector = SingleCloseConnector(
+        make_socket, limit=0, limit_per_host=limit_per_host, keepalive_timeout=idle_s
     )
     session = aiohttp.ClientSession(
         connector=connector,
--- a/limeshelf/replicas/connections.py
+++ b/limeshelf/replicas/connections.py
@@ -20,6 +20,7 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
+from limeshelf.util.connector import SingleCloseConnector
 from limeshelf.util.http import without_silent_retry
 from limeshelf.util.sockets import keepalive_socket
 
@@ -91,7 +92,7 @@
 _sending: ContextVar[SendProgress] = ContextVar('sending')
 
 
-class NotingConnector(aiohttp.TCPConnector):
+class NotingConnector(SingleCloseConnector):
     """Notes that a call got its connection, before the library writes a byte of it.
 
     The library's own traces tell the same, but take some 40 us more of each call (the
@@ -123,9 +124,7 @@
     def __init__(self, address: str, limit: int, wire: CallWire) -> None:
         self.address = address
         self._wire = wire
-        self._connector = NotingConnector(
-            limit=limit, keepalive_timeout=IDLE_S, socket_factory=keepalive_socket
-        )
+        self._connector = NotingConnector(keepalive_socket, limit=limit, keepalive_timeout=IDLE_S)
         make: Any = functools.partial(StrictResponseHandler, loop=asyncio.get_running_loop())
         self._connector._factory = make
         session = aiohttp.ClientSession(
