--- a/limeshelf/demand/totals.py
+++ b/limeshelf/demand/totals.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -81,6 +82,8 @@
         self._arrivals: dict[ModelKey, _Arrivals] = {}
         self._totals: dict[ModelKey, KeyTotals] = {}
         self._updated_s = boottime_s()
+        #: When the first call began, as far as known.
+        self._first_call_s = math.inf
 
     def take(self, instance_id: str, demands: list[KeyDemand]) -> None:
         """Take the counts of one gateway, or the sums of a data centre."""
@@ -110,6 +113,7 @@
     def _add_arrivals(self, key: ModelKey, new: NewCounts) -> None:
         if not any(new):
             return
+        self._first_call_s = min(self._first_call_s, self._updated_s)
         arrivals = self._arrivals.setdefault(key, _Arrivals())
         arrivals.calls += new.started
         arrivals.tokens += new.tokens
@@ -136,11 +140,12 @@
         passed_s = max(LEAST_STEP_S, now_s - self._updated_s)
         self._updated_s = now_s
         self._forget_silent(now_s)
+        history_s = max(passed_s, now_s - self._first_call_s)
         for key in self._arrivals:
             self._totals_of(key)
         for key, totals in list(self._totals.items()):
             arrivals = self._arrivals.get(key, _NO_ARRIVALS)
-            _bring_up(totals, arrivals, passed_s)
+            _bring_up(totals, arrivals, passed_s, history_s)
             totals.running = float(self._running_sums[key])
             if totals.running or arrivals.calls:
                 totals.seen_s = now_s
@@ -157,13 +162,16 @@
             self.forget_running(instance_id)
 
 
-def _bring_up(totals: KeyTotals, arrivals: _Arrivals, passed_s: float) -> None:
+def _bring_up(totals: KeyTotals, arrivals: _Arrivals, passed_s: float, history_s: float) -> None:
     """Bring the averages of a key up to now.
 
     :param arrivals: what began since they were brought up last, *passed_s* seconds ago.
+    :param history_s: since the first call for any key. Averages that are longer than that
+        are means of all there was: otherwise all demand seemed to rise for the first ten
+        seconds, since the longer average lagged behind.
     """
-    share = min(1.0, passed_s / RATE_MEMORY_S)
-    lasting_share = min(1.0, passed_s / LASTING_MEMORY_S)
+    share = min(1.0, passed_s / min(RATE_MEMORY_S, history_s))
+    lasting_share = min(1.0, passed_s / min(LASTING_MEMORY_S, history_s))
     calls_per_s = arrivals.calls / passed_s
     totals.calls_per_s += share * (calls_per_s - totals.calls_per_s)
     totals.lasting_calls_per_s += lasting_share * (calls_per_s - totals.lasting_calls_per_s)
--- a/limeshelf/dispatch/client.py
+++ b/limeshelf/dispatch/client.py
@@ -45,6 +45,10 @@
 #: A queued request is sent again this often, so that a new dispatcher learns of it; four times
 #: within the dispatcher's ``UNASKED_LIFE_S``. Chosen, not measured.
 ASK_AGAIN_S = 0.25
+#: One that waits at an owner is taken to another one after this long, while there are some
+#: that were not asked: time for one try of the queue there. A request has its place in any
+#: queue by when it is late, so it loses nothing by that. Chosen, not measured.
+HOP_S = 0.02
 #: Owners that are asked for one call before it is refused. Chosen, not measured.
 MAX_OWNERS_ASKED = 3
 #: The own queue is tried this often while requests wait in it, because time alone makes room
@@ -64,6 +68,9 @@
     :ivar asked: who was asked last; ``None`` if nobody has it in a queue.
     :ivar waits_s: those that refused it, with the time until they likely have room;
         infinite where they hold nothing that the call can use.
+    :ivar queued_s: those that were asked and had no room yet, with the wait that they
+        expected; forgotten once all have been asked, so that they are asked again.
+    :ivar stays: it waits where the wait is shortest, since all were asked.
     """
 
     request: GrantRequest
@@ -72,6 +79,8 @@
     request_id: str = ''
     asked: str | None = None
     waits_s: dict[str, float] = attrs.field(factory=dict)
+    queued_s: dict[str, float] = attrs.field(factory=dict)
+    stays: bool = False
     verdicts: asyncio.Queue[DispatchVerdict] = attrs.field(factory=asyncio.Queue)
 
 
@@ -133,8 +142,9 @@
             candidates = self._candidates(pending)
             if not candidates:
                 return _refusal(pending)
-            self._ask(pending, self._owners.choose(candidates, pending.asked), candidates)
-            verdict = await self._final_verdict(pending)
+            chosen = self._choose(candidates, pending)
+            self._ask(pending, chosen, candidates)
+            verdict = await self._final_verdict(pending, candidates)
             if verdict is None:
                 continue
             if verdict.kind is VerdictKind.GRANTED:
@@ -142,6 +152,19 @@
             self._note_refused(pending, verdict)
         return NoRoom(wait_s=pending.request.objective_s)
 
+    def _choose(self, candidates: list[Candidate], pending: _PendingRequest) -> Candidate:
+        """Return whom to ask: all that may have room in turn, then the one of least wait."""
+        if pending.asked not in pending.queued_s:
+            return self._owners.choose(candidates, pending.asked)
+        others = _not_queued_at(candidates, pending)
+        if others:
+            return self._owners.choose(others, None)
+        best = min(candidates, key=lambda one: pending.queued_s[one.address])
+        # From there, all others are asked again after a while.
+        pending.queued_s.clear()
+        pending.stays = True
+        return best
+
     def _candidates(self, pending: _PendingRequest) -> list[Candidate]:
         """Return who may still grant a request."""
         if len(pending.waits_s) >= MAX_OWNERS_ASKED:
@@ -162,11 +185,17 @@
             excluded |= _replicas_of(one for one in candidates if one is not chosen)
         self._send_query(chosen.address, self._query(pending, excluded))
 
-    async def _final_verdict(self, pending: _PendingRequest) -> DispatchVerdict | None:
+    async def _final_verdict(
+        self, pending: _PendingRequest, candidates: list[Candidate]
+    ) -> DispatchVerdict | None:
         """Return the final verdict on a query, or ``None`` if it is time to ask again."""
         verdict = await self._first_verdict(pending)
         while verdict is not None and verdict.kind is VerdictKind.QUEUED:
-            verdict = await _next_verdict(pending, ASK_AGAIN_S)
+            assert pending.asked is not None
+            pending.queued_s[pending.asked] = verdict.wait_ms / 1000
+            goes_on = not pending.stays and len(candidates) > 1
+            verdict = await _next_verdict(pending, HOP_S if goes_on else ASK_AGAIN_S)
+        pending.stays = False
         return verdict
 
     async def _first_verdict(self, pending: _PendingRequest) -> DispatchVerdict | None:
@@ -279,5 +308,9 @@
     return NoRoom(wait_s) if math.isfinite(wait_s) else NoHolder()
 
 
+def _not_queued_at(candidates: list[Candidate], pending: _PendingRequest) -> list[Candidate]:
+    return [one for one in candidates if one.address not in pending.queued_s]
+
+
 def _replicas_of(candidates: Iterable[Candidate]) -> set[str]:
     return {replica.replica_id for one in candidates for replica in one.replicas}
--- a/limeshelf/dispatch/dispatcher.py
+++ b/limeshelf/dispatch/dispatcher.py
@@ -149,7 +149,7 @@
             self._queue.remove(request.request_id)
             self._send(request, VerdictKind.REFUSED, int(wait.expected_ms))
             return
-        self._send(request, VerdictKind.QUEUED)
+        self._send(request, VerdictKind.QUEUED, int(wait.expected_ms))
 
     def _position(self, request: QueuedRequest, holders: int) -> QueuePosition:
         now_s = boottime_s()
--- a/limeshelf/dispatch/messages.py
+++ b/limeshelf/dispatch/messages.py
@@ -85,7 +85,7 @@
     """Answers a query, now or when a replica has room.
 
     :param replica_id: where the call goes; empty unless granted.
-    :param wait_ms: time until a replica likely has room, where it is refused.
+    :param wait_ms: time until a replica likely has room, where it is refused or queued.
     """
 
     ticket_id: str
--- a/limeshelf/feeds/follower.py
+++ b/limeshelf/feeds/follower.py
@@ -84,7 +84,7 @@
         copy = self.copy
         await asyncio.sleep(random.uniform(0.5, 1.0) * copy.rule.first_delay_s)
         while True:
-            if copy.version and not self._polling.is_due():
+            if copy.confirmed_s and not self._polling.is_due():
                 await self._polling.until_due()
                 continue
             after = copy.version
--- a/limeshelf/membership/receivers.py
+++ b/limeshelf/membership/receivers.py
@@ -27,8 +27,9 @@
 if TYPE_CHECKING:
     from limeshelf.membership.members import Members
 
-#: Sums go out with every so many digests of the first relay: each 0.5 s. Chosen, not measured.
-BUNDLE_EVERY_DIGESTS = 2
+#: Sums go to other data centres with every so many digests of the first relay: each 0.5 s. The
+#: leader gets each. Chosen, not measured.
+FAR_SUM_EVERY_DIGESTS = 2
 
 
 def own_centre(members: Members) -> list[str]:
@@ -50,10 +51,10 @@
     :param leader: address of the leader; ``None`` if none is known or we lead.
     :param digest_count: digests that this gateway has sent since its start.
     """
-    if digest_count % BUNDLE_EVERY_DIGESTS:
-        return []
     addresses = {leader} if leader is not None else set()
-    return sorted(addresses | relays_elsewhere(members))
+    if digest_count % FAR_SUM_EVERY_DIGESTS == 0:
+        addresses |= relays_elsewhere(members)
+    return sorted(addresses)
 
 
 def of_states(members: Members) -> list[str]:
