Enforce the configuration's limits for slow heads and idle connections

Cause: the HTTP library takes one idle time when the listener starts, before the first configuration, and closes neither connections that never sent a request nor half heads. Change: a protocol class of our own (gateway/connection.py) with the limits in force when the connection is made, a timer for the first request and one for each head.

--- a/limeshelf/calls/routes.py
+++ b/limeshelf/calls/routes.py
@@ -145,9 +145,6 @@
 class ClientLimits:
     """What a caller may send, and how long its connection may rest.
 
-    The two times are read and not enforced yet: the listener starts before the first
-    configuration is there, and its library takes one idle time, for good.
-
     :param header_bytes: request line and header fields together.
     :param body_bytes: largest body.
     :param header_timeout_s: from the first byte of a head to its end.
--- /dev/null
+++ b/limeshelf/gateway/connection.py
@@ -0,0 +1,104 @@
+"""The connection of one caller: how long a head may take, and how long nothing may come.
+
+The limits are those of the configuration that is in force when the connection is made; one
+that is open keeps its own. Relies on three attributes of the HTTP library's connection that
+are not public: whether it waits for a request, how many came, and how it ends;
+tests/gateway/test_connection.py fails when a release drops or renames one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from limeshelf.calls.routes import ClientLimits
+
+#: Limits before the first configuration. Chosen, not measured.
+IDLE_S = 60.0
+HEAD_S = 10.0
+
+
+class CallerConnection(web.RequestHandler):
+    """Closes itself after a slow head, and after a time without a request.
+
+    The library closes what rests after an answer; what never sent a request, or stopped midway
+    in a head, it would keep for good: 10,000 of these, and no descriptor is left for others.
+
+    :param limits: ``None`` before the first configuration.
+    """
+
+    __slots__ = ('_first_timer', '_head_s', '_head_timer', '_idle_s')
+
+    def __init__(self, manager: web.Server, limits: ClientLimits | None, **options: Any) -> None:
+        self._idle_s = limits.idle_timeout_s if limits is not None else IDLE_S
+        self._head_s = limits.header_timeout_s if limits is not None else HEAD_S
+        self._first_timer: asyncio.TimerHandle | None = None
+        self._head_timer: asyncio.TimerHandle | None = None
+        super().__init__(manager, keepalive_timeout=self._idle_s, **options)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to wait for the first request."""
+        super().connection_made(transport)
+        self._first_timer = self._loop.call_later(self._idle_s, self._end_if_unused)
+
+    def data_received(self, data: bytes) -> None:
+        """Take a part of a request; the first one of a head starts its time."""
+        # While a request is answered, or the rest of its body read, nobody waits for a head.
+        begins_head = self._waits_for_request and self._head_timer is None
+        requests = self._request_count
+        super().data_received(data)
+        if self._request_count > requests:
+            self._stop_head_timer()
+        elif begins_head:
+            self._head_timer = self._loop.call_later(self._head_s, self._end_slow_head)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the timers."""
+        self._stop_head_timer()
+        if self._first_timer is not None:
+            self._first_timer.cancel()
+        super().connection_lost(exc)
+
+    @property
+    def _waits_for_request(self) -> bool:
+        if not self._request_count:
+            return True
+        return self._waiter is not None and not self._waiter.done()
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _end_slow_head(self) -> None:
+        self._head_timer = None
+        self.force_close()
+
+    def _end_if_unused(self) -> None:
+        if not self._request_count:
+            self.force_close()
+
+
+class CallerServer(web.Server):
+    """Makes the connections of callers.
+
+    :param limits: returns the limits in force.
+    :param options: of each connection, as the library names them.
+    """
+
+    def __init__(
+        self, handler: Any, limits: Callable[[], ClientLimits | None], **options: Any
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._limits = limits
+        self._options = options
+
+    def __call__(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        loop = asyncio.get_running_loop()
+        return CallerConnection(self, self._limits(), loop=loop, **self._options)
--- a/limeshelf/gateway/edge.py
+++ b/limeshelf/gateway/edge.py
@@ -16,11 +16,13 @@
 from limeshelf.errors import InvalidRequest
 from limeshelf.gateway.answer import CallerGone, HttpAnswer
 from limeshelf.gateway.body import TooLarge, read_body
+from limeshelf.gateway.connection import CallerServer
 from limeshelf.gateway.settling import STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE
 from limeshelf.metrics.event_log import log_change, log_request
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    from limeshelf.calls.routes import ClientLimits
     from limeshelf.calls.wire import CallWire
     from limeshelf.gateway.pipeline import Pipeline
     from limeshelf.metrics.prometheus import GatewayMetrics
@@ -30,9 +32,6 @@
 #: Longest request line or header field, whatever the configuration allows for the whole head.
 #: Chosen, not measured.
 MAX_FIELD_BYTES = 1 << 16
-#: A connection without a request is closed after this time. Chosen, not measured; the
-#: configuration's own limit is not applied.
-IDLE_S = 60.0
 #: How long the rest of a request is read whose answer went out before its end, and how long a
 #: closing listener waits for its connections. Chosen, not measured.
 LINGER_S = 1.0
@@ -77,12 +76,11 @@
         await self._listen(calls_address, self._handle)
 
     async def _listen(self, address: str, handler: Any) -> None:
-        server = web.Server(
+        server = CallerServer(
             handler,
-            handler_cancellation=True,
+            self._limits,
             access_log=None,
             auto_decompress=False,
-            keepalive_timeout=IDLE_S,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
             lingering_time=LINGER_S,
@@ -94,6 +92,10 @@
         self._servers.append(server)
         self._runners.append(runner)
 
+    def _limits(self) -> ClientLimits | None:
+        config = self._pipeline.config
+        return config.limits if config is not None else None
+
     def enter(self, phase: GatewayPhase) -> None:
         """Go on to *phase*."""
         self.phase = phase
@@ -121,8 +123,7 @@
 
     async def _serve(self, request: web.BaseRequest, arrived_s: float) -> web.StreamResponse:
         answer = HttpAnswer(request, self._closing)
-        config = self._pipeline.config
-        body = await read_body(request, config.limits if config is not None else None)
+        body = await read_body(request, self._limits())
         if isinstance(body, TooLarge):
             return self._answer(None, body.status)
         try:
