Split the pipeline and the dispatch client; one name for one thing

Admitted and Candidate stood for two classes each: AccessGranted and Grantor here. No change of behaviour.

--- a/limeshelf/dispatch/client.py
+++ b/limeshelf/dispatch/client.py
@@ -14,11 +14,9 @@
 import math
 from typing import TYPE_CHECKING
 
-import attrs
-
 from limeshelf.dispatch.dispatcher import Dispatcher
 from limeshelf.dispatch.fallback import ANSWER_TIMEOUT_S, AVOID_S, Fallback
-from limeshelf.dispatch.grants import Grant, GrantRequest, NoHolder, NoRoom
+from limeshelf.dispatch.grants import Grant, NoHolder, NoRoom
 from limeshelf.dispatch.messages import (
     DispatchProgress,
     DispatchQuery,
@@ -27,17 +25,19 @@
     Stage,
     VerdictKind,
 )
-from limeshelf.dispatch.owners import OwnerChooser
+from limeshelf.dispatch.owners import OwnerChooser, replicas_of
+from limeshelf.dispatch.pending import PendingRequest
 from limeshelf.membership.member import LOCAL
 from limeshelf.metrics.event_log import log_change
 from limeshelf.util.clock import boottime_s
 from limeshelf.util.identifiers import new_id
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from limeshelf.calls.routes import ServingConfig
-    from limeshelf.dispatch.owners import Candidate
+    from limeshelf.dispatch.grants import GrantRequest
+    from limeshelf.dispatch.owners import Grantor
     from limeshelf.peers.codec import Envelope
     from limeshelf.peers.node import PeerNode
     from limeshelf.replicas.directory import ReplicaDirectory
@@ -57,33 +57,6 @@
 PUMP_INTERVAL_S = 0.015
 
 
-@attrs.define(eq=False)
-class _PendingRequest:
-    """A request without a final verdict.
-
-    :ivar late_s: on the steady clock, when the first event is late.
-    :ivar ends_s: when the caller gives up.
-    :ivar request_id: by which it is known to the gateway that was asked last. Each has
-        another one, so that a late verdict of one is not taken for that of the next.
-    :ivar asked: who was asked last; ``None`` if nobody has it in a queue.
-    :ivar waits_s: those that refused it, with the time until they likely have room;
-        infinite where they hold nothing that the call can use.
-    :ivar queued_s: those that were asked and had no room yet, with the wait that they
-        expected; forgotten once all have been asked, so that they are asked again.
-    :ivar stays: it waits where the wait is shortest, since all were asked.
-    """
-
-    request: GrantRequest
-    ends_s: float
-    late_s: float
-    request_id: str = ''
-    asked: str | None = None
-    waits_s: dict[str, float] = attrs.field(factory=dict)
-    queued_s: dict[str, float] = attrs.field(factory=dict)
-    stays: bool = False
-    verdicts: asyncio.Queue[DispatchVerdict] = attrs.field(factory=asyncio.Queue)
-
-
 class DispatchClient:
     """Asks the owners of replicas; holds this process's own dispatcher too.
 
@@ -104,7 +77,7 @@
         self.dispatcher = Dispatcher(directory, config, self._send_verdict, owner_of, data_centre)
         self._node = node
         self._data_centre = data_centre
-        self._pending: dict[str, _PendingRequest] = {}
+        self._pending: dict[str, PendingRequest] = {}
         self._fallback = Fallback()
         self._owners = OwnerChooser(directory, self._fallback, owner_of, data_centre)
         self._queued = asyncio.Event()
@@ -130,18 +103,18 @@
         Returns by the time that the request has left; then there is no room.
         """
         now_s = boottime_s()
-        pending = _PendingRequest(request, now_s + request.left_s, now_s + request.objective_s)
+        pending = PendingRequest(request, now_s + request.left_s, now_s + request.objective_s)
         try:
             return await self._settle(pending)
         finally:
             self._withdraw(pending)
 
-    async def _settle(self, pending: _PendingRequest) -> Grant | NoRoom | NoHolder:
+    async def _settle(self, pending: PendingRequest) -> Grant | NoRoom | NoHolder:
         """Ask one owner after the other, and again, until one grants or time is over."""
         while boottime_s() < pending.ends_s:
             candidates = self._candidates(pending)
             if not candidates:
-                return _refusal(pending)
+                return pending.refusal()
             chosen = self._choose(candidates, pending)
             self._ask(pending, chosen, candidates)
             verdict = await self._final_verdict(pending, candidates)
@@ -152,11 +125,11 @@
             self._note_refused(pending, verdict)
         return NoRoom(wait_s=pending.request.objective_s)
 
-    def _choose(self, candidates: list[Candidate], pending: _PendingRequest) -> Candidate:
+    def _choose(self, candidates: list[Grantor], pending: PendingRequest) -> Grantor:
         """Return whom to ask: all that may have room in turn, then the one of least wait."""
         if pending.asked not in pending.queued_s:
             return self._owners.choose(candidates, pending.asked)
-        others = _not_queued_at(candidates, pending)
+        others = pending.not_queued_at(candidates)
         if others:
             return self._owners.choose(others, None)
         best = min(candidates, key=lambda one: pending.queued_s[one.address])
@@ -165,16 +138,14 @@
         pending.stays = True
         return best
 
-    def _candidates(self, pending: _PendingRequest) -> list[Candidate]:
+    def _candidates(self, pending: PendingRequest) -> list[Grantor]:
         """Return who may still grant a request."""
         if len(pending.waits_s) >= MAX_OWNERS_ASKED:
             return []
         candidates = self._owners.candidates(pending.request, boottime_s())
         return [one for one in candidates if one.address not in pending.waits_s]
 
-    def _ask(
-        self, pending: _PendingRequest, chosen: Candidate, candidates: list[Candidate]
-    ) -> None:
+    def _ask(self, pending: PendingRequest, chosen: Grantor, candidates: list[Grantor]) -> None:
         if chosen.address != pending.asked:
             self._withdraw(pending)
             pending.asked = chosen.address
@@ -182,11 +153,11 @@
             self._pending[pending.request_id] = pending
         excluded = set(pending.request.excluded)
         if chosen.address == LOCAL:
-            excluded |= _replicas_of(one for one in candidates if one is not chosen)
+            excluded |= replicas_of(one for one in candidates if one is not chosen)
         self._send_query(chosen.address, self._query(pending, excluded))
 
     async def _final_verdict(
-        self, pending: _PendingRequest, candidates: list[Candidate]
+        self, pending: PendingRequest, candidates: list[Grantor]
     ) -> DispatchVerdict | None:
         """Return the final verdict on a query, or ``None`` if it is time to ask again."""
         verdict = await self._first_verdict(pending)
@@ -194,18 +165,18 @@
             assert pending.asked is not None
             pending.queued_s[pending.asked] = verdict.wait_ms / 1000
             goes_on = not pending.stays and len(candidates) > 1
-            verdict = await _next_verdict(pending, HOP_S if goes_on else ASK_AGAIN_S)
+            verdict = await pending.next_verdict(HOP_S if goes_on else ASK_AGAIN_S)
         pending.stays = False
         return verdict
 
-    async def _first_verdict(self, pending: _PendingRequest) -> DispatchVerdict | None:
-        verdict = await _next_verdict(pending, ANSWER_TIMEOUT_S)
+    async def _first_verdict(self, pending: PendingRequest) -> DispatchVerdict | None:
+        verdict = await pending.next_verdict(ANSWER_TIMEOUT_S)
         if verdict is None and pending.asked:
             self._fallback.note_silence(pending.asked, boottime_s())
             log_change('dispatcher_silent', dispatcher=pending.asked, avoided_s=AVOID_S)
         return verdict
 
-    def _grant(self, pending: _PendingRequest, verdict: DispatchVerdict) -> Grant:
+    def _grant(self, pending: PendingRequest, verdict: DispatchVerdict) -> Grant:
         owner = pending.asked
         assert owner is not None
         self._forget(pending)
@@ -215,27 +186,27 @@
             lambda progress: self._send_progress(owner, progress),
         )
 
-    def _note_refused(self, pending: _PendingRequest, verdict: DispatchVerdict) -> None:
+    def _note_refused(self, pending: PendingRequest, verdict: DispatchVerdict) -> None:
         """Note a verdict after which its sender has forgotten the request."""
         assert pending.asked is not None
         is_absent = verdict.kind is VerdictKind.ABSENT
         pending.waits_s[pending.asked] = math.inf if is_absent else verdict.wait_ms / 1000
         self._forget(pending)
 
-    def _withdraw(self, pending: _PendingRequest) -> None:
+    def _withdraw(self, pending: PendingRequest) -> None:
         """Take the request back from who was asked last."""
         if pending.asked is not None:
             ended = DispatchProgress(pending.request_id, Stage.ENDED)
             self._send_progress(pending.asked, ended)
             self._forget(pending)
 
-    def _forget(self, pending: _PendingRequest) -> None:
+    def _forget(self, pending: PendingRequest) -> None:
         """Take no more verdicts of who was asked last."""
         del self._pending[pending.request_id]
         pending.verdicts = asyncio.Queue()
         pending.asked = None
 
-    def _query(self, pending: _PendingRequest, excluded: set[str]) -> DispatchQuery:
+    def _query(self, pending: PendingRequest, excluded: set[str]) -> DispatchQuery:
         request = pending.request
         need = request.need
         now_s = boottime_s()
@@ -291,26 +262,3 @@
 
     def _take_progress(self, envelope: Envelope) -> None:
         self.dispatcher.take_progress(envelope.message)
-
-
-async def _next_verdict(pending: _PendingRequest, limit_s: float) -> DispatchVerdict | None:
-    """Return the next verdict on a request, or ``None`` after *limit_s* seconds."""
-    try:
-        async with asyncio.timeout(limit_s):
-            return await pending.verdicts.get()
-    except TimeoutError:
-        return None
-
-
-def _refusal(pending: _PendingRequest) -> NoRoom | NoHolder:
-    """Return why nobody grants a request: all who may have refused it, or there is none."""
-    wait_s = min(pending.waits_s.values(), default=math.inf)
-    return NoRoom(wait_s) if math.isfinite(wait_s) else NoHolder()
-
-
-def _not_queued_at(candidates: list[Candidate], pending: _PendingRequest) -> list[Candidate]:
-    return [one for one in candidates if one.address not in pending.queued_s]
-
-
-def _replicas_of(candidates: Iterable[Candidate]) -> set[str]:
-    return {replica.replica_id for one in candidates for replica in one.replicas}
--- a/limeshelf/dispatch/owners.py
+++ b/limeshelf/dispatch/owners.py
@@ -22,7 +22,7 @@
 from limeshelf.replicas.penalties import with_penalties
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from limeshelf.dispatch.fallback import Fallback
     from limeshelf.dispatch.grants import GrantRequest
@@ -35,7 +35,7 @@
 
 
 @attrs.frozen
-class Candidate:
+class Grantor:
     """Who may grant a call, with the replicas that it would grant.
 
     :param address: peer address, :data:`~limeshelf.membership.member.LOCAL` for this process.
@@ -48,6 +48,11 @@
     replicas: list[Replica]
 
 
+def replicas_of(candidates: Iterable[Grantor]) -> set[str]:
+    """Return the ids of all replicas that some may grant."""
+    return {replica.replica_id for one in candidates for replica in one.replicas}
+
+
 @attrs.frozen
 class OwnerChooser:
     """Chooses the owner that a call asks.
@@ -63,14 +68,14 @@
     owner_of: Callable[[str], str | None]
     data_centre: str
 
-    def candidates(self, request: GrantRequest, now_s: float) -> list[Candidate]:
+    def candidates(self, request: GrantRequest, now_s: float) -> list[Grantor]:
         """Return who may grant a call, each with the replicas that hold what it needs."""
-        found: dict[tuple[str, bool], Candidate] = {}
+        found: dict[tuple[str, bool], Grantor] = {}
         for replica in self._holders(request):
             owner = self.owner_of(replica.record.data_centre)
             address = self.fallback.choose(owner, now_s)
             key = (address, address == owner)
-            found.setdefault(key, Candidate(*key, [])).replicas.append(replica)
+            found.setdefault(key, Grantor(*key, [])).replicas.append(replica)
         return list(found.values())
 
     def _holders(self, request: GrantRequest) -> list[Replica]:
@@ -81,7 +86,7 @@
             if replica.holds(key.model, key.adapter) and replica.replica_id not in request.excluded
         ]
 
-    def choose(self, candidates: list[Candidate], current: str | None) -> Candidate:
+    def choose(self, candidates: list[Grantor], current: str | None) -> Grantor:
         """Return whom to ask.
 
         Nobody stands in for a silent owner while another one may grant the call: behind a
@@ -96,7 +101,7 @@
                 return candidate
         return min(self._two_of(candidates), key=self._cost)
 
-    def _two_of(self, candidates: list[Candidate]) -> list[Candidate]:
+    def _two_of(self, candidates: list[Grantor]) -> list[Grantor]:
         """Return the owner of the own data centre, if it is there, and others up to two.
 
         Drawn at random, so that gateways that see the same loads do not all ask one owner.
@@ -105,10 +110,10 @@
         others = [one for one in candidates if one not in own]
         return own + random.sample(others, min(CHOICES - len(own), len(others)))
 
-    def _is_near(self, candidate: Candidate) -> bool:
+    def _is_near(self, candidate: Grantor) -> bool:
         return candidate.replicas[0].record.data_centre == self.data_centre
 
-    def _cost(self, candidate: Candidate) -> float:
+    def _cost(self, candidate: Grantor) -> float:
         """Return the cost of the least loaded replica, by what gateways last reported."""
         return min(
             with_penalties(
--- a/limeshelf/gateway/access.py
+++ b/limeshelf/gateway/access.py
@@ -12,7 +12,7 @@
 from limeshelf.admission import come_back
 from limeshelf.errors import NotRun, RefusalReason
 from limeshelf.gateway.settling import STATUS_UNAUTHORISED, STATUS_UNAVAILABLE, Refuse
-from limeshelf.organisations.access import Admitted, Denial, check_access
+from limeshelf.organisations.access import AccessGranted, Denial, check_access
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,7 +36,7 @@
     config_age_s: Callable[[], float]
     rule: AccessRule
 
-    def check(self, call: Call, route: Route) -> Admitted | Refuse:
+    def check(self, call: Call, route: Route) -> AccessGranted | Refuse:
         """Return who sends a call, or how it is refused.
 
         :param route: of the call.
@@ -53,7 +53,7 @@
             config_age_s=self.config_age_s(),
             rule=self.rule,
         )
-        return checked if isinstance(checked, Admitted) else _refusal_of(checked)
+        return checked if isinstance(checked, AccessGranted) else _refusal_of(checked)
 
 
 def _refusal_of(denial: Denial) -> Refuse:
--- /dev/null
+++ b/limeshelf/gateway/final_answer.py
@@ -0,0 +1,68 @@
+"""Gives a caller its final answer, whichever way its call ended, and logs what was no answer.
+
+Owns nothing; the endings are decided in :mod:`limeshelf.gateway.settling`.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.gateway.lines import log_failed, log_refused
+from limeshelf.gateway.settling import STATUS_UNAUTHORISED, Answered, BreakOff, PassOn, Refuse
+
+if TYPE_CHECKING:
+    from limeshelf.calls.call import Call
+    from limeshelf.calls.in_force import ConfigInForce
+    from limeshelf.calls.wire import CallWire
+    from limeshelf.gateway.answer import Answer
+    from limeshelf.gateway.settling import Ending
+    from limeshelf.organisations.organisation import Organisation
+
+
+@attrs.frozen
+class FinalAnswer:
+    """Gives final answers."""
+
+    wire: CallWire
+    in_force: ConfigInForce
+
+    async def give(
+        self,
+        call: Call,
+        ending: Ending,
+        answer: Answer,
+        organisation: Organisation | None = None,
+    ) -> None:
+        """Give the caller its final answer, if it does not have it yet.
+
+        :param organisation: that holds the call's key, as far as known.
+        """
+        if isinstance(ending, Answered):
+            return
+        if isinstance(ending, BreakOff):
+            log_failed(call, 0, self._version)
+            answer.abort()
+        elif isinstance(ending, PassOn):
+            whole = ending.answer
+            await answer.whole(whole.facts.status, whole.facts.headers, whole.body)
+        elif isinstance(ending, Refuse):
+            log_refused(call, ending, self._version, organisation.name if organisation else '')
+            await self._refuse(call, ending, answer)
+        else:
+            log_failed(call, ending.status, self._version)
+            headers = self.wire.refusal_headers(call.call_id, None)
+            await answer.whole(ending.status, headers, b'')
+
+    @property
+    def _version(self) -> int | None:
+        return self.in_force.config.version if self.in_force.config else None
+
+    async def _refuse(self, call: Call, refusal: Refuse, answer: Answer) -> None:
+        headers = self.wire.refusal_headers(
+            call.call_id,
+            refusal.outcome.retry_after_s,
+            asks_for_key=refusal.status == STATUS_UNAUTHORISED,
+        )
+        await answer.whole(refusal.status, headers, b'')
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -1,11 +1,13 @@
 """The path of a call: route it, select a replica, send it, learn, settle, answer.
 
 Owns the calls that wait for a replica. Each rule on the
-way has a module of its own: :mod:`~limeshelf.gateway.selection` (which replica),
+way has a module of its own: :mod:`~limeshelf.gateway.access` (whose key), :mod:`~limeshelf.gateway.limits` (how much),
+:mod:`~limeshelf.gateway.selection` (which replica),
 :mod:`~limeshelf.admission.absent_model` (held or refused),
 :mod:`~limeshelf.admission.repeats` and :mod:`~limeshelf.admission.retry_budget` (sent
 again), :mod:`~limeshelf.gateway.learning` (what a result says of its replica),
-:mod:`~limeshelf.gateway.settling` (how the call ends) and
+:mod:`~limeshelf.gateway.settling` (how the call ends),
+:mod:`~limeshelf.gateway.final_answer` (what its caller gets) and
 :mod:`~limeshelf.admission.come_back` (when a refused caller comes back).
 """
 
@@ -21,22 +23,17 @@
 from limeshelf.dispatch.grants import NoRoom
 from limeshelf.errors import NotRun, RefusalReason
 from limeshelf.gateway.exchange import Exchange
+from limeshelf.gateway.final_answer import FinalAnswer
 from limeshelf.gateway.learning import apply, excludes, lesson_of
 from limeshelf.gateway.lines import (
     log_attempt,
-    log_failed,
     log_no_replica,
     log_overloaded,
-    log_refused,
 )
 from limeshelf.gateway.selection import Selected
 from limeshelf.gateway.settling import (
-    STATUS_UNAUTHORISED,
     STATUS_UNAVAILABLE,
     STATUS_UNKNOWN_ROUTE,
-    Answered,
-    BreakOff,
-    PassOn,
     Refuse,
     SendAgain,
     give_up,
@@ -91,6 +88,7 @@
         self._demand = demand
         self._budgets = budgets
         self._in_force = in_force
+        self._final = FinalAnswer(wire, in_force)
         self._access = access
         self._limits = limits
         self._waiting: set[asyncio.Task[object]] = set()
@@ -105,11 +103,11 @@
         """Bring the call to a replica and its answer to the caller."""
         state = self._route(call, answer)
         if isinstance(state, Refuse):
-            await self._answer(call, state, answer)
+            await self._final.give(call, state, answer)
             return
         reserved = await self._limits.reserve(call, state.organisation)
         if isinstance(reserved, Refuse):
-            await self._answer(call, reserved, answer, state.organisation)
+            await self._final.give(call, reserved, answer, state.organisation)
             return
         state.reservation = reserved
         try:
@@ -123,7 +121,7 @@
         self._budgets.of(state.service.name).note_call()
         with self._demand.track(call, state.service.name, state.route.objective_s):
             ending = await self._run(state)
-            await self._answer(call, ending, state.answer, state.organisation)
+            await self._final.give(call, ending, state.answer, state.organisation)
 
     def _route(self, call: Call, answer: Answer) -> CallState | Refuse:
         config = self.config
@@ -282,38 +280,6 @@
     def _version(self) -> int | None:
         return self.config.version if self.config else None
 
-    async def _answer(
-        self,
-        call: Call,
-        ending: Ending,
-        answer: Answer,
-        organisation: Organisation | None = None,
-    ) -> None:
-        """Give the caller its final answer, if it does not have it yet."""
-        if isinstance(ending, Answered):
-            return
-        if isinstance(ending, BreakOff):
-            log_failed(call, 0, self._version)
-            answer.abort()
-        elif isinstance(ending, PassOn):
-            whole = ending.answer
-            await answer.whole(whole.facts.status, whole.facts.headers, whole.body)
-        elif isinstance(ending, Refuse):
-            log_refused(call, ending, self._version, organisation.name if organisation else '')
-            await self._refuse(call, ending, answer)
-        else:
-            log_failed(call, ending.status, self._version)
-            headers = self._wire.refusal_headers(call.call_id, None)
-            await answer.whole(ending.status, headers, b'')
-
-    async def _refuse(self, call: Call, refusal: Refuse, answer: Answer) -> None:
-        headers = self._wire.refusal_headers(
-            call.call_id,
-            refusal.outcome.retry_after_s,
-            asks_for_key=refusal.status == STATUS_UNAUTHORISED,
-        )
-        await answer.whole(refusal.status, headers, b'')
-
 
 def _not_ready(reason: RefusalReason) -> Refuse:
     return Refuse(STATUS_UNAVAILABLE, NotRun(reason, come_back.NOT_READY_COME_BACK_S))
--- a/limeshelf/organisations/access.py
+++ b/limeshelf/organisations/access.py
@@ -38,7 +38,7 @@
 
 
 @attrs.frozen
-class Admitted:
+class AccessGranted:
     """The call may begin.
 
     :param organisation: that holds its key; ``None`` where it needs none and carries none.
@@ -71,7 +71,7 @@
     is_public: bool,
     config_age_s: float,
     rule: AccessRule,
-) -> Admitted | Denial:
+) -> AccessGranted | Denial:
     """Return whether a call may begin now.
 
     :param organisations: of the configuration in force; ``None`` where it asks for no keys.
@@ -80,13 +80,13 @@
     :param config_age_s: time since the configuration surely was the newest, in seconds.
     """
     if organisations is None:
-        return Admitted(None)
+        return AccessGranted(None)
     organisation = organisations.holder_of(key)
     if is_public:
-        return Admitted(organisation)
+        return AccessGranted(organisation)
     if config_age_s > rule.max_age_s:
         # Also for a key that is not known: a newer configuration may hold it.
         return Denial.CONFIG_TOO_OLD
     if organisation is None:
         return Denial.UNKNOWN_KEY
-    return Admitted(organisation)
+    return AccessGranted(organisation)
--- a/tests/organisations/test_access.py
+++ b/tests/organisations/test_access.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from limeshelf.organisations.access import AccessRule, Admitted, Denial, check_access
+from limeshelf.organisations.access import AccessGranted, AccessRule, Denial, check_access
 from limeshelf.organisations.organisation import Organisation, Organisations, digest_of
 
 ACME = Organisation('acme', priority=0)
@@ -20,19 +20,19 @@
 @pytest.mark.parametrize(
     ('key', 'is_public', 'age_s', 'rule', 'expected'),
     [
-        (KNOWN, False, 0.1, STRICT, Admitted(ACME)),
+        (KNOWN, False, 0.1, STRICT, AccessGranted(ACME)),
         (UNKNOWN, False, 0.1, STRICT, Denial.UNKNOWN_KEY),
         (None, False, 0.1, STRICT, Denial.UNKNOWN_KEY),
         # A newer configuration may hold a key that is not known here.
         (KNOWN, False, 4.9, STRICT, Denial.CONFIG_TOO_OLD),
         (UNKNOWN, False, 4.9, STRICT, Denial.CONFIG_TOO_OLD),
         (KNOWN, False, math.inf, STRICT, Denial.CONFIG_TOO_OLD),
-        (KNOWN, False, math.inf, LENIENT, Admitted(ACME)),
+        (KNOWN, False, math.inf, LENIENT, AccessGranted(ACME)),
         (UNKNOWN, False, math.inf, LENIENT, Denial.UNKNOWN_KEY),
         # Public routes go on, and say who sends where that is known.
-        (None, True, math.inf, STRICT, Admitted(None)),
-        (UNKNOWN, True, 0.1, STRICT, Admitted(None)),
-        (KNOWN, True, math.inf, STRICT, Admitted(ACME)),
+        (None, True, math.inf, STRICT, AccessGranted(None)),
+        (UNKNOWN, True, 0.1, STRICT, AccessGranted(None)),
+        (KNOWN, True, math.inf, STRICT, AccessGranted(ACME)),
     ],
 )
 def test_who_may_begin(
@@ -44,7 +44,7 @@
 
 def test_configuration_without_organisations_asks_for_no_key() -> None:
     found = check_access(None, UNKNOWN, is_public=False, config_age_s=math.inf, rule=STRICT)
-    assert found == Admitted(None)
+    assert found == AccessGranted(None)
 
 
 def test_keys_count_for_less_than_the_time_within_which_they_must_be_out_of_use() -> None:
--- a/tests/organisations/test_strict_revocation.py
+++ b/tests/organisations/test_strict_revocation.py
@@ -17,7 +17,7 @@
 from limeshelf.feeds.rows import Page, Row
 from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.feeds.table_copy import TableCopy
-from limeshelf.organisations.access import AccessRule, Admitted, check_access
+from limeshelf.organisations.access import AccessGranted, AccessRule, check_access
 from limeshelf.organisations.organisation import Organisation, Organisations, digest_of
 from limeshelf.util.clock import virtual_clock
 
@@ -48,7 +48,7 @@
             config_age_s=self.clock.greatest_age_s(self.copy.confirmed_ms),
             rule=RULE,
         )
-        return isinstance(found, Admitted)
+        return isinstance(found, AccessGranted)
 
 
 class Revocation(RuleBasedStateMachine):
