--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -1,7 +1,7 @@
 """The path of a call: route it, select a replica, send it, learn, settle, answer.
 
-Owns the calls that wait for a replica. Each rule on the
-way has a module of its own: :mod:`~limeshelf.gateway.access` (whose key), :mod:`~limeshelf.gateway.limits` (how much),
+Owns the calls that wait for a replica. Each rule on the way has a module of its own:
+:mod:`~limeshelf.gateway.access` (whose key), :mod:`~limeshelf.gateway.limits` (how much),
 :mod:`~limeshelf.gateway.selection` (which replica),
 :mod:`~limeshelf.admission.absent_model` (held or refused),
 :mod:`~limeshelf.admission.repeats` and :mod:`~limeshelf.admission.retry_budget` (sent
