A lowered limit lets through what it allows from the start

Change: for the length of one window the earlier limit bounds the window, while calls come at the pace of the new one (organisations/lowered.py). test_lowered_limit_lets_through_what_it_allows_while_the_window_holds_more failed before.

--- a/limeshelf/organisations/limiter.py
+++ b/limeshelf/organisations/limiter.py
@@ -21,6 +21,8 @@
 
 import attrs
 
+from limeshelf.organisations.lowered import WindowParts
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -128,6 +130,7 @@
         self._rule = rule
         self._listening_since_s = listening_since_s
         self._gateways: dict[str, _Gateway] = {}
+        self._parts = WindowParts(rule)
         self._refreshed_s = -math.inf
         self._heard = 0
 
@@ -162,7 +165,7 @@
         self._refresh(now_s)
         if self._heard < QUORUM_SHARE * question.gateways:
             return Decision(Ruling.UNKNOWN)
-        whole_part = self._rule.of_centre(question.limit)
+        whole_part = self._parts.part(question.organisation, question.limit, now_s)
         part = whole_part * (1 - SECOND_SHARE) if is_first else whole_part
         used = self._used_with(question, now_s)
         if used <= part and not is_first:
--- a/tests/organisations/test_limiter.py
+++ b/tests/organisations/test_limiter.py
@@ -145,3 +145,18 @@
     assert by_first + by_second <= RULE.of_centre(LIMIT)
     second.take_report('b', 1, LONG_S, {'acme': by_second}, LONG_S)
     assert second.decide(question, LONG_S, is_first=False).ruling is Ruling.WITHIN
+
+
+def test_lowered_limit_lets_through_what_it_allows_while_the_window_holds_more() -> None:
+    """Before, nothing was let through until the earlier use had left the window."""
+    one = limiter('a', 'b', 'c', 'd')
+    granted(one, 'a', 500)
+    lowered = UsageLimit(per_s=400.0, burst=0.0, in_tokens=True)
+    for later_s, ruling in ((0.5, Ruling.WITHIN), (8.6, Ruling.OVER)):
+        now_s = LONG_S + later_s
+        for gateway in ('b', 'c', 'd'):
+            one.take_report(gateway, 1, LONG_S, {}, now_s)
+        used = 5000 if later_s < 8.0 else 3000
+        one.take_report('a', 1, LONG_S, {'acme': used}, now_s)
+        question = LimitQuestion('b', 'acme', lowered, 300, 4)
+        assert one.decide(question, now_s).ruling is ruling
