--- a/limeshelf/organisations/pace.py
+++ b/limeshelf/organisations/pace.py
@@ -19,12 +19,23 @@
 #: A bucket holds what may be used in this time at least, whatever burst the limit allows: calls
 #: come in clumps also at a steady rate. Chosen, not measured.
 LEAST_BUCKET_S = 3.0
+#: ...and so many of the largest calls that came: of a small organisation, two calls that come
+#: together already emptied a bucket of its limit's burst, and 0.018 of a day's calls without any
+#: flood were refused.
+LEAST_BUCKET_CALLS = 6
 
 
 @attrs.define
 class _Bucket:
+    """The bucket of one organisation.
+
+    :ivar level: what may be used now; below zero after a call that counts more than it holds.
+    :ivar largest: what the largest call counted that came.
+    """
+
     level: float
     updated_s: float
+    largest: int = 0
 
 
 class Paces:
@@ -37,15 +48,17 @@
     def wait_s(self, organisation: str, limit: UsageLimit, amount: int, now_s: float) -> float:
         """Return the time until a call may be let through, in seconds; 0 for now.
 
-        A call that counts more than a bucket holds needs a full one.
-
         :param limit: in force now; it may have changed since the last call.
         """
         per_s = self._rule.pace_per_s(limit)
-        capacity = max(self._rule.pace_burst(limit), LEAST_BUCKET_S * per_s)
         bucket = self._buckets.get(organisation)
+        largest = max(amount, bucket.largest if bucket is not None else 0)
+        capacity = max(
+            self._rule.pace_burst(limit), LEAST_BUCKET_S * per_s, LEAST_BUCKET_CALLS * largest
+        )
         if bucket is None:
             bucket = self._buckets[organisation] = _Bucket(capacity, now_s)
+        bucket.largest = largest
         passed_s = now_s - bucket.updated_s
         bucket.level = min(capacity, bucket.level + per_s * passed_s)
         bucket.updated_s = now_s
