--- a/limeshelf/organisations/lowered.py
+++ b/limeshelf/organisations/lowered.py
@@ -18,7 +18,7 @@
 
 
 @attrs.frozen
-class _Limits:
+class _LimitHistory:
     """The limit in force, and the greatest part that a window which still counts had."""
 
     limit: UsageLimit
@@ -31,7 +31,7 @@
 
     def __init__(self, rule: LimitRule) -> None:
         self._rule = rule
-        self._limits: dict[str, _Limits] = {}
+        self._limits: dict[str, _LimitHistory] = {}
 
     def part(self, organisation: str, limit: UsageLimit, now_s: float) -> float:
         """Return the part by the limit in force, or by one before it.
@@ -40,12 +40,12 @@
         """
         known = self._limits.get(organisation)
         if known is None:
-            known = self._limits[organisation] = _Limits(limit)
+            known = self._limits[organisation] = _LimitHistory(limit)
         elif known.limit != limit:
             earlier_part = max(self._rule.of_centre(known.limit), self._earlier(known, now_s))
             until_s = now_s + self._rule.window_s
-            known = self._limits[organisation] = _Limits(limit, earlier_part, until_s)
+            known = self._limits[organisation] = _LimitHistory(limit, earlier_part, until_s)
         return max(self._rule.of_centre(limit), self._earlier(known, now_s))
 
-    def _earlier(self, known: _Limits, now_s: float) -> float:
+    def _earlier(self, known: _LimitHistory, now_s: float) -> float:
         return known.earlier_part if now_s < known.until_s else 0.0
