--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -20,6 +20,10 @@
 
     from limeshelf.feeds.rows import Page
 
+#: Stands for the store where the source of rows or of a confirmation is named; peers are named
+#: by their address.
+STORE = 'store'
+
 
 @attrs.frozen
 class FollowRule:
@@ -57,6 +61,8 @@
     :ivar peer_confirmed_s: as ``confirmed_s``, of what peers passed on; at the start peers have as
         long as ever to pass something on, or hundreds of processes that start together would
         all follow the store until the first of them has found the others.
+    :ivar source: who brought the rows that were taken last, :data:`STORE` or a peer's address.
+    :ivar confirmed_by: who brought the confirmation of ``confirmed_s``, as in ``source``.
     :ivar needs_full_read: whether changes may be missing that the store no longer keeps,
         so that only a read of the whole table shows which rows are there.
     """
@@ -70,6 +76,8 @@
         self.confirmed_s = 0.0
         self.confirmed_ms = 0
         self.peer_confirmed_s = boottime_s()
+        self.source = ''
+        self.confirmed_by = ''
         self.needs_full_read = True
         self._rows: dict[str, Row] = {}
         self._listener = listener
@@ -109,7 +117,13 @@
                 self._listener(row)
 
     def take_update(
-        self, rows: Iterable[Row], after: int, upto: int, age_s: float, confirmed_ms: int = 0
+        self,
+        rows: Iterable[Row],
+        after: int,
+        upto: int,
+        age_s: float,
+        confirmed_ms: int = 0,
+        peer: str = '',
     ) -> Continuity:
         """Take a peer's update with the changes after one version up to another.
 
@@ -117,25 +131,29 @@
         :param upto: version of the store up to which they are.
         :param age_s: how long ago the store confirmed them to the peer, in seconds.
         :param confirmed_ms: the same moment on the store's clock; 0 if the peer does not say.
+        :param peer: its address.
         :return: how it continues the copy.
         """
+        self.source = peer
         self.take(rows)
         continuity = continuity_of(after, upto, self.version)
         if continuity is Continuity.CONTINUES:
             self.version = upto
             confirmed_s = boottime_s() - age_s
-            self.note_confirmed(confirmed_s, confirmed_ms)
+            self.note_confirmed(confirmed_s, confirmed_ms, peer)
             self.peer_confirmed_s = max(self.peer_confirmed_s, confirmed_s)
             self.needs_full_read = False
         return continuity
 
     def take_changes(self, page: Page) -> None:
         """Take what the store says has changed after the known version."""
+        self.source = STORE
         self.take(page.rows)
         self.version = max(self.version, page.version)
 
     def take_full(self, page: Page) -> None:
         """Take all rows of the table; known ones that lack there have gone."""
+        self.source = STORE
         if page.version >= self.version:
             present = {row.key for row in page.rows}
             missing = [
@@ -148,11 +166,14 @@
         self.take(page.rows)
         self.needs_full_read = False
 
-    def note_confirmed(self, at_s: float, store_ms: int = 0) -> None:
+    def note_confirmed(self, at_s: float, store_ms: int = 0, source: str = STORE) -> None:
         """Note that the store confirmed at a time that the rows are the newest.
 
         :param at_s: as estimated, on this machine's clock.
         :param store_ms: on the store's clock; 0 where that is not known.
+        :param source: who brought it, as in ``source`` of the copy.
         """
-        self.confirmed_s = max(self.confirmed_s, at_s)
+        if at_s > self.confirmed_s:
+            self.confirmed_s = at_s
+            self.confirmed_by = source
         self.confirmed_ms = max(self.confirmed_ms, store_ms)
--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -18,6 +18,7 @@
 from limeshelf.feeds.rows import Row
 from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.membership import receivers
+from limeshelf.membership.copy_watch import CopyWatch
 from limeshelf.membership.messages import RowsQuery, TableRow, TableUpdate, TableUpdates
 from limeshelf.membership.relays import RELAYS
 from limeshelf.membership.store_polling import (
@@ -57,6 +58,7 @@
     clock: StoreClock = attrs.field(factory=StoreClock)
     copies: dict[str, TableCopy] = attrs.field(factory=dict)
     _checked: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _watch: CopyWatch = attrs.field(factory=CopyWatch)
 
     def start(self) -> None:
         """Take messages."""
@@ -104,7 +106,9 @@
     async def run(self) -> None:
         """Check whether what others pass on is new enough; while it is stale, ask others."""
         while True:
-            if self.is_due():
+            is_due = self.is_due()
+            self._watch.check(self.copies.values(), self._order(), is_due=is_due)
+            if is_due:
                 self._checked.set()
                 self._checked = asyncio.Event()
             if not self.clock.is_known or any(copy.is_stale for copy in self.copies.values()):
@@ -156,6 +160,7 @@
                 update.upto,
                 update.age_ms / MS_PER_S,
                 update.confirmed_ms,
+                envelope.sender,
             )
             if continuity is Continuity.GAP:
                 missing[update.table] = copy.version
--- a/limeshelf/programs/followed_tables.py
+++ b/limeshelf/programs/followed_tables.py
@@ -62,12 +62,21 @@
     )
 
 
-@attrs.frozen
+@attrs.define
 class ConfigRows:
-    """Takes rows of the table that holds the operator's configuration."""
+    """Takes rows of the table that holds the operator's configuration.
+
+    :ivar copy: the copy of the table that the rows come from; ``None`` before it is opened.
+    """
 
     in_force: ConfigInForce
     directory: ReplicaDirectory
+    copy: TableCopy | None = None
+
+    def open_copy(self, rule: FollowRule) -> TableCopy:
+        """Return the copy of the table, to be followed by *rule*."""
+        self.copy = TableCopy(CONFIG_TABLE, self.take_row, rule)
+        return self.copy
 
     def take_row(self, row: Row) -> None:
         """Put the row's configuration in force if it is newer; waiting calls go on."""
@@ -82,7 +91,11 @@
         if not self.in_force.take(config):
             return
         log_change(
-            'config', version=config.version, routes=len(config.routes), row_version=row.version
+            'config',
+            version=config.version,
+            routes=len(config.routes),
+            row_version=row.version,
+            source=self.copy.source if self.copy is not None else '',
         )
         self.directory.notify_change()
 
@@ -97,7 +110,7 @@
 ) -> list[TableFollower]:
     """Return the followers of all tables; their copies are shared through *rows*."""
     copies = (
-        TableCopy(CONFIG_TABLE, config_rows.take_row, config_rule(freshness.config_s)),
+        config_rows.open_copy(config_rule(freshness.config_s)),
         TableCopy(REPLICA_TABLE, directory.take_row, replica_rule(freshness.replica_s)),
         TableCopy(MEMBER_TABLE, registration.take_row, MEMBER_RULE),
     )
