--- a/limeshelf/feeds/follower.py
+++ b/limeshelf/feeds/follower.py
@@ -89,8 +89,8 @@
                 continue
             after = copy.version
             try:
-                async with self._reach.attempt(self._polling.spread_s()):
-                    page = await self._ask()
+                async with self._reach.attempt(self._polling.spread_s()) as is_try:
+                    page = await self._ask(0.0 if is_try else copy.rule.wait_s)
             except HistoryGone:
                 copy.needs_full_read = True
                 log_change('table_history_gone', table=copy.table, version=copy.version)
@@ -107,14 +107,17 @@
             if page.rows:
                 await asyncio.sleep(copy.rule.pace_s)
 
-    async def _ask(self) -> Page:
-        """Ask the store for what changed, or for the whole table, and take the answer."""
+    async def _ask(self, wait_s: float) -> Page:
+        """Ask the store for what changed, or for the whole table, and take the answer.
+
+        :param wait_s: how long the store may hold the call while nothing changes, in seconds.
+        """
         copy = self.copy
         if copy.needs_full_read:
             page = await self._store.read(copy.table)
             copy.take_full(page)
             return page
-        page = await self._store.changes(copy.table, copy.version, copy.rule.wait_s)
+        page = await self._store.changes(copy.table, copy.version, wait_s)
         copy.take_changes(page)
         return page
 
--- a/tests/feeds/test_store_reach.py
+++ b/tests/feeds/test_store_reach.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Any
 
 import pytest
@@ -10,6 +11,7 @@
 from limeshelf.errors import PlatformUnavailable
 from limeshelf.feeds import store_reach
 from limeshelf.feeds.store_reach import StoreReach
+from limeshelf.util.clock import virtual_clock
 
 
 class Away:
@@ -58,3 +60,36 @@
             await Away().ask(StoreReach())
 
     asyncio.run(play())
+
+
+def test_failure_of_long_ago_owes_no_pause(monkeypatch: Any) -> None:
+    monkeypatch.setattr(store_reach, 'full_jitter_s', lambda attempt, base_s, limit_s: 5.0)
+
+    async def play() -> None:
+        store, reach = Away(), StoreReach()
+        with virtual_clock() as clock:
+            with pytest.raises(PlatformUnavailable):
+                await store.ask(reach)
+            store.away = False
+            clock.advance(5.1)
+            async with asyncio.timeout(0.5):
+                await store.ask(reach)
+
+    asyncio.run(play())
+
+
+def test_call_is_a_try_only_while_the_store_is_out_of_reach(monkeypatch: Any) -> None:
+    monkeypatch.setattr(store_reach, 'full_jitter_s', lambda attempt, base_s, limit_s: 0.0)
+
+    async def play() -> None:
+        reach = StoreReach()
+        tries: list[bool] = []
+        for failing in (True, True, False, False):
+            with contextlib.suppress(PlatformUnavailable):
+                async with reach.attempt(0.0) as is_try:
+                    tries.append(is_try)
+                    if failing:
+                        raise PlatformUnavailable('store')
+        assert tries == [False, True, True, False]
+
+    asyncio.run(play())
