Try the gateways of a data centre that is silent as a whole

Cause: whoever is silent is no relay, and only relays are sent anything in another data centre; after a cut both sides sent each other nothing. Change: where no relay is left, the first by rank and one by chance are tried, at the pace at which silent gateways are.

--- a/limeshelf/membership/receivers.py
+++ b/limeshelf/membership/receivers.py
@@ -22,9 +22,13 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
+from limeshelf.membership.relays import RELAYS
+
 if TYPE_CHECKING:
+    from limeshelf.membership.member import Member
     from limeshelf.membership.members import Members
 
 #: Sums go to other data centres with every so many digests of the first relay: each 0.5 s. The
@@ -38,13 +42,25 @@
 
 
 def relays_elsewhere(members: Members) -> set[str]:
-    """Return the addresses of the relays of all other data centres."""
+    """Return the addresses of the relays of all other data centres.
+
+    Of one that is silent as a whole, its first gateways by rank are tried, and another by
+    chance in case that these are gone. Otherwise two data centres that a cut separated would
+    send each other nothing any more: after a cut of 7 s they were apart until the end of a
+    play, 28 s later (tests/incidents/test_isolation_after_cut.py).
+    """
     addresses: set[str] = set()
     for centre in members.other_centres():
-        addresses.update(members.reachable(members.relays(centre)))
+        contacts = members.relays(centre) or _tried_contacts(members, centre)
+        addresses.update(members.reachable(contacts))
     return addresses
 
 
+def _tried_contacts(members: Members, centre: str) -> list[Member]:
+    ranked = members.ranked(centre)
+    return [*ranked[:RELAYS], random.choice(ranked)]
+
+
 def of_bundle(members: Members, leader: str | None, digest_count: int) -> list[str]:
     """Return who is sent the sum of this data centre's digests by its first relay.
 
