A gateway that hears nobody waits for nobody before it asks the store

Cause: the order in which gateways ask makes one wait for up to 1.5 s beyond the 1.4 s after which a copy is old, and up to 8 s more after a failed call, so that others can pass on what the first one learns; one that is cut off from all others has nothing to wait for, and 2 s to know a change. Change: no such pause while nothing came from any other gateway for 1.2 s.

--- a/limeshelf/membership/members.py
+++ b/limeshelf/membership/members.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from limeshelf.membership.member import Member
-from limeshelf.membership.relays import choose_relays
+from limeshelf.membership.relays import RELAY_SILENT_S, choose_relays
 from limeshelf.membership.silence import Contact, contact_of
 from limeshelf.util.clock import boottime_s
 
@@ -85,6 +85,14 @@
         """Return the other gateways that sent something lately."""
         return [member for member in self.others() if member.is_active]
 
+    def hears_others(self) -> bool:
+        """Return whether any other gateway has sent something lately.
+
+        Relays send to all gateways of their data centre several times within that time.
+        """
+        oldest_s = boottime_s() - RELAY_SILENT_S
+        return any(member.last_message_s >= oldest_s for member in self.others())
+
     def in_own_centre(self) -> list[Member]:
         """Return the other gateways of this data centre."""
         ranked = self._ranked[self.own.data_centre]
--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -67,7 +67,11 @@
 
     def is_due(self) -> bool:
         """Return whether this gateway asks the store itself now."""
-        return polls_store(order=self._order(), overdue_s=self._overdue_s())
+        return polls_store(
+            order=self._order(),
+            overdue_s=self._overdue_s(),
+            is_alone=not self.members.hears_others(),
+        )
 
     async def until_due(self) -> None:
         """Return when it may have come to ask the store."""
@@ -75,7 +79,8 @@
 
     def spread_s(self) -> float:
         """Return the longest further pause after a call to the store that failed."""
-        return retry_spread_s(self._order(), len(self._centres()))
+        is_alone = not self.members.hears_others()
+        return retry_spread_s(self._order(), len(self._centres()), is_alone=is_alone)
 
     def _overdue_s(self) -> float:
         return max(copy.peers_overdue_s for copy in self.copies.values())
@@ -116,7 +121,8 @@
             await asyncio.sleep(self._next_check_s())
 
     def _next_check_s(self) -> float:
-        due_in_s = overdue_limit_s(self._order()) - self._overdue_s()
+        is_alone = not self.members.hears_others()
+        due_in_s = overdue_limit_s(self._order(), is_alone=is_alone) - self._overdue_s()
         interval_s = jittered_s(CHECK_INTERVAL_S)
         return max(LEAST_CHECK_S, min(interval_s, due_in_s)) if due_in_s > 0 else interval_s
 
--- a/limeshelf/membership/store_polling.py
+++ b/limeshelf/membership/store_polling.py
@@ -39,25 +39,29 @@
     return place * centres + centre
 
 
-def overdue_limit_s(order: int) -> float:
+def overdue_limit_s(order: int, *, is_alone: bool = False) -> float:
     """Return for how long copies may be overdue, in seconds, before a gateway asks the store.
 
     :param order: as :func:`reading_order` returns it.
+    :param is_alone: whether it has heard no other gateway lately. The order is there so that
+        others can pass on what the first one learns; who hears nobody would only wait, late
+        in the order for longer than a change may take to be in force.
     """
-    return min(OVERDUE_LIMIT_S, OVERDUE_STEP_S * order)
+    return 0.0 if is_alone else min(OVERDUE_LIMIT_S, OVERDUE_STEP_S * order)
 
 
-def retry_spread_s(order: int, centres: int) -> float:
+def retry_spread_s(order: int, centres: int, *, is_alone: bool = False) -> float:
     """Return the longest further pause after a call to the store that failed, in seconds.
 
     :param order: as :func:`reading_order` returns it.
     :param centres: data centres with gateways.
+    :param is_alone: as for :func:`overdue_limit_s`.
     """
-    is_relay = order < RELAYS * centres
-    return overdue_limit_s(order) if is_relay else SPREAD_S
+    is_told_by_relays = order >= RELAYS * centres and not is_alone
+    return SPREAD_S if is_told_by_relays else overdue_limit_s(order, is_alone=is_alone)
 
 
-def polls_store(*, order: int, overdue_s: float) -> bool:
+def polls_store(*, order: int, overdue_s: float, is_alone: bool = False) -> bool:
     """Return whether a gateway asks the store now.
 
     :param order: as :func:`reading_order` returns it.
@@ -66,5 +70,6 @@
         is a sign that the others may be, too: a gateway that lost the store passes on no
         changes of any table
         (tests/membership/test_row_exchange.py::test_one_old_table_makes_all_due).
+    :param is_alone: as for :func:`overdue_limit_s`.
     """
-    return order == 0 or overdue_s > overdue_limit_s(order)
+    return order == 0 or overdue_s > overdue_limit_s(order, is_alone=is_alone)
--- a/tests/membership/test_row_exchange.py
+++ b/tests/membership/test_row_exchange.py
@@ -11,6 +11,7 @@
 from limeshelf.membership.member import Member
 from limeshelf.membership.members import Members
 from limeshelf.membership.messages import RowsQuery, TableRow, TableUpdate, TableUpdates
+from limeshelf.membership.relays import RELAY_SILENT_S
 from limeshelf.membership.row_exchange import RowExchange
 from limeshelf.membership.store_polling import OVERDUE_STEP_S
 from limeshelf.peers.codec import Envelope
@@ -233,3 +234,19 @@
         clock.advance(6.0)
         one._take_updates(Envelope('g1', 'c1', TableUpdates([waiting])))
         assert one.clock.greatest_age_s(one.copies['t'].confirmed_ms) >= 6.0
+
+
+def test_gateway_that_hears_nobody_waits_for_nobody() -> None:
+    """It asks the store as soon as its copies are old, whatever its place in the order."""
+    others = [f'g{number:02}' for number in range(20)]
+    with virtual_clock() as clock:
+        one = exchange('g99', *others)
+        for other in others:
+            one.members.note_message(other, 'c1')
+        one._take_updates(update(0, 9))
+        clock.advance(FollowRule().stale_s + 0.01)
+        one.members.note_message('g00', 'c1')
+        assert not one.is_due()
+        clock.advance(RELAY_SILENT_S + 0.01)
+        assert one.is_due()
+        assert one.spread_s() == 0.0
--- a/tests/membership/test_store_polling.py
+++ b/tests/membership/test_store_polling.py
@@ -44,3 +44,10 @@
     assert overdue_limit_s(0) == 0.0
     assert overdue_limit_s(1) < overdue_limit_s(2)
     assert overdue_limit_s(1000) == OVERDUE_LIMIT_S
+
+
+def test_gateway_that_is_alone_asks_at_once_and_again_soon() -> None:
+    assert overdue_limit_s(1000, is_alone=True) == 0.0
+    assert retry_spread_s(1000, 3, is_alone=True) == 0.0
+    assert polls_store(order=1000, overdue_s=0.01, is_alone=True)
+    assert not polls_store(order=1000, overdue_s=-0.01, is_alone=True)
