Judge the pause after a failed call anew while it lasts

A gateway that relays tell of the store's return pauses for up to 8 s; one that lost these relays meanwhile went on pausing. A test plays it.

--- a/limeshelf/feeds/follower.py
+++ b/limeshelf/feeds/follower.py
@@ -89,7 +89,7 @@
                 continue
             after = copy.version
             try:
-                async with self._reach.attempt(self._polling.spread_s()) as is_try:
+                async with self._reach.attempt(self._polling.spread_s) as is_try:
                     page = await self._ask(0.0 if is_try else copy.rule.wait_s)
             except HistoryGone:
                 copy.needs_full_read = True
--- a/limeshelf/feeds/store_reach.py
+++ b/limeshelf/feeds/store_reach.py
@@ -16,12 +16,14 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator, Callable, Iterator
 
 #: Pause after a failed call: bound after the first failure, and the largest. Chosen, not
 #: measured.
 RETRY_BASE_S = 0.15
 RETRY_LIMIT_S = 1.0
+#: How long the pause is judged anew after this time. Chosen, not measured.
+PAUSE_STEP_S = 0.25
 
 
 class StoreReach:
@@ -40,18 +42,19 @@
         self._trying = asyncio.Lock()
 
     @contextlib.asynccontextmanager
-    async def attempt(self, spread_s: float) -> AsyncIterator[bool]:
+    async def attempt(self, spread_s: Callable[[], float]) -> AsyncIterator[bool]:
         """Wait for this process's turn to ask the store; note what became of the call.
 
         Yields whether the call is a try, which the store is not to hold back.
 
-        :param spread_s: longest further pause after a failure.
+        :param spread_s: returns the longest further pause after a failure, in seconds; asked
+            again while it lasts, since a gateway may lose its peers meanwhile.
         """
         if self._failures:
             async with self._trying:
                 # A call that succeeded meanwhile has freed all tables.
                 if self._failures:
-                    await asyncio.sleep(self._pause_left_s(spread_s))
+                    await self._pause(spread_s)
                     with self._noting():
                         yield True
                     return
@@ -68,13 +71,14 @@
             raise
         self._failures = 0
 
-    def _pause_left_s(self, spread_s: float) -> float:
-        """Return what is left of the pause after the last failure, in seconds.
+    async def _pause(self, spread_s: Callable[[], float]) -> None:
+        """Wait until the pause after the last failure is over.
 
         A process that had no reason to ask since owes none: counted from its next call, the
         pause of a failure of long ago made gateways that were cut off from their peers up to
         9 s late.
         """
-        pause_s = full_jitter_s(self._failures, RETRY_BASE_S, RETRY_LIMIT_S)
-        pause_s += random.uniform(0.0, spread_s)
-        return max(0.0, self._failed_s + pause_s - boottime_s())
+        end_s = self._failed_s + full_jitter_s(self._failures, RETRY_BASE_S, RETRY_LIMIT_S)
+        share = random.random()
+        while (left_s := end_s + share * spread_s() - boottime_s()) > 0:
+            await asyncio.sleep(min(left_s, PAUSE_STEP_S))
--- a/tests/feeds/test_store_reach.py
+++ b/tests/feeds/test_store_reach.py
@@ -22,7 +22,7 @@
         self.away = True
 
     async def ask(self, reach: StoreReach) -> None:
-        async with reach.attempt(spread_s=0.0):
+        async with reach.attempt(lambda: 0.0):
             self.calls += 1
             await asyncio.sleep(0)
             if self.away:
@@ -86,10 +86,35 @@
         tries: list[bool] = []
         for failing in (True, True, False, False):
             with contextlib.suppress(PlatformUnavailable):
-                async with reach.attempt(0.0) as is_try:
+                async with reach.attempt(lambda: 0.0) as is_try:
                     tries.append(is_try)
                     if failing:
                         raise PlatformUnavailable('store')
         assert tries == [False, True, True, False]
 
     asyncio.run(play())
+
+
+def test_pause_ends_when_its_reason_does(monkeypatch: Any) -> None:
+    """A gateway that relays would have told, and that loses them, waits no longer for them."""
+    monkeypatch.setattr(store_reach, 'full_jitter_s', lambda attempt, base_s, limit_s: 0.0)
+    monkeypatch.setattr(store_reach.random, 'random', lambda: 1.0)
+    spread_s = 30.0
+
+    async def ask(reach: StoreReach) -> None:
+        async with reach.attempt(lambda: spread_s):
+            pass
+
+    async def play() -> None:
+        nonlocal spread_s
+        reach = StoreReach()
+        with pytest.raises(PlatformUnavailable):
+            await Away().ask(reach)
+        task = asyncio.create_task(ask(reach))
+        await asyncio.sleep(0.02)
+        assert not task.done()
+        spread_s = 0.0
+        async with asyncio.timeout(3 * store_reach.PAUSE_STEP_S):
+            await task
+
+    asyncio.run(play())
