--- a/limeshelf/feeds/store_reach.py
+++ b/limeshelf/feeds/store_reach.py
@@ -80,5 +80,8 @@
         """
         end_s = self._failed_s + full_jitter_s(self._failures, RETRY_BASE_S, RETRY_LIMIT_S)
         share = random.random()
-        while (left_s := end_s + share * spread_s() - boottime_s()) > 0:
+        while True:
+            left_s = end_s + share * spread_s() - boottime_s()
+            if left_s <= 0.0:
+                return
             await asyncio.sleep(min(left_s, PAUSE_STEP_S))
