--- a/limeshelf/feeds/store_reach.py
+++ b/limeshelf/feeds/store_reach.py
@@ -33,7 +33,7 @@
     gateways made some 60 calls a second to a store that was away. A try is to be a call that
     the store answers at once: one that it held back for 8 s kept all other tables from
     asking, and configurations were in force up to 8 s late
-    (tests/incidents/test_late_configuration.py).
+    (tests/feeds/test_late_configuration.py).
     """
 
     def __init__(self) -> None:
--- a/limeshelf/membership/receivers.py
+++ b/limeshelf/membership/receivers.py
@@ -47,7 +47,7 @@
     Of one that is silent as a whole, its first gateways by rank are tried, and another by
     chance in case that these are gone. Otherwise two data centres that a cut separated would
     send each other nothing any more: after a cut of 7 s they were apart until the end of a
-    play, 28 s later (tests/incidents/test_isolation_after_cut.py).
+    play, 28 s later (tests/membership/test_isolation_after_cut.py).
     """
     addresses: set[str] = set()
     for centre in members.other_centres():
