Divide limits by the gateways that may be serving, not by those heard now

Cause: a gateway that is cut off or has just started hears nobody and took the whole allowance of repeats (and of connections to a replica), and so did each of the others. A digest that no longer counts leaves the heard, not those that share. A relay that heard nobody counts None.

--- a/limeshelf/admission/retry_budget.py
+++ b/limeshelf/admission/retry_budget.py
@@ -33,16 +33,18 @@
 class RetryBudget:
     """This gateway's part of the retries of one service.
 
-    :param gateways: gateways that share the allowance, this one among them.
+    :param gateways: gateways that share the allowance, this one among them; ``None`` while that
+        is not known. Then nothing of it is used: a gateway that starts knows nobody, and so do
+        all that start with it.
     """
 
     rule: RetryRule
-    gateways: int = 1
+    gateways: int | None = None
     _saved: float = 0.0
     _updated_s: float = attrs.field(factory=boottime_s)
 
     def __attrs_post_init__(self) -> None:
-        self._saved = self._limit()
+        self._saved = self._half_part()
 
     def note_call(self) -> None:
         """Count a call, which earns a part of a retry."""
@@ -63,7 +65,9 @@
         One half may be saved up and the other flows in during a window, so no window
         sees more than the whole part.
         """
-        return USED_SHARE * self.rule.slack / max(1, self.gateways) / 2
+        if self.gateways is None:
+            return 0.0
+        return USED_SHARE * self.rule.slack / self.gateways / 2
 
     def _limit(self) -> float:
         return max(1.0, self._half_part())
@@ -78,11 +82,12 @@
 class RetryBudgets:
     """The budgets of all services, under the rule in force.
 
-    :ivar gateways: gateways that share each allowance, this one among them.
+    :ivar gateways: gateways that share each allowance, this one among them; ``None`` while that
+        is not known.
     """
 
     def __init__(self, rule: RetryRule) -> None:
-        self.gateways = 1
+        self.gateways: int | None = None
         self._rule = rule
         self._by_service: dict[str, RetryBudget] = {}
 
--- a/limeshelf/membership/digest_exchange.py
+++ b/limeshelf/membership/digest_exchange.py
@@ -16,6 +16,7 @@
 from limeshelf.demand.centre_demand import CentreDemand
 from limeshelf.membership import receivers
 from limeshelf.membership.digests import DigestBook, sum_loads
+from limeshelf.membership.gateway_count import GatewayCount
 from limeshelf.membership.messages import DigestBundle, FleetSummary, GatewayDigest, ReplicaLoad
 from limeshelf.metrics.event_log import log_change
 from limeshelf.util.backoff import jittered_s
@@ -37,6 +38,8 @@
 
 #: A gateway sends a digest this often. Chosen, not measured.
 DIGEST_INTERVAL_S = 0.25
+#: Stands for a number of gateways that is not known.
+UNKNOWN_COUNT = 0
 #: Ends the id under which the sum of a data centre counts beside its gateways.
 CENTRE_SUFFIX = '+centre'
 
@@ -62,8 +65,12 @@
     _bundled_gateways: dict[str, int] = attrs.field(factory=dict)
     _sum_ids: dict[str, str] = attrs.field(factory=dict)
     _digest_count: int = 0
+    _count: GatewayCount = attrs.field(init=False)
     _summary_gateways: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self._count = GatewayCount(self.members)
+
     def start(self) -> None:
         """Take messages."""
         self.node.add_handler(GatewayDigest, self._take_digest)
@@ -71,8 +78,15 @@
         self.node.add_handler(FleetSummary, self._take_summary)
 
     @property
-    def gateway_count(self) -> int:
-        """Return how many gateways there are, this one included.
+    def gateway_count(self) -> int | None:
+        """Return how many gateways there are, this one included; ``None`` while unknown.
+
+        Those that are not heard now count, too (:mod:`~limeshelf.membership.gateway_count`).
+        """
+        return self._count.update(self._heard_count())
+
+    def _heard_count(self) -> int:
+        """Return how many gateways are heard now, this one included.
 
         Relays count digests, and what the relays of other data centres counted; the others
         go by the last summary of a relay.
@@ -132,7 +146,8 @@
         """Send the gateways of this data centre what all gateways have under way."""
         own_loads = [load for load in own.loads if load.calls]
         loads = sum_loads([*self._book.loads(), *own_loads])
-        summary = FleetSummary(self.gateway_count, loads, self.dispatchers.announced())
+        gateways = self.gateway_count or UNKNOWN_COUNT
+        summary = FleetSummary(gateways, loads, self.dispatchers.announced())
         self.node.send_all(receivers.own_centre(self.members), summary)
 
     def _send_bundle(self, own: GatewayDigest) -> None:
--- a/limeshelf/membership/messages.py
+++ b/limeshelf/membership/messages.py
@@ -148,7 +148,7 @@
 class FleetSummary:
     """What all gateways do, sent by a relay to the gateways of its data centre.
 
-    :param gateways: how many there are, over all data centres.
+    :param gateways: how many there are, over all data centres; 0 where that is not known.
     :param loads: what all of them have under way at each replica.
     :param dispatchers: peer address of the gateway that grants the replicas of each data
         centre, as far as known.
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -116,13 +116,18 @@
         components = self.components
         while True:
             await asyncio.sleep(jittered_s(LEAD_STEP_S))
-            components.budgets.gateways = components.pool.gateways = (
-                components.digests.gateway_count
-            )
+            self._note_gateways()
             if components.leadership.term is None and not components.leader.may_contend():
                 continue
             await components.leadership.step()
 
+    def _note_gateways(self) -> None:
+        gateways = self.components.digests.gateway_count
+        if gateways != self.components.budgets.gateways:
+            log_change('gateways_counted', gateways=gateways)
+        self.components.budgets.gateways = gateways
+        self.components.pool.gateways = gateways or 1
+
     async def drain(self) -> int:
         """Stop as planned; return the exit code."""
         edge = self.components.edge
--- /dev/null
+++ b/tests/membership/test_gateway_count.py
@@ -0,0 +1,54 @@
+"""Who counts among those that share a limit."""
+
+from __future__ import annotations
+
+from limeshelf.membership.gateway_count import COUNT_LIFE_S, GatewayCount
+from limeshelf.membership.member import Member
+from limeshelf.membership.members import Members
+from limeshelf.util.clock import virtual_clock
+
+
+def test_nothing_is_known_before_rows_or_others() -> None:
+    with virtual_clock():
+        assert GatewayCount(Members(Member('g1', 'c1'))).update(1) is None
+
+
+def test_rows_of_the_store_count_at_a_start() -> None:
+    with virtual_clock():
+        members = Members(Member('g1', 'c1'))
+        members.add('g2', 'c1')
+        members.add('g3', 'c2')
+        members.are_listed = True
+        assert GatewayCount(members).update(1) == 3
+
+
+def test_single_gateway_that_has_its_row_shares_with_nobody() -> None:
+    with virtual_clock() as clock:
+        members = Members(Member('g1', 'c1'))
+        members.are_listed = True
+        count = GatewayCount(members)
+        assert count.update(1) == 1
+        clock.advance(COUNT_LIFE_S + 1.0)
+        assert count.update(1) == 1
+
+
+def test_those_that_fell_silent_count_for_a_while() -> None:
+    with virtual_clock() as clock:
+        count = GatewayCount(Members(Member('g1', 'c1')))
+        assert count.update(9) == 9
+        clock.advance(COUNT_LIFE_S - 1.0)
+        assert count.update(2) == 9
+        clock.advance(2.0)
+        assert count.update(2) == 2
+
+
+def test_rows_of_gateways_that_are_long_gone_do_not_count_for_good() -> None:
+    with virtual_clock() as clock:
+        members = Members(Member('g1', 'c1'))
+        members.are_listed = True
+        for number in range(40):
+            members.add(f'h{number}', 'c1')
+        count = GatewayCount(members)
+        assert count.update(9) == 41
+        clock.advance(COUNT_LIFE_S + 1.0)
+        assert count.update(9) == 9
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -190,6 +190,13 @@
                 await asyncio.sleep(0.02)
             while len(self.gateway.components.directory.all()) < len(self.plain + self.engines):
                 await asyncio.sleep(0.02)
+        self._know_that_it_is_alone()
+
+    def _know_that_it_is_alone(self) -> None:
+        """Let the gateway know at once, as it does a second later by its row in the store."""
+        parts = self.gateway.components
+        parts.members.are_listed = True
+        parts.budgets.gateways = parts.digests.gateway_count
 
     async def call(
         self, path: str, method: str = 'POST', body: bytes = b'', **headers: str
