--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -41,6 +41,9 @@
 CHECK_INTERVAL_S = 0.25
 #: ...and no sooner than this after the check before. Chosen, not measured.
 LEAST_CHECK_S = 0.02
+#: An update counts as older than its sender says where the store's clock shows more than this
+#: beyond: it waited on its way. Below, the two clocks are not known better. Chosen, not measured.
+CLOCK_SLACK_S = 0.25
 
 
 @attrs.define
--- a/tests/membership/test_row_exchange.py
+++ b/tests/membership/test_row_exchange.py
@@ -12,7 +12,7 @@
 from limeshelf.membership.members import Members
 from limeshelf.membership.messages import RowsQuery, TableRow, TableUpdate, TableUpdates
 from limeshelf.membership.relays import RELAY_SILENT_S
-from limeshelf.membership.row_exchange import RowExchange
+from limeshelf.membership.row_exchange import CLOCK_SLACK_S, RowExchange
 from limeshelf.membership.store_polling import OVERDUE_STEP_S
 from limeshelf.peers.codec import Envelope
 from limeshelf.util.clock import boottime_s, virtual_clock
@@ -250,3 +250,28 @@
         clock.advance(RELAY_SILENT_S + 0.01)
         assert one.is_due()
         assert one.spread_s() == 0.0
+
+
+def test_update_that_waited_confirms_what_was_then() -> None:
+    """Before, a copy counted as new whose update had waited in a queue for two seconds."""
+    with virtual_clock() as clock:
+        one = exchange('g2', 'g1')
+        one.clock.note_answer(clock.now_s, 5.0)
+        waiting = TableUpdate('t', 0, 9, 0, [], 5000)
+        clock.advance(2.0)
+        one._take_updates(Envelope('g1', 'c1', TableUpdates([waiting])))
+        copy = one.copies['t']
+        assert copy.version == 9
+        assert 2.0 - CLOCK_SLACK_S <= copy.age_s <= 2.0
+        assert copy.is_stale
+
+
+def test_update_in_time_is_as_old_as_its_sender_says() -> None:
+    with virtual_clock() as clock:
+        one = exchange('g2', 'g1')
+        # This gateway knows the store's clock no better than by 0.2 s.
+        one.clock.note_answer(clock.now_s - 0.2, 5.0)
+        one._take_updates(
+            Envelope('g1', 'c1', TableUpdates([TableUpdate('t', 0, 9, 100, [], 4900)]))
+        )
+        assert abs(one.copies['t'].age_s - 0.1) < 0.001
