An update counts as old as the store's clock says, its way included

Cause: an update tells its age at the send; one that waited in a queue (for up to 2 s) or in a buffer confirmed its copy as new. Change: where the store's clock is known, an update is at least as old as that shows, less 0.25 s.

--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -167,7 +167,7 @@
                 rows,
                 update.after,
                 update.upto,
-                update.age_ms / MS_PER_S,
+                self._age_s(update),
                 update.confirmed_ms,
                 envelope.sender,
             )
@@ -181,6 +181,13 @@
         if passed_on:
             self.node.send_all(addresses, TableUpdates(passed_on))
 
+    def _age_s(self, update: TableUpdate) -> float:
+        """Return how long ago the store confirmed an update, its way to here included."""
+        said_s = update.age_ms / MS_PER_S
+        if not self.clock.is_known or not update.confirmed_ms:
+            return said_s
+        return max(said_s, self.clock.greatest_age_s(update.confirmed_ms) - CLOCK_SLACK_S)
+
     def _note_clock(self, updates: TableUpdates) -> None:
         """Learn from a peer's answer how the store's clock stands."""
         if updates.asked_ms and updates.store_ms:
