Rows of another writer name nothing to use, and all others hold

Cause: one value that is no base64 made the whole answer of the store unusable; an adapter that is a number raised AttributeError; unknown states, addresses without a port and slots below one were taken as they came; a lease row that cannot be read ended the loop of the lease. Change: each row is decoded by itself; an entry has all fields that a replica writes, of their types; an unreadable row takes its replica out until a readable one comes; an unreadable lease row is outlasted.

--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -29,7 +29,7 @@
 
 import attrs
 
-from limeshelf.errors import PlatformUnavailable, PlatformUnknown
+from limeshelf.errors import InvalidDocument, PlatformUnavailable, PlatformUnknown
 from limeshelf.feeds.rows import ConditionFailed
 from limeshelf.lease.row import (
     LEASE_KEY,
@@ -44,7 +44,7 @@
 from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
-    from limeshelf.feeds.rows import Page, RowTable
+    from limeshelf.feeds.rows import Page, Row, RowTable
 
 #: A holder renews when this share of the lease has passed since the last renewal. Chosen, not
 #: measured.
@@ -105,6 +105,8 @@
         self._lease_s = lease_s
         self._highest_fence = 0
         self._store_lost = False
+        self._unreadable_version = 0
+        self._unreadable_since_s = 0.0
 
     @property
     def fence(self) -> int:
@@ -167,7 +169,9 @@
         began_s = boottime_s()
         page = await self._store.read(LEASE_TABLE)
         row = find_row(page)
-        value = read_value(row)
+        value = self._read(row)
+        if value is None and row is not None and not self._outlasted(row):
+            return
         if not is_free(value, page.now_ms, self._holder):
             return
         fence = next_fence(self._highest_fence, value)
@@ -179,6 +183,27 @@
         self._highest_fence = max(self._highest_fence, fence)
         log_change('term_begun', fence=fence, row_version=version)
 
+    def _read(self, row: Row | None) -> LeaseValue | None:
+        """Return what the row says; ``None`` without a row, and where it cannot be read."""
+        try:
+            value = read_value(row)
+        except InvalidDocument as error:
+            log_change('lease_row_invalid', problem=str(error))
+            return None
+        if value is not None:
+            self._highest_fence = max(self._highest_fence, value.fence)
+        return value
+
+    def _outlasted(self, row: Row) -> bool:
+        """Return whether a row that cannot be read has stood for a whole lease.
+
+        It may have replaced that of a holder, who finds it when its renewal is due.
+        """
+        if self._unreadable_version != row.version:
+            self._unreadable_version = row.version
+            self._unreadable_since_s = boottime_s()
+        return boottime_s() - self._unreadable_since_s > self._lease_s
+
     async def _renew(self, term: Term) -> None:
         """Write the row anew; it is read before only if it is not as this process left it."""
         began_s = boottime_s()
@@ -198,7 +223,7 @@
         began_s = boottime_s()
         page = await self._store.read(LEASE_TABLE)
         row = find_row(page)
-        value = read_value(row)
+        value = self._read(row)
         if row is None or value is None or value.fence != term.fence:
             self._end_term(term, 'row_taken')
             return
--- a/limeshelf/lease/row.py
+++ b/limeshelf/lease/row.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from limeshelf.errors import InvalidDocument, Problem
+
 if TYPE_CHECKING:
     from limeshelf.feeds.rows import Page, Row
 
@@ -49,9 +51,14 @@
 def read_value(row: Row | None) -> LeaseValue | None:
     """Return what a lease row says, or ``None`` without a row.
 
-    :raises msgspec.MsgspecError: the value is not that of a lease.
+    :raises InvalidDocument: the value is not that of a lease.
     """
-    return _values.decode(row.value) if row is not None else None
+    if row is None:
+        return None
+    try:
+        return _values.decode(row.value)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise InvalidDocument([Problem(LEASE_KEY, str(error))]) from None
 
 
 def is_free(value: LeaseValue | None, now_ms: int, contender: str) -> bool:
--- a/limeshelf/platform/replicas.py
+++ b/limeshelf/platform/replicas.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import msgspec
@@ -15,8 +16,13 @@
 
 #: Table of the store in which replicas record themselves.
 REPLICA_TABLE = 'servers'
+#: State of a replica that takes calls.
+READY = 'ready'
 #: State of a replica that takes no new calls and ends before long.
 DRAINING = 'draining'
+#: A host, or an IPv6 address in brackets, and a port.
+_ADDRESS = re.compile(r'(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})')
+MAX_PORT = 65535
 
 
 class _Held(msgspec.Struct, rename='pascal'):
@@ -36,20 +42,22 @@
 
 
 class _Entry(msgspec.Struct, rename='pascal'):
+    """A replica's row; what has no default is in each that a replica writes."""
+
     service: str
     address: str
     #: The data centre.
-    zone: str = ''
+    zone: str
     #: Calls that it works on at once; it queues a few more.
-    slots: int = 1
-    state: str = 'ready'
+    slots: int
+    state: str
+    #: Heartbeats here, but orders taken in a report (every order of a day was refused when the two
+    #: were mixed up).
+    seq_no: int
     #: Time until the replica is gone, whatever it runs; stated only by
     #: one that goes at short notice.
     remaining_ms: float | None = None
     models: list[_Held] = []
-    #: Heartbeats here, but orders taken in a report (every order of a day was refused when the two
-    #: were mixed up).
-    seq_no: int = 0
 
 
 class _Report(msgspec.Struct, rename='pascal'):
@@ -72,16 +80,43 @@
 
 
 _MS = 1000.0
-_entries = msgspec.json.Decoder(_Entry, strict=False)
-_reports = msgspec.json.Decoder(_Report, strict=False)
+_entries = msgspec.json.Decoder(_Entry)
+_reports = msgspec.json.Decoder(_Report)
+#: What a decoder raises for bytes that are no such document; nesting without end is among them.
+_UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 def _name(item: Any) -> str:
-    """Return the name in NAME@VERSION, or in an object with such a name."""
-    text = item if isinstance(item, str) else str(item.get('Name', ''))
+    """Return the name in NAME@VERSION, or in an object with such a name.
+
+    :raises InvalidDocument: there is no name in it.
+    """
+    text = item.get('Name') if isinstance(item, dict) else item
+    if not isinstance(text, str):
+        raise InvalidDocument([Problem('Name', 'is no text')])
     return text.partition('@')[0]
 
 
+def _check(replica_id: str, entry: _Entry) -> None:
+    """Raise what makes an entry unusable although its fields have their types.
+
+    Others may write rows, too. What is taken as it comes, an address without a port or a state
+    that nobody knows, gets calls that nobody answers.
+    """
+    address = _ADDRESS.fullmatch(entry.address)
+    checks = {
+        'Service': bool(entry.service),
+        'Address': address is not None and 0 < int(address[1]) <= MAX_PORT,
+        'Slots': entry.slots >= 1,
+        'State': entry.state in (READY, DRAINING),
+    }
+    problems = [
+        Problem(f'{replica_id}.{name}', 'unusable') for name, ok in checks.items() if not ok
+    ]
+    if problems:
+        raise InvalidDocument(problems)
+
+
 def _holdings(models: list[_Held]) -> tuple[Holding, ...]:
     return tuple(
         Holding(held.name, frozenset(_name(adapter) for adapter in held.adapters))
@@ -102,8 +137,9 @@
     """
     try:
         entry = _entries.decode(value)
-    except msgspec.MsgspecError as error:
+    except _UNREADABLE as error:
         raise InvalidDocument([Problem(replica_id, str(error))]) from None
+    _check(replica_id, entry)
     return ReplicaRecord(
         replica_id=replica_id,
         service=entry.service,
@@ -124,7 +160,7 @@
     """
     try:
         report = _reports.decode(value)
-    except msgspec.MsgspecError as error:
+    except _UNREADABLE as error:
         raise InvalidDocument([Problem('report', str(error))]) from None
     copies = report.available or _Copies()
     return ReplicaReport(
--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -15,7 +15,7 @@
 import asyncio
 import base64
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import msgspec
@@ -23,6 +23,7 @@
 from limeshelf.errors import PlatformUnavailable, PlatformUnknown
 from limeshelf.feeds.rows import ConditionFailed, HistoryGone, Page, Row
 from limeshelf.feeds.store_clock import StoreClock
+from limeshelf.metrics.event_log import log_change
 from limeshelf.platform.sessions import open_session
 from limeshelf.util.clock import MS_PER_S, boottime_s
 from limeshelf.util.sockets import keepalive_socket
@@ -66,9 +67,9 @@
 class _Row(msgspec.Struct, rename={'key': 'Key', 'value': 'Value'}):
     key: str
     #: From one counter of the whole store, not one a row.
-    ver: int = 0
-    #: In base64.
-    value: str = ''
+    ver: int
+    #: A text in base64, if a program that knows the store has written it.
+    value: Any = ''
     #: The row was deleted at this version; only the feed has such rows.
     gone: bool = False
 
@@ -76,7 +77,8 @@
 class _Answer(msgspec.Struct, rename={'rows': 'Rows'}):
     #: Version of the whole store when it answered.
     ver: int = 0
-    rows: list[_Row] = []
+    #: Each is decoded by itself, so that one that cannot be read leaves the others.
+    rows: list[msgspec.Raw] = []
     #: The answer was cut; the next one begins behind its last row.
     more: bool = False
     #: The store's steady clock, not the time of day.
@@ -110,18 +112,50 @@
 
 
 _answers = msgspec.json.Decoder(_Answer)
+_row_decoder = msgspec.json.Decoder(_Row)
+#: What a decoder raises for bytes that are no such document; nesting without end is among them.
+_UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
+
+def read_rows(body: bytes, table: str) -> tuple[Row, ...]:
+    """Return the rows in the body of an answer.
+
+    :raises PlatformUnknown: it is no answer.
+    """
+    return _rows(_decode(body), table)
 
 
-def _rows(answer: _Answer) -> tuple[Row, ...]:
-    """Return the rows of an answer; a malformed value makes it unusable."""
+def _decode(body: bytes) -> _Answer:
     try:
-        return tuple(
-            Row(row.key, base64.b64decode(row.value), row.ver, row.gone) for row in answer.rows
-        )
-    except ValueError:
+        return _answers.decode(body)
+    except _UNREADABLE:
         raise PlatformUnknown(STORE) from None
 
 
+def _rows(answer: _Answer, table: str) -> tuple[Row, ...]:
+    rows = (_read_row(encoded, table) for encoded in answer.rows)
+    return tuple(row for row in rows if row is not None)
+
+
+def _read_row(encoded: msgspec.Raw, table: str) -> Row | None:
+    """Return a row, without a value if that cannot be read; ``None`` without key or version.
+
+    Whoever takes the row finds that it says nothing. One such row made a whole answer unusable
+    once, and the gateway knew no replica at all.
+    """
+    try:
+        row = _row_decoder.decode(encoded)
+    except _UNREADABLE as error:
+        log_change('row_unreadable', table=table, problem=str(error))
+        return None
+    try:
+        value = base64.b64decode(row.value, validate=True)
+    except (TypeError, ValueError):
+        log_change('row_unreadable', table=table, key=row.key, version=row.ver)
+        value = b''
+    return Row(row.key, value, row.ver, row.gone)
+
+
 def _read_answer(status: int, body: bytes, query: dict[str, str] | None) -> _Answer:
     """Return the answer of a call that was done; raises what any other one means."""
     if status == STATUS_HISTORY_GONE:
@@ -130,12 +164,9 @@
         raise PlatformUnavailable(STORE)
     if status not in (STATUS_OK, STATUS_CONDITION):
         raise PlatformUnknown(STORE)
-    try:
-        answer = _answers.decode(body)
-    except ValueError:
-        raise PlatformUnknown(STORE) from None
+    answer = _decode(body)
     if status == STATUS_CONDITION:
-        raise ConditionFailed(_rows(answer))
+        raise ConditionFailed(_rows(answer, ''))
     return answer
 
 
@@ -180,12 +211,15 @@
             asked_s = boottime_s()
             self._count_call(StoreOperation.READ, table)
             answer = await self._call('GET', '/rows-get', query)
-            page = _rows(answer)
+            page = _rows(answer, table)
+            if answer.more and not page:
+                # Nothing says where the next page begins.
+                raise PlatformUnknown(STORE)
             answered_s = answered_s or self._answered_s(asked_s, answer)
             as_of_ms = as_of_ms or int(answer.now_ms)
             rows.extend(page)
             version = min(version, answer.ver) if version else answer.ver
-            if not answer.more or not page:
+            if not answer.more:
                 now_ms = int(answer.now_ms)
                 return Page(tuple(rows), version, now_ms, answered_s, as_of_ms)
             # The least key behind the last one.
@@ -199,7 +233,7 @@
         answer = await self._call('GET', '/rows-feed', query, wait_s=wait_s)
         answered_s = self._answered_s(asked_s, answer)
         now_ms = int(answer.now_ms)
-        return Page(_rows(answer), answer.ver, now_ms, answered_s, now_ms)
+        return Page(_rows(answer, table), answer.ver, now_ms, answered_s, now_ms)
 
     def _answered_s(self, asked_s: float, answer: _Answer) -> float:
         return self._clock.answered_s(asked_s, boottime_s(), answer.now_ms / MS_PER_S)
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -69,15 +69,18 @@
     def take_row(self, row: Row) -> None:
         """Take a newer row of a replica.
 
-        A row that cannot be read is logged and left out; the last one stays in force.
+        One that cannot be read names no replica to use: who had it takes no new calls until a
+        readable row comes, with the next heartbeat if it lives. The last good row would go on
+        leading calls to whoever has its address now.
         """
         if row.gone:
-            self._drop(row.key)
+            self._drop(row.key, 'record_dropped')
             return
         try:
             record = self._read_record(row.key, row.value)
         except InvalidDocument as error:
             log_change('replica_row_invalid', replica=row.key, problem=str(error))
+            self._drop(row.key, 'record_unreadable')
             return
         self.take_record(record)
         self.notify_change()
@@ -108,11 +111,10 @@
             if other.record.address == record.address and not other.gone:
                 other.leaving = True
 
-    def _drop(self, replica_id: str) -> None:
+    def _drop(self, replica_id: str, cause: str) -> None:
         replica = self._replicas.get(replica_id)
         if replica is not None and not replica.gone:
-            replica.gone = True
-            log_change('replica_gone', replica=replica_id, cause='record_dropped')
+            self.mark_gone(replica, cause)
             self.notify_change()
 
     def mark_gone(self, replica: Replica, cause: str) -> None:
--- a/tests/lease/test_leadership.py
+++ b/tests/lease/test_leadership.py
@@ -156,3 +156,22 @@
         'lease_store_reached',
     ]
     assert events[0][1] == {'fence': 0, 'cause': 'PlatformUnavailable'}
+
+
+def test_row_of_another_writer_is_outlasted_and_then_taken() -> None:
+    """It may stand in place of a holder's, who learns of it when its renewal is due."""
+
+    async def scenario(store: StoreStandIn, first: Leadership, second: Leadership) -> None:
+        await first.step()
+        await second.step()
+        store.put(LEASE_TABLE, LEASE_KEY, 'bm8gbGVhc2U=')
+        await second.step()
+        assert second.fence == 0
+        await asyncio.sleep(LEASE_S / 2)
+        await first.step()
+        assert first.fence == 0
+        await asyncio.sleep(LEASE_S)
+        await second.step()
+        assert second.fence == 2
+
+    play(scenario)
--- /dev/null
+++ b/tests/platform/test_foreign_rows.py
@@ -0,0 +1,146 @@
+"""Rows that another writer put into the store: they name nothing to use, and all others hold."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limeshelf.errors import InvalidDocument
+from limeshelf.feeds.rows import Row
+from limeshelf.platform import store as platform_store
+from limeshelf.platform.replicas import read_record, read_report
+from limeshelf.replicas.directory import ReplicaDirectory
+
+GOOD_ENTRY: dict[str, Any] = {
+    'Service': 's',
+    'Address': '10.0.0.1:8080',
+    'Zone': 'z1',
+    'Version': 'v1',
+    'Slots': 4,
+    'State': 'ready',
+    'ColdLeftMs': 0,
+    'SeqNo': 1,
+    'Models': [{'Name': 'm1', 'Version': 1, 'Adapters': ['a1', {'Name': 'a2@1'}]}],
+}
+GOOD_REPORT: dict[str, Any] = {
+    'Stage': 'colocated',
+    'Models': [{'Name': 'm1', 'Version': 1, 'Adapters': ['a1']}],
+    'IsBusy': False,
+    'SeqNo': 2,
+    'Queued': 1,
+    'Running': 12,
+    'KvUsed': 41000,
+    'KvTotal': 90000,
+    'ServedModels': 0,
+}
+ANY_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=6,
+)
+REQUIRED = ('Service', 'Address', 'Zone', 'Slots', 'State', 'SeqNo')
+
+
+def text(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def entry(**changes: Any) -> bytes:
+    return json.dumps({**GOOD_ENTRY, **changes}).encode()
+
+
+def answer(*rows: Any) -> bytes:
+    return json.dumps({'Rows': list(rows), 'ver': 9}).encode()
+
+
+@given(bad=ANY_JSON | st.builds(lambda value: {'Key': 'bad', 'ver': 8, 'Value': value}, ANY_JSON))
+def test_bad_row_leaves_the_others_of_its_answer(bad: Any) -> None:
+    good = {'Key': 'r1', 'ver': 7, 'Value': text(entry())}
+    other = {'Key': 'r2', 'ver': 9, 'Value': text(entry(Address='10.0.0.2:8080'))}
+    rows = platform_store.read_rows(answer(good, bad, other), 'servers')
+    assert Row('r1', entry(), 7) in rows
+    assert Row('r2', entry(Address='10.0.0.2:8080'), 9) in rows
+
+
+@given(value=st.binary() | ANY_JSON.map(lambda value: json.dumps(value).encode()))
+def test_any_bytes_are_a_record_or_an_invalid_document(value: bytes) -> None:
+    for read in (lambda: read_record('r1', value), lambda: read_report(value)):
+        try:
+            read()
+        except InvalidDocument:
+            continue
+
+
+@given(
+    name=st.sampled_from([*GOOD_ENTRY, 'RemainingMs', 'born']),
+    value=ANY_JSON,
+)
+def test_changed_field_makes_no_other_error(name: str, value: Any) -> None:
+    try:
+        record = read_record('r1', entry(**{name: value}))
+    except InvalidDocument:
+        return
+    assert record.slots >= 1
+    assert record.service
+    assert record.address.rpartition(':')[2].isdigit()
+
+
+@given(name=st.sampled_from([*GOOD_REPORT, 'Available', 'Loading', 'State']), value=ANY_JSON)
+def test_changed_field_of_a_report_makes_no_other_error(name: str, value: Any) -> None:
+    try:
+        read_report(json.dumps({**GOOD_REPORT, name: value}).encode())
+    except InvalidDocument:
+        return
+
+
+@pytest.mark.parametrize('name', REQUIRED)
+def test_entry_that_lacks_a_field_names_no_replica(name: str) -> None:
+    value = {key: field for key, field in GOOD_ENTRY.items() if key != name}
+    with pytest.raises(InvalidDocument):
+        read_record('r1', json.dumps(value).encode())
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'State': 'zzz'},
+        {'State': ''},
+        {'Service': ''},
+        {'Address': 'nope'},
+        {'Address': ':80'},
+        {'Address': '10.0.0.1:0'},
+        {'Address': '10.0.0.1:70000'},
+        {'Address': '10.0.0.1:8o'},
+        {'Slots': -3},
+        {'Slots': 0},
+        {'Slots': '4'},
+        {'Slots': True},
+        {'SeqNo': '1'},
+        {'Models': [{'Name': 'm1', 'Adapters': [7]}]},
+        {'Models': [{'Name': 'm1', 'Adapters': [{'Name': 7}]}]},
+        {'Models': [{'Adapters': []}]},
+    ],
+)
+def test_entry_of_another_writer_names_no_replica(changes: dict[str, Any]) -> None:
+    with pytest.raises(InvalidDocument):
+        read_record('r1', entry(**changes))
+
+
+@pytest.mark.parametrize('state', ['ready', 'draining'])
+def test_named_states_are_read(state: str) -> None:
+    assert read_record('r1', entry(State=state)).leaving is (state == 'draining')
+
+
+def test_replica_whose_row_turns_unreadable_takes_no_calls_until_it_is_readable() -> None:
+    directory = ReplicaDirectory(read_record)
+    directory.take_row(Row('r1', entry(), 1))
+    assert [replica.replica_id for replica in directory.of_service('s')] == ['r1']
+    directory.take_row(Row('r1', b'no row', 2))
+    assert directory.of_service('s') == []
+    directory.take_row(Row('r1', entry(SeqNo=2), 3))
+    assert [replica.replica_id for replica in directory.of_service('s')] == ['r1']
