Tell the starts of a replica apart that comes back under its id

Cause: an id stood for a start. A restarted replica's rows and reports were late until its counts had passed the earlier ones, and what was learned, ordered, granted and counted went on for one that holds nothing. Change: born, decoded in the adapter; replicas/starts.py says which start a statement speaks of; a later one begins a new Replica. By start instead of id: orders pending (unanswered ones of the earlier start count for 15 s more, since an order names the id), granted loads and prompt blocks, the time of polls, first copies, connections, health, own calls, numbers of orders and heartbeats. By id still: what a call excludes (who just broke it is not asked again), loads of peers (dropped at the restart; they live 2 s), changes to send (a name to look up). The leader's states pass it on, as a field that older releases pass over. A row that went and came back is the same start; a first statement of a start is no other one; a lower one counts after 8 s, or when the replica itself said so after the known was learned. Also: a fence after a lease row of another writer is above the row's version.

--- a/limeshelf/dispatch/selector.py
+++ b/limeshelf/dispatch/selector.py
@@ -29,6 +29,7 @@
     from limeshelf.dispatch.requests import QueuedRequest
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
+    from limeshelf.replicas.starts import ReplicaStart
 
 
 class HolderSelector:
@@ -37,7 +38,7 @@
     :param owner_of: returns the owner of a data centre's replicas, as
         :class:`~limeshelf.dispatch.owners.OwnerChooser` takes it.
     :param data_centre: of this process.
-    :ivar loads: what granted requests take, by id of the replica.
+    :ivar loads: what granted requests take, by start of the replica.
     """
 
     def __init__(
@@ -47,7 +48,7 @@
         owner_of: Callable[[str], str | None],
         data_centre: str,
     ) -> None:
-        self.loads: dict[str, GrantedLoad] = {}
+        self.loads: dict[ReplicaStart, GrantedLoad] = {}
         self._directory = directory
         self._speed = speed
         self._owner_of = owner_of
@@ -60,7 +61,7 @@
 
     def load(self, replica: Replica) -> GrantedLoad:
         """Return what granted requests take of a replica."""
-        return self.loads.setdefault(replica.replica_id, GrantedLoad())
+        return self.loads.setdefault(replica.start, GrantedLoad())
 
     def holders(self, request: QueuedRequest) -> list[Replica]:
         """Return the replicas that may take a call, but for those that it excludes.
--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -170,8 +170,11 @@
         page = await self._store.read(LEASE_TABLE)
         row = find_row(page)
         value = self._read(row)
-        if value is None and row is not None and not self._outlasted(row):
-            return
+        if value is None and row is not None:
+            if not self._outlasted(row):
+                return
+            # The fence of the row before is not known; each rose with a write to the store.
+            self._highest_fence = max(self._highest_fence, row.version)
         if not is_free(value, page.now_ms, self._holder):
             return
         fence = next_fence(self._highest_fence, value)
--- a/limeshelf/membership/messages.py
+++ b/limeshelf/membership/messages.py
@@ -43,6 +43,8 @@
     :ivar running: calls that run there.
     :ivar memory_used: tokens of accelerator memory that cannot be evicted.
     :ivar leaving: it takes no new calls.
+    :ivar born_ms: when it started, in milliseconds since 1970; ``None`` where it does not say
+        so, and from a release that does not pass it on.
     """
 
     replica_id: str
@@ -52,6 +54,7 @@
     running: int
     memory_used: int
     leaving: bool
+    born_ms: int | None = None
 
 
 class AwaitedLoad(msgspec.Struct, array_like=True):
--- a/limeshelf/membership/registration.py
+++ b/limeshelf/membership/registration.py
@@ -34,6 +34,16 @@
 _values = msgspec.json.Decoder(MemberValue)
 
 
+def _read_value(value: bytes) -> MemberValue | None:
+    """Return what a row says; ``None`` if it is not a gateway's."""
+    try:
+        member = _values.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    host, _, port = member.address.rpartition(':')
+    return member if host and port.isascii() and port.isdigit() else None
+
+
 @attrs.define
 class Registration:
     """Writes this gateway's row and reads those of the others."""
@@ -63,21 +73,21 @@
                     log_change('member_row_not_written', reason=repr(error))
                 await asyncio.sleep(full_jitter_s(attempt, RETRY_BASE_S, RETRY_LIMIT_S))
 
-    def take_row(self, row: Row) -> None:
-        """Take a row of the table of members.
+    def take_row(self, row: Row) -> bool:
+        """Take a row of the table of members; return whether it could be read.
 
         A row that went says nothing: gateways that stopped are silent.
         """
         if row.gone:
-            return
-        try:
-            value = _values.decode(row.value)
-        except msgspec.MsgspecError:
+            return True
+        value = _read_value(row.value)
+        if value is None:
             # The relays of its data centre still learn of the gateway by its digests.
             log_change('member_row_invalid', key=row.key)
-            return
+            return False
         self.members.add(value.address, value.data_centre, value.weight)
         self.members.are_listed = True
+        return True
 
     def announce_leaving(self) -> None:
         """Send all other gateways the message that this one stops."""
--- a/limeshelf/membership/state_exchange.py
+++ b/limeshelf/membership/state_exchange.py
@@ -13,6 +13,7 @@
 from limeshelf.membership import receivers
 from limeshelf.membership.messages import AwaitedLoad, ReplicaStates
 from limeshelf.membership.states import report_of, state_of
+from limeshelf.replicas.starts import StatementWay
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
@@ -113,7 +114,7 @@
         addresses = receivers.of_forwarded(self.members, envelope.data_centre)
         self.node.forward_all(addresses, envelope)
         for state in message.states:
-            self.directory.take_report(state.replica_id, report_of(state))
+            self.directory.take_report(state.replica_id, report_of(state), StatementWay.PEER)
         now_s = boottime_s()
         self.meter.announced_s = {
             awaited.key: now_s + awaited.left_ms / 1000 for awaited in message.awaited
--- a/limeshelf/membership/states.py
+++ b/limeshelf/membership/states.py
@@ -35,6 +35,7 @@
         report.running if report else 0,
         report.memory_used if report else 0,
         replica.leaving,
+        replica.known_start.born_ms,
     )
 
 
@@ -48,4 +49,5 @@
         running=state.running,
         memory_used=state.memory_used,
         leaving=state.leaving,
+        born_ms=state.born_ms,
     )
--- a/limeshelf/metrics/prometheus.py
+++ b/limeshelf/metrics/prometheus.py
@@ -45,6 +45,19 @@
             registry=self._registry,
         )
 
+        self._unreadable_rows = Counter(
+            'limeshelf_unreadable_rows',
+            'Rows of the store that name nothing, by table.',
+            ['table'],
+            registry=self._registry,
+        )
+        self._restarts = Counter(
+            'limeshelf_replica_restarts',
+            'Restarts of replicas under the same id, by how they were learned.',
+            ['learned_by'],
+            registry=self._registry,
+        )
+
     def observe_call(self, status: int, seconds: float) -> None:
         """Count a call that was answered with HTTP status *status* after *seconds*."""
         self._calls.labels(str(status)).inc()
@@ -64,6 +77,17 @@
         """
         self._store_calls.labels(operation, table).inc()
 
+    def observe_unreadable_row(self, table: str) -> None:
+        """Count a row that names nothing, since it cannot be read."""
+        self._unreadable_rows.labels(table).inc()
+
+    def observe_restart(self, learned_by: str) -> None:
+        """Count a restart of a replica under the same id.
+
+        :param learned_by: value of :class:`limeshelf.replicas.starts.StatementWay`.
+        """
+        self._restarts.labels(learned_by).inc()
+
     def watch(self, name: str, meaning: str, read: Callable[[], float]) -> None:
         """Serve what *read* returns as a gauge called *name*."""
         Gauge(f'limeshelf_{name}', meaning, registry=self._registry).set_function(read)
--- a/limeshelf/orders/pending.py
+++ b/limeshelf/orders/pending.py
@@ -29,15 +29,22 @@
 #: For this long a poll of our own counts as fresh. Orders by what a predecessor sent
 #: overcommitted memory; the figure is chosen, not measured.
 FRESH_S = 1.5
+#: An order that got no answer is carried out at most this much later, in seconds: 2 to 12 s
+#: are seen on the users' platform; the rest is chosen, not measured.
+LATE_ORDER_S = 15.0
 #: A replica that left this many polls in a row unanswered counts as lost. Chosen, not
 #: measured.
 LOST_AFTER_POLLS = 2
 
 
 class PendingOrders:
-    """Orders to one replica that may not have shown their effect yet."""
+    """Orders to one start of a replica that may not have shown their effect yet.
 
-    def __init__(self) -> None:
+    :param earlier: those to the start before: an order names the replica by its id, so one
+        that was not answered may still be carried out by the new start.
+    """
+
+    def __init__(self, earlier: PendingOrders | None = None) -> None:
         #: Held while orders go out: one replica has one order under way at a time.
         self.lock = asyncio.Lock()
         self._ready_at_s: dict[Loadable, float] = {}
@@ -52,6 +59,8 @@
         self._ordered_s = 0.0
         self._claimed_fence = 0
         self._claimed_s = 0.0
+        self._earlier = earlier
+        self._began_s = boottime_s()
 
     # Planned loads and unloads.
 
@@ -107,7 +116,13 @@
 
     def unconfirmed_loads(self) -> frozenset[Loadable]:
         """Return the loads that may be in memory, or arrive, before a report shows them."""
-        return frozenset(self._sent) | frozenset(self._unanswered)
+        loads = frozenset(self._sent) | frozenset(self._unanswered)
+        if self._earlier is None:
+            return loads
+        if boottime_s() - self._began_s > LATE_ORDER_S:
+            self._earlier = None
+            return loads
+        return loads | self._earlier.unconfirmed_loads()
 
     def note_ordered(self) -> None:
         """Note that an order goes out."""
--- a/limeshelf/orders/sender.py
+++ b/limeshelf/orders/sender.py
@@ -18,6 +18,8 @@
 from limeshelf.orders.order import OrderKind, OrderOutcome, ReplicaOrder, ReplicaSilent
 from limeshelf.orders.pending import PendingOrders
 from limeshelf.orders.task import OrderTask, claim_task
+from limeshelf.replicas.starts import ReplicaStart
+from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,11 +58,16 @@
         self._holder = holder
         self._metrics = metrics
         self._config = config
-        self._pending: dict[str, PendingOrders] = {}
+        self._pending: dict[ReplicaStart, PendingOrders] = {}
 
     def pending(self, replica: Replica) -> PendingOrders:
-        """Return what is under way at a replica."""
-        return self._pending.setdefault(replica.replica_id, PendingOrders())
+        """Return what is under way at this start of a replica."""
+        found = self._pending.get(replica.start)
+        if found is None:
+            earlier = ReplicaStart(replica.replica_id, replica.start.number - 1)
+            found = PendingOrders(self._pending.pop(earlier, None))
+            self._pending[replica.start] = found
+        return found
 
     async def poll(self, replica: Replica, settled: bool = False) -> bool:
         """Ask a replica for its report; return whether it answered.
@@ -69,6 +76,7 @@
         """
         pending = self.pending(replica)
         settled = settled or pending.is_settled
+        asked_s = boottime_s()
         try:
             report = await self._wire.report(replica.record.address, replica.replica_id)
         except ReplicaSilent:
@@ -76,7 +84,9 @@
             # after some.
             pending.note_missed_poll()
             return False
-        counts = self._directory.take_report(replica.replica_id, report, settled)
+        counts = self._directory.take_report(
+            replica.replica_id, report, settled=settled, asked_s=asked_s
+        )
         pending.note_report(report, counts)
         return True
 
--- a/limeshelf/placement/replica_watch.py
+++ b/limeshelf/placement/replica_watch.py
@@ -22,6 +22,7 @@
     from limeshelf.orders.sender import OrderSender
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
+    from limeshelf.replicas.starts import ReplicaStart
     from limeshelf.util.tasks import TaskSet
 
 #: The leader polls every replica this often. Chosen, not measured.
@@ -42,9 +43,9 @@
         self._leadership = leadership
         self._sender = sender
         self._tasks = tasks
-        self._polled_s: dict[str, float] = {}
+        self._polled_s: dict[ReplicaStart, float] = {}
         self._first_copies: dict[str, dict[str, int]] = {}
-        self._first_seen: set[str] = set()
+        self._first_seen: set[ReplicaStart] = set()
 
     async def claim_all(self, service: str, engine: EngineSpec) -> None:
         """Make every replica of a service note the fence of the term."""
@@ -56,9 +57,9 @@
         """Count what replicas hold when they are first seen; it shows what is busy."""
         copies = self._first_copies.setdefault(service, {})
         for replica in self._directory.of_service(service):
-            if replica.replica_id in self._first_seen:
+            if replica.start in self._first_seen:
                 continue
-            self._first_seen.add(replica.replica_id)
+            self._first_seen.add(replica.start)
             for model in replica.holdings:
                 copies[model] = copies.get(model, 0) + 1
 
@@ -70,8 +71,8 @@
         """Start the polls whose time has come."""
         now_s = boottime_s()
         for replica in self._directory.of_service(service):
-            if now_s - self._polled_s.get(replica.replica_id, 0.0) >= POLL_INTERVAL_S:
-                self._polled_s[replica.replica_id] = now_s
+            if now_s - self._polled_s.get(replica.start, 0.0) >= POLL_INTERVAL_S:
+                self._polled_s[replica.start] = now_s
                 self._tasks.spawn(self._poll(replica, engine), 'poll')
 
     async def _poll(self, replica: Replica, engine: EngineSpec) -> None:
--- a/limeshelf/platform/replicas.py
+++ b/limeshelf/platform/replicas.py
@@ -58,6 +58,8 @@
     #: one that goes at short notice.
     remaining_ms: float | None = None
     models: list[_Held] = []
+    #: Unix milliseconds of its start; this name alone is written in small letters.
+    born: Any = msgspec.field(name='born', default=None)
 
 
 class _Report(msgspec.Struct, rename='pascal'):
@@ -77,6 +79,8 @@
     #: As in its row; empty if not stated.
     state: str = ''
     available: _Copies | None = None
+    #: As in its row.
+    born: Any = msgspec.field(name='born', default=None)
 
 
 _MS = 1000.0
@@ -97,6 +101,18 @@
     return text.partition('@')[0]
 
 
+def _born_ms(born: Any) -> int | None:
+    """Return when a replica started, if it says so.
+
+    :raises InvalidDocument: it is no whole number.
+    """
+    if born is None:
+        return None
+    if type(born) is not int:
+        raise InvalidDocument([Problem('born', 'is no whole number')])
+    return born
+
+
 def _check(replica_id: str, entry: _Entry) -> None:
     """Raise what makes an entry unusable although its fields have their types.
 
@@ -150,6 +166,7 @@
         leaves_in_s=None if entry.remaining_ms is None else entry.remaining_ms / _MS,
         holdings=_holdings(entry.models),
         beat_number=entry.seq_no,
+        born_ms=_born_ms(entry.born),
     )
 
 
@@ -174,4 +191,5 @@
         in_memory=frozenset(_name(item) for item in copies.in_memory),
         on_disk=frozenset(_name(item) for item in copies.on_disk),
         leaving=report.state == DRAINING,
+        born_ms=_born_ms(report.born),
     )
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -91,7 +91,9 @@
             settings.store_address, self.metrics.observe_store_call, self.store_clock
         )
         self.changes = StateChanges()
-        self.directory = ReplicaDirectory(read_record, self.changes.note_replica)
+        self.directory = ReplicaDirectory(
+            read_record, self.changes.note_replica, self.metrics.observe_restart
+        )
         self.members = Members(Member(node.address, settings.data_centre, settings.weight))
         self.leadership = Leadership(
             self.store,
@@ -177,6 +179,7 @@
             self.directory,
             self.registration,
             settings.freshness,
+            self.metrics,
         )
 
     def _make_path(self, settings: GatewaySettings) -> None:
--- a/limeshelf/programs/followed_tables.py
+++ b/limeshelf/programs/followed_tables.py
@@ -20,10 +20,13 @@
 from limeshelf.platform.replicas import REPLICA_TABLE
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from limeshelf.calls.in_force import ConfigInForce
     from limeshelf.feeds.rows import Row, RowTable
     from limeshelf.membership.registration import Registration
     from limeshelf.membership.row_exchange import RowExchange
+    from limeshelf.metrics.prometheus import GatewayMetrics
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.settings.gateway import FreshnessSettings
 
@@ -73,23 +76,26 @@
     directory: ReplicaDirectory
     copy: TableCopy | None = None
 
-    def open_copy(self, rule: FollowRule) -> TableCopy:
+    def open_copy(self, rule: FollowRule, metrics: GatewayMetrics) -> TableCopy:
         """Return the copy of the table, to be followed by *rule*."""
-        self.copy = TableCopy(CONFIG_TABLE, self.take_row, rule)
+        self.copy = TableCopy(CONFIG_TABLE, _counted(CONFIG_TABLE, self.take_row, metrics), rule)
         return self.copy
 
-    def take_row(self, row: Row) -> None:
-        """Put the row's configuration in force if it is newer; waiting calls go on."""
+    def take_row(self, row: Row) -> bool:
+        """Put the row's configuration in force if it is newer; waiting calls go on.
+
+        :return: whether the row could be read.
+        """
         if row.key != CONFIG_KEY or row.gone:
-            return
+            return True
         try:
             config = read_config(row.value)
         except InvalidDocument as error:
             log_change('config_invalid', row_version=row.version, problem=str(error))
             self.in_force.is_superseded = True
-            return
+            return False
         if not self.in_force.take(config):
-            return
+            return True
         log_change(
             'config',
             version=config.version,
@@ -98,6 +104,19 @@
             source=self.copy.source if self.copy is not None else '',
         )
         self.directory.notify_change()
+        return True
+
+
+def _counted(
+    table: str, take_row: Callable[[Row], bool], metrics: GatewayMetrics
+) -> Callable[[Row], None]:
+    """Return a listener that passes rows on and counts those that could not be read."""
+
+    def take(row: Row) -> None:
+        if not take_row(row):
+            metrics.observe_unreadable_row(table)
+
+    return take
 
 
 def follow_tables(
@@ -107,12 +126,19 @@
     directory: ReplicaDirectory,
     registration: Registration,
     freshness: FreshnessSettings,
+    metrics: GatewayMetrics,
 ) -> list[TableFollower]:
     """Return the followers of all tables; their copies are shared through *rows*."""
     copies = (
-        config_rows.open_copy(config_rule(freshness.config_s)),
-        TableCopy(REPLICA_TABLE, directory.take_row, replica_rule(freshness.replica_s)),
-        TableCopy(MEMBER_TABLE, registration.take_row, MEMBER_RULE),
+        config_rows.open_copy(config_rule(freshness.config_s), metrics),
+        TableCopy(
+            REPLICA_TABLE,
+            _counted(REPLICA_TABLE, directory.take_row, metrics),
+            replica_rule(freshness.replica_s),
+        ),
+        TableCopy(
+            MEMBER_TABLE, _counted(MEMBER_TABLE, registration.take_row, metrics), MEMBER_RULE
+        ),
     )
     rows.copies.update({copy.table: copy for copy in copies})
     reach = StoreReach()
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -1,8 +1,9 @@
 """All replicas: their rows, reports and what they hold, as they arrived here.
 
-Owns the :class:`~limeshelf.replicas.replica.Replica` of each incarnation, and wakes
+Owns the :class:`~limeshelf.replicas.replica.Replica` of each start, and wakes
 who waits for one to change. Relies on the adapter to read rows, on
-:mod:`limeshelf.replicas.freshness` for which statement counts, and on
+:mod:`limeshelf.replicas.starts` for which start a statement speaks of, on
+:mod:`limeshelf.replicas.freshness` for which statement of a start counts, and on
 :mod:`limeshelf.replicas.loads` for what other gateways have under way.
 """
 
@@ -22,6 +23,7 @@
 )
 from limeshelf.replicas.loads import PeerLoads
 from limeshelf.replicas.replica import Load, Replica, by_model
+from limeshelf.replicas.starts import KnownStart, Order, ReplicaStart, StatementWay
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
@@ -37,15 +39,18 @@
 
     :param read_record: reads a row into a record; raises :exc:`InvalidDocument`.
     :param on_change: called with the id of a replica when what it holds has changed.
+    :param on_restart: called with how it was learned that a replica has started again.
     """
 
     def __init__(
         self,
         read_record: Callable[[str, bytes], ReplicaRecord],
         on_change: Callable[[str], None] = lambda replica_id: None,
+        on_restart: Callable[[StatementWay], None] = lambda way: None,
     ) -> None:
         self._read_record = read_record
         self._on_change = on_change
+        self._on_restart = on_restart
         self._replicas: dict[str, Replica] = {}
         self._peer_loads = PeerLoads()
         self._changed = asyncio.Event()
@@ -63,11 +68,11 @@
         ]
 
     def get(self, replica_id: str) -> Replica | None:
-        """Return a replica by the id of its incarnation."""
+        """Return the current start of a replica, or the last one."""
         return self._replicas.get(replica_id)
 
-    def take_row(self, row: Row) -> None:
-        """Take a newer row of a replica.
+    def take_row(self, row: Row) -> bool:
+        """Take a newer row of a replica; return whether it could be read.
 
         One that cannot be read names no replica to use: who had it takes no new calls until a
         readable row comes, with the next heartbeat if it lives. The last good row would go on
@@ -75,28 +80,73 @@
         """
         if row.gone:
             self._drop(row.key, 'record_dropped')
-            return
+            return True
         try:
             record = self._read_record(row.key, row.value)
         except InvalidDocument as error:
             log_change('replica_row_invalid', replica=row.key, problem=str(error))
             self._drop(row.key, 'record_unreadable')
-            return
+            return False
         self.take_record(record)
         self.notify_change()
+        return True
 
     def take_record(self, record: ReplicaRecord) -> None:
         """Add a replica, or update it unless the record came late."""
         replica = self._replicas.get(record.replica_id)
-        if replica is None or replica.gone:
-            self._add(record)
+        if replica is None:
+            self._add(Replica(record, by_model(record.holdings)))
+            return
+        order = replica.known_start.order_of(record.born_ms, boottime_s())
+        if order is Order.EARLIER:
+            return
+        if order is Order.LATER:
+            self._restart(replica, record, StatementWay.ROW)
+        elif replica.gone:
+            # The row went and came back, as with a cut: no other start.
+            same = Replica(
+                record,
+                by_model(record.holdings),
+                start=replica.start,
+                known_start=replica.known_start,
+            )
+            self._add(same)
         elif not is_late_heartbeat(record.beat_number, replica.record.beat_number):
             _update(replica, record)
 
-    def _add(self, record: ReplicaRecord) -> None:
+    def _restart(self, before: Replica, record: ReplicaRecord, way: StatementWay) -> Replica:
+        """Begin another start of a replica; nothing is known of it but *record*.
+
+        Its calls and loads of before are over. What was kept for it by other parts is kept by
+        its start, so that it is not taken for the new one's.
+        """
+        now_s = boottime_s()
+        log_change(
+            'replica_restarted',
+            replica=before.replica_id,
+            born_ms=record.born_ms,
+            earlier_born_ms=before.known_start.born_ms,
+            learned_by=way,
+        )
+        self._on_restart(way)
+        self.mark_gone(before, 'restarted')
+        self._peer_loads.forget_replica(before.replica_id)
+        replica = Replica(
+            record,
+            by_model(record.holdings),
+            start=ReplicaStart(before.replica_id, before.start.number + 1),
+            known_start=KnownStart(record.born_ms, now_s),
+        )
+        self._add(replica)
+        self._on_change(replica.replica_id)
+        return replica
+
+    def _add(self, replica: Replica) -> None:
+        record = replica.record
         self._supersede(record)
-        holdings = by_model(record.holdings)
-        self._replicas[record.replica_id] = Replica(record, holdings, leaving=record.leaving)
+        replica.leaving = record.leaving
+        holdings = replica.holdings
+        self._replicas[record.replica_id] = replica
         log_change(
             'replica_found',
             replica=record.replica_id,
@@ -106,7 +156,7 @@
         )
 
     def _supersede(self, record: ReplicaRecord) -> None:
-        """Give an address to the newest incarnation; who had it takes no new calls."""
+        """Give an address to who stated it last; who had it takes no new calls."""
         for other in self._replicas.values():
             if other.record.address == record.address and not other.gone:
                 other.leaving = True
@@ -118,7 +168,7 @@
             self.notify_change()
 
     def mark_gone(self, replica: Replica, cause: str) -> None:
-        """Note that the incarnation is no longer there.
+        """Note that this start of a replica is no longer there.
 
         :param cause: how this was learned, for the log.
         """
@@ -126,14 +176,27 @@
             replica.gone = True
             log_change('replica_gone', replica=replica.replica_id, cause=cause)
 
-    def take_report(self, replica_id: str, report: ReplicaReport, settled: bool = False) -> bool:
+    def take_report(
+        self,
+        replica_id: str,
+        report: ReplicaReport,
+        way: StatementWay = StatementWay.REPORT,
+        settled: bool = False,
+        asked_s: float | None = None,
+    ) -> bool:
         """Take what a replica reported, to this process or to a peer; return whether it counts.
 
         :param settled: see :func:`~limeshelf.replicas.freshness.is_late_report`.
+        :param asked_s: see :meth:`~limeshelf.replicas.starts.KnownStart.order_of`.
         """
         replica = self._replicas.get(replica_id)
         if replica is None:
             return False
+        order = replica.known_start.order_of(report.born_ms, boottime_s(), asked_s)
+        if order is Order.EARLIER:
+            return False
+        if order is Order.LATER:
+            replica = self._restart_by_report(replica, report, way)
         if is_late_report(report.order_number, replica.order_number, settled):
             return False
         replica.report = report
@@ -149,6 +212,19 @@
             self._on_change(replica_id)
         return True
 
+    def _restart_by_report(
+        self, before: Replica, report: ReplicaReport, way: StatementWay
+    ) -> Replica:
+        """Begin a start whose row has not come yet; its heartbeats count from the beginning."""
+        record = attrs.evolve(
+            before.record, holdings=(), beat_number=0, born_ms=report.born_ms, leaving=False
+        )
+        was_gone = before.gone
+        replica = self._restart(before, record, way)
+        # A replica without a row is used by nobody until it has one.
+        replica.gone = was_gone
+        return replica
+
     def drop_adapter(self, replica: Replica, model: str, adapter: str) -> None:
         """Note that an order has unloaded an adapter, before a report shows it."""
         self.forget_holding(replica, model, adapter)
--- a/limeshelf/replicas/loads.py
+++ b/limeshelf/replicas/loads.py
@@ -50,6 +50,15 @@
         """Forget what a peer reported."""
         self._by_peer.pop(peer, None)
 
+    def forget_replica(self, replica_id: str) -> None:
+        """Count nothing at a replica that has started again, until peers report anew.
+
+        Peers report by its id: what they still count of the earlier start breaks off within
+        a statement's life.
+        """
+        for statement in self._by_peer.values():
+            statement.by_replica.pop(replica_id, None)
+
     def take_totals(self, loads: Iterable[LoadAt], own_at: Callable[[str], Load]) -> None:
         """Take what all gateways have under way, this one among them.
 
--- a/limeshelf/replicas/pool.py
+++ b/limeshelf/replicas/pool.py
@@ -18,6 +18,7 @@
     from limeshelf.calls.wire import CallWire
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
+    from limeshelf.replicas.starts import ReplicaStart
 
 #: Share of the connections that a replica takes which all gateways together open; it resets
 #: any beyond its number. Chosen, not measured.
@@ -52,16 +53,16 @@
     def __init__(self, wire: CallWire) -> None:
         self.gateways = 1
         self._wire = wire
-        self._by_replica: dict[str, ReplicaConnections] = {}
+        self._by_start: dict[ReplicaStart, ReplicaConnections] = {}
         self._out_of_reach = asyncio.Event()
 
     def connections(self, replica: Replica, service: ServiceSpec) -> ReplicaConnections:
         """Return the connections to a replica."""
-        found = self._by_replica.get(replica.replica_id)
+        found = self._by_start.get(replica.start)
         if found is None:
             limit = connection_limit(service.max_connections, self.gateways)
             found = ReplicaConnections(replica.record.address, limit, self._wire)
-            self._by_replica[replica.replica_id] = found
+            self._by_start[replica.start] = found
         return found
 
     async def sweep(self, directory: ReplicaDirectory) -> None:
@@ -71,10 +72,13 @@
         """
         while True:
             await asyncio.sleep(SWEEP_S)
-            for replica_id in list(self._by_replica):
-                replica = directory.get(replica_id)
-                if replica is None or (replica.gone and replica.own.calls == 0):
-                    await self._by_replica.pop(replica_id).close()
+            for start in list(self._by_start):
+                replica = directory.get(start.replica_id)
+                if replica is None or replica.start != start:
+                    # Whatever ran at an earlier start broke off with it.
+                    await self._by_start.pop(start).close()
+                elif replica.gone and replica.own.calls == 0:
+                    await self._by_start.pop(start).close()
 
     def note_out_of_reach(self) -> None:
         """Note that a replica is out of reach, so that probes of it come due."""
@@ -95,7 +99,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for connections in self._by_replica.values():
+        for connections in self._by_start.values():
             await connections.close()
 
 
--- a/limeshelf/replicas/record.py
+++ b/limeshelf/replicas/record.py
@@ -21,13 +21,14 @@
 class ReplicaRecord:
     """A replica as its row in the store describes it.
 
-    :param replica_id: of this incarnation; a restart has another.
-    :param address: as ``IP:PORT``; another incarnation, or another service, may
-        have it later.
+    :param replica_id: a restart may have the same or another.
+    :param address: as ``IP:PORT``; another replica, or another service, may have it later.
     :param slots: calls that it works on at once.
     :param leaving: it takes no new calls.
     :param leaves_in_s: time until it is gone; ``None`` where it does not say so.
-    :param beat_number: rises with each heartbeat; a lower one came late.
+    :param beat_number: rises with each heartbeat since its start; a lower one came late.
+    :param born_ms: when it started, in milliseconds since 1970 on the clock of its machine;
+        ``None`` where it does not say so.
     """
 
     replica_id: str
@@ -39,6 +40,7 @@
     leaves_in_s: float | None
     holdings: tuple[Holding, ...]
     beat_number: int
+    born_ms: int | None = None
 
 
 @attrs.frozen
@@ -54,6 +56,7 @@
     :param in_memory: models whose weights lie in the memory of its machine.
     :param on_disk: models whose weights lie on its disk.
     :param leaving: it takes no new calls.
+    :param born_ms: as in :class:`ReplicaRecord`.
     """
 
     holdings: tuple[Holding, ...]
@@ -66,3 +69,4 @@
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     leaving: bool = False
+    born_ms: int | None = None
--- a/limeshelf/replicas/replica.py
+++ b/limeshelf/replicas/replica.py
@@ -1,4 +1,4 @@
-"""One incarnation of a replica, with the state that this process keeps of it.
+"""One start of a replica, with the state that this process keeps of it.
 
 Several packages write to it, each its own fields; the class names the owner of each.
 """
@@ -9,6 +9,8 @@
 
 from limeshelf.replicas.health import ReplicaHealth
 from limeshelf.replicas.record import Holding, ReplicaRecord, ReplicaReport
+from limeshelf.replicas.starts import KnownStart, ReplicaStart
+from limeshelf.util.clock import boottime_s
 
 
 @attrs.define
@@ -25,7 +27,7 @@
 
 @attrs.define(eq=False)
 class Replica:
-    """One incarnation of a replica; its restart begins another.
+    """One start of a replica; its restart begins another, also under the same id.
 
     Written by :class:`~limeshelf.replicas.directory.ReplicaDirectory`:
 
@@ -33,9 +35,11 @@
     :ivar report: its newest report, its own or a peer's copy; ``None`` before the first.
     :ivar reported_s: arrival of that report here, on the steady clock.
     :ivar holdings: model to its ready adapters.
-    :ivar leaving: it said so, or a newer incarnation has its address; never taken back.
-    :ivar gone: its row was deleted, or another incarnation answered at its
+    :ivar leaving: it said so, or another replica has its address; never taken back.
+    :ivar gone: its row was deleted, it has started again, or another replica answered at its
         address; a later row begins a new object.
+    :ivar start: what is kept of it elsewhere is kept by this.
+    :ivar known_start: what it says of that start.
 
     Written by others:
 
@@ -59,10 +63,16 @@
     reported_s: float = 0.0
     leaving: bool = False
     retiring: set[str] = attrs.field(factory=set)
+    start: ReplicaStart = attrs.Factory(
+        lambda self: ReplicaStart(self.record.replica_id), takes_self=True
+    )
+    known_start: KnownStart = attrs.Factory(
+        lambda self: KnownStart(self.record.born_ms, boottime_s()), takes_self=True
+    )
 
     @property
     def replica_id(self) -> str:
-        """Return the id of the incarnation."""
+        """Return its id."""
         return self.record.replica_id
 
     @property
--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -84,10 +84,12 @@
 
 
 class ReplicaStandIn:
-    """One incarnation of a replica.
+    """A replica, which may start again under its id.
 
     :param replica_id: calls that expect another one get 421.
     :param events: events of a whole stream.
+    :ivar born_ms: time of its start that it states; ``None`` states none.
+    :ivar starts: how often it has started again.
     """
 
     def __init__(self, replica_id: str, models: list[str] | None = None, events: int = 5) -> None:
@@ -111,6 +113,9 @@
         self.most_models = len(self.models)
         self.most_adapters = 0
         self.address = ''
+        self.born_ms: int | None = None
+        self.starts = 0
+        self._first_beat = 0
         self._busy = False
         self._runner: web.ServerRunner | None = None
 
@@ -128,6 +133,22 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def restart(self, born_ms: int | None, beat: int) -> None:
+        """Crash with all that runs here, and start again empty under the same id and address.
+
+        :param beat: number of heartbeats until now; they count from the beginning.
+        """
+        assert self._runner is not None and self._runner.server is not None
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                _reset(connection.transport)
+        self.models = {}
+        self.order_number = self.highest_fence = 0
+        self._busy = False
+        self._first_beat = beat
+        self.born_ms = born_ms
+        self.starts += 1
+
     def row(self, service: str, state: str = 'ready', beat: int = 1) -> dict[str, Any]:
         """Return the replica's entry for the store."""
         return {
@@ -137,10 +158,14 @@
             'Version': 'v1',
             'Slots': 8,
             'State': state,
-            'SeqNo': beat,
+            'SeqNo': beat - self._first_beat,
             'Models': self._models(),
+            **self._stated_start(),
         }
 
+    def _stated_start(self) -> dict[str, Any]:
+        return {} if self.born_ms is None else {'born': self.born_ms}
+
     def _models(self) -> list[dict[str, Any]]:
         return [
             {'Name': name, 'Version': 1, 'Adapters': adapters}
@@ -160,7 +185,12 @@
 
     def _report(self) -> web.Response:
         return web.json_response(
-            {'Models': self._models(), 'IsBusy': self._busy, 'SeqNo': self.order_number}
+            {
+                'Models': self._models(),
+                'IsBusy': self._busy,
+                'SeqNo': self.order_number,
+                **self._stated_start(),
+            }
         )
 
     async def _order(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -211,12 +241,14 @@
         self.most_models = max(self.most_models, len({*self.models, model}))
         if self.load_s:
             self._busy = True
-            asyncio.get_running_loop().call_later(self.load_s, self._loaded, model)
+            asyncio.get_running_loop().call_later(self.load_s, self._loaded, model, self.starts)
         else:
             self.models[model] = []
         return 202
 
-    def _loaded(self, model: str) -> None:
+    def _loaded(self, model: str, start: int) -> None:
+        if start != self.starts:
+            return
         self._busy = False
         self.models[model] = []
 
--- a/tests/forms/test_messages.py
+++ b/tests/forms/test_messages.py
@@ -35,6 +35,13 @@
     '615f63656e747265a27a31a46b696e64ae7265706c6963612d737461746573a673656e646572ad31'
     '302e302e302e313a37303031'
 )
+#: States of a leader of the release that did not say when a replica started.
+STATES_WITHOUT_STARTS = (
+    '84a4626f647985a761776169746564919293a26c6da26d31a26132cd0352a566656e636505a96d61'
+    '795f6f72646572c2a67374617465739197a3722d31089192a26d3192a26131a261320604cd1b58c3'
+    'a577686f6c65c2ab646174615f63656e747265a27a31a46b696e64ae7265706c6963612d73746174'
+    '6573a673656e646572ad31302e302e302e313a37303031'
+)
 #: Frames of the release whose leader granted the calls of all data centres.
 OLD_DIGEST = (
     '84a4626f647989a761646472657373ad31302e302e302e313a37303031ae636f6e6669675f766572'
@@ -144,6 +151,11 @@
     assert message.may_order
 
 
+def test_states_of_a_leader_that_does_not_say_when_a_replica_started() -> None:
+    message = decode(bytes.fromhex(STATES_WITHOUT_STARTS)).message
+    assert [state.born_ms for state in message.states] == [None]
+
+
 def test_digest_of_a_gateway_that_does_not_say_how_fast_prompts_are_read() -> None:
     message = decode(bytes.fromhex(OLD_DIGEST)).message
     assert (message.fence, message.reading_ms) == (5, {})
--- a/tests/forms/test_metrics.py
+++ b/tests/forms/test_metrics.py
@@ -128,6 +128,8 @@
         figures.observe_call(200, 0.3)
         figures.observe_order('taken')
         figures.observe_store_call('read', 'members')
+        figures.observe_unreadable_row('servers')
+        figures.observe_restart('row')
         figures.watch('some_gauge', 'Meaning.', lambda: 4.0)
         server = MetricsServer(figures)
         with socket.socket() as probe:
--- a/tests/platform_soak/faults.py
+++ b/tests/platform_soak/faults.py
@@ -10,6 +10,7 @@
 from standins.users_platform.replica import Fault, ReplicaStandIn
 from tests.platform_soak.link import Harm, Link
 from tests.platform_soak.world import GatewayProcess, World
+from tests.support.gateway import encoded
 
 Strike = Callable[['Faults'], Awaitable[None]]
 strikes: dict[str, Strike] = {}
@@ -183,3 +184,30 @@
     for _ in range(faults.random.randint(1, 4)):
         faults.world.configure()
         await asyncio.sleep(0.1)
+
+
+@strike
+async def restart_replicas(faults: Faults) -> None:
+    """Let a replica crash and start again under its id, at times twice, at times set back."""
+    replica = faults.random.choice(faults.world.replicas)
+    for _ in range(faults.random.randint(1, 2)):
+        step_ms = faults.random.choice([1000, 1000, -60_000])
+        await faults.world.restart(replica, step_ms)
+        await asyncio.sleep(faults.random.uniform(0.05, 1.5))
+
+
+@strike
+async def write_foreign_rows(faults: Faults) -> None:
+    """Put rows of another writer into the store, beside good ones or in their place."""
+    values = ['no base64', encoded(7), encoded({'Service': 7}), encoded({'State': 'zzz'})]
+    tables = {
+        'servers': ['stranger', faults.random.choice(faults.world.replicas).replica_id],
+        'members': ['stranger'],
+        'lease': ['placement'],
+    }
+    for _ in range(faults.random.randint(1, 4)):
+        table = faults.random.choice(sorted(tables))
+        faults.world.store.put(
+            table, faults.random.choice(tables[table]), faults.random.choice(values)
+        )
+        await asyncio.sleep(faults.random.uniform(0.0, 0.3))
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import Any
 
@@ -126,6 +127,11 @@
         document['Tenants'] = self.keys.change()
         self.store.put('op', 'config', encoded(document))
 
+    async def restart(self, replica: ReplicaStandIn, step_ms: int) -> None:
+        """Let a replica crash and start again, its clock that much further on."""
+        born_ms = (replica.born_ms or int(time.time() * 1000)) + step_ms
+        await replica.restart(born_ms, self._beat)
+
     def _announce(self) -> None:
         self._beat += 1
         for replica in self.replicas:
--- /dev/null
+++ b/tests/replicas/test_starts.py
@@ -0,0 +1,291 @@
+"""Which start of a replica a statement speaks of, whichever way and in whatever order it comes."""
+
+from __future__ import annotations
+
+import itertools
+import json
+from typing import Any
+
+import attrs
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from limeshelf.feeds.rows import Row
+from limeshelf.platform.replicas import read_record, read_report
+from limeshelf.replicas.directory import ReplicaDirectory
+from limeshelf.replicas.loads import PeerLoads
+from limeshelf.replicas.replica import Replica
+from limeshelf.replicas.starts import STEPPED_BACK_S, KnownStart, Order, StatementWay
+from limeshelf.util.clock import VirtualClock, virtual_clock
+
+#: A statement arrives at most this late, in seconds.
+LATEST_S = 6.0
+
+
+def row(born: Any, beat: int, version: int, models: tuple[str, ...] = ()) -> Row:
+    entry = {
+        'Service': 's',
+        'Address': '10.0.0.1:1',
+        'Zone': 'z1',
+        'Slots': 4,
+        'State': 'ready',
+        'SeqNo': beat,
+        'Models': [{'Name': name} for name in models],
+    }
+    if born is not None:
+        entry['born'] = born
+    return Row('r1', json.dumps(entry).encode(), version)
+
+
+def report(born: Any, orders: int, models: tuple[str, ...] = ()) -> Any:
+    document = {'Models': [{'Name': name} for name in models], 'SeqNo': orders}
+    if born is not None:
+        document['born'] = born
+    return read_report(json.dumps(document).encode())
+
+
+def known(directory: ReplicaDirectory) -> Replica:
+    replica = directory.get('r1')
+    assert replica is not None
+    return replica
+
+
+def test_restart_by_row_begins_with_nothing() -> None:
+    restarts: list[StatementWay] = []
+    directory = ReplicaDirectory(read_record, on_restart=restarts.append)
+    directory.take_row(row(1000, 9, 1, ('m1',)))
+    directory.take_report('r1', report(1000, 7, ('m1',)))
+    before = known(directory)
+    before.own.calls = 2
+    directory.take_row(row(2000, 1, 2))
+    after = known(directory)
+    assert (before.gone, after.gone) == (True, False)
+    assert (after.holdings, after.order_number, after.own.calls) == ({}, None, 0)
+    assert after.start != before.start
+    assert restarts == [StatementWay.ROW]
+
+
+def test_restart_by_report_lets_heartbeats_count_from_the_beginning() -> None:
+    directory = ReplicaDirectory(read_record)
+    directory.take_row(row(1000, 9, 1, ('m1',)))
+    assert directory.take_report('r1', report(2000, 0))
+    assert known(directory).holdings == {}
+    directory.take_row(row(1000, 10, 2, ('m1',)))
+    assert known(directory).holdings == {}
+    directory.take_row(row(2000, 1, 3))
+    assert known(directory).record.beat_number == 1
+
+
+def test_statement_of_an_earlier_start_changes_nothing() -> None:
+    directory = ReplicaDirectory(read_record)
+    directory.take_row(row(2000, 1, 5))
+    directory.take_row(row(1000, 40, 6, ('m1',)))
+    assert not directory.take_report('r1', report(1000, 9, ('m1',)), StatementWay.PEER)
+    assert known(directory).holdings == {}
+    assert known(directory).known_start.born_ms == 2000
+
+
+def test_statement_without_a_start_is_judged_by_its_counts() -> None:
+    directory = ReplicaDirectory(read_record)
+    directory.take_row(row(None, 3, 1, ('m1',)))
+    directory.take_row(row(None, 2, 2, ('m2',)))
+    before = known(directory)
+    assert set(before.holdings) == {'m1'}
+    directory.take_row(row(None, 4, 3, ('m2',)))
+    assert set(known(directory).holdings) == {'m2'}
+    assert known(directory) is before
+
+
+def test_replica_that_begins_to_state_its_start_is_no_other() -> None:
+    restarts: list[StatementWay] = []
+    directory = ReplicaDirectory(read_record, on_restart=restarts.append)
+    directory.take_row(row(None, 3, 1, ('m1',)))
+    before = known(directory)
+    directory.take_row(row(1000, 4, 2, ('m1',)))
+    directory.take_report('r1', report(None, 2, ('m1',)))
+    assert known(directory) is before
+    assert restarts == []
+    directory.take_row(row(1500, 1, 3))
+    assert known(directory) is not before
+
+
+def test_row_that_went_and_came_back_is_the_same_start() -> None:
+    directory = ReplicaDirectory(read_record)
+    directory.take_row(row(1000, 3, 1))
+    before = known(directory)
+    directory.take_row(Row('r1', b'', 2, gone=True))
+    directory.take_row(row(1000, 8, 3))
+    assert known(directory) is not before
+    assert known(directory).start == before.start
+
+
+def test_restart_that_a_report_shows_is_used_once_its_row_is_there() -> None:
+    directory = ReplicaDirectory(read_record)
+    directory.take_row(row(1000, 3, 1))
+    directory.take_row(Row('r1', b'', 2, gone=True))
+    directory.take_report('r1', report(2000, 0))
+    assert directory.of_service('s') == []
+    directory.take_row(row(2000, 1, 3))
+    assert [replica.replica_id for replica in directory.of_service('s')] == ['r1']
+
+
+@pytest.mark.parametrize('born', ['1000', 1000.5, 1.0e3, True, [], {}])
+def test_start_that_is_no_whole_number_makes_a_row_unreadable(born: Any) -> None:
+    directory = ReplicaDirectory(read_record)
+    assert not directory.take_row(row(born, 1, 1))
+    assert directory.get('r1') is None
+
+
+def test_answer_to_a_question_of_after_shows_a_clock_that_stepped_back() -> None:
+    start = KnownStart(2000, learned_s=10.0)
+    assert start.order_of(1000, 11.0, asked_s=9.0) is Order.EARLIER
+    assert start.order_of(1000, 11.0, asked_s=10.5) is Order.LATER
+
+
+def test_rows_show_a_clock_that_stepped_back_once_late_ones_have_come() -> None:
+    start = KnownStart(2000, learned_s=0.0)
+    assert start.order_of(1000, 10.0) is Order.EARLIER
+    assert start.order_of(1000, 10.0 + STEPPED_BACK_S) is Order.EARLIER
+    assert start.order_of(1000, 10.1 + STEPPED_BACK_S) is Order.LATER
+    assert start.order_of(1000, 20.0 + STEPPED_BACK_S) is Order.LATER
+    assert start.order_of(2000, 30.0) is Order.SAME
+    assert start.order_of(1000, 30.1) is Order.EARLIER
+
+
+def test_loads_of_an_earlier_start_are_forgotten() -> None:
+    loads = PeerLoads()
+    at: Any = attrs.make_class('At', ['replica_id', 'calls', 'tokens'])
+    loads.take('g2', [at('r1', 3, 30), at('r2', 1, 10)])
+    loads.forget_replica('r1')
+    assert (loads.at('r1').calls, loads.at('r2').calls) == (0, 1)
+
+
+@attrs.define
+class Statement:
+    """What a replica said, which may arrive late and more than once."""
+
+    said_s: float
+    start: int
+    born_ms: int
+    count: int
+    models: tuple[str, ...]
+
+
+class Restarts(RuleBasedStateMachine):
+    """A replica that restarts again and again, and whose statements come in any order.
+
+    Its clock may step back between two starts; then its statements go on coming for long enough
+    before the next restart, as they do from a replica that lives.
+    """
+
+    @initialize()
+    def begin(self) -> None:
+        self.entered = virtual_clock()
+        self.clock: VirtualClock = self.entered.__enter__()
+        self.directory = ReplicaDirectory(read_record)
+        self.numbers = itertools.count(1)
+        self.start = 0
+        self.born_ms = 1_000_000
+        self.count = 0
+        self.models: tuple[str, ...] = ()
+        self.said: list[Statement] = []
+        self.arrived: set[int] = set()
+        self.newest = 0
+        self.speak_by_row()
+
+    def teardown(self) -> None:
+        if hasattr(self, 'entered'):
+            self.entered.__exit__(None, None, None)
+
+    def _say(self) -> Statement:
+        self.count += 1
+        said = Statement(self.clock.now_s, self.start, self.born_ms, self.count, self.models)
+        self.said.append(said)
+        return said
+
+    def _arrive(self, said: Statement, way: StatementWay, asked_s: float | None = None) -> None:
+        if way is StatementWay.ROW:
+            self.directory.take_row(row(said.born_ms, said.count, next(self.numbers), said.models))
+        else:
+            self.directory.take_report(
+                'r1', report(said.born_ms, said.count, said.models), way, asked_s=asked_s
+            )
+        self.newest = max(self.newest, said.start)
+
+    @rule()
+    def speak_by_row(self) -> None:
+        self._arrive(self._say(), StatementWay.ROW)
+
+    @rule()
+    def speak_to_a_peer(self) -> None:
+        self._arrive(self._say(), StatementWay.PEER)
+
+    @rule()
+    def answer(self) -> None:
+        asked_s = self.clock.now_s
+        self.clock.advance(0.01)
+        self._arrive(self._say(), StatementWay.REPORT, asked_s)
+
+    @rule()
+    def say_what_is_lost_or_late(self) -> None:
+        self._say()
+
+    @rule(data=st.data(), way=st.sampled_from([StatementWay.ROW, StatementWay.PEER]))
+    def late_or_doubled(self, data: Any, way: StatementWay) -> None:
+        oldest_s = self.clock.now_s - LATEST_S
+        late = [said for said in self.said if said.said_s >= oldest_s]
+        if late:
+            self._arrive(data.draw(st.sampled_from(late)), way)
+
+    @rule(seconds=st.floats(0.05, 3.0))
+    def time_passes(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    @rule(models=st.sampled_from([('m1',), ('m1', 'm2'), ()]))
+    def load(self, models: tuple[str, ...]) -> None:
+        self.models = models
+
+    @rule(lived_s=st.floats(0.2, 30.0))
+    def restart(self, lived_s: float) -> None:
+        self._restart(self.born_ms + int(lived_s * 1000))
+
+    @rule(back_ms=st.integers(1, 100_000))
+    def restart_with_a_clock_that_stepped_back(self, back_ms: int) -> None:
+        self._restart(self.born_ms - back_ms)
+        for _ in range(int(STEPPED_BACK_S) + 2):
+            self.clock.advance(1.0)
+            self.speak_by_row()
+
+    def _restart(self, born_ms: int) -> None:
+        self.start += 1
+        self.born_ms, self.count, self.models = born_ms, 0, ()
+
+    @invariant()
+    def no_earlier_start_goes_before_a_later_one(self) -> None:
+        if not hasattr(self, 'directory'):
+            return
+        replica = self.directory.get('r1')
+        if replica is None:
+            return
+        starts = [said.start for said in self.said if said.born_ms == replica.known_start.born_ms]
+        assert max(starts) == self.newest
+
+    @invariant()
+    def nothing_of_an_earlier_start_is_held(self) -> None:
+        if not hasattr(self, 'directory'):
+            return
+        replica = self.directory.get('r1')
+        if replica is None:
+            return
+        said = {
+            statement.models
+            for statement in self.said
+            if statement.born_ms == replica.known_start.born_ms
+        }
+        assert tuple(sorted(replica.holdings)) in said | {()}
+
+
+TestRestarts = Restarts.TestCase
+TestRestarts.settings = settings(max_examples=150, stateful_step_count=40, deadline=None)
