Split the exchange of dispatch messages from the client that asks

The client asked, held the own dispatcher, pumped it and took messages; the latter three are dispatch/exchange.py now.

--- a/limeshelf/dispatch/client.py
+++ b/limeshelf/dispatch/client.py
@@ -3,9 +3,8 @@
 Asks one owner (:mod:`limeshelf.dispatch.owners` says which), another one where it refuses,
 and again while the request is queued, so that a new owner learns of it. Where an owner is
 silent, the dispatcher of this process stands in.
-Owns the requests of this process that have no final verdict yet, and this process's own
-dispatcher; relies on the connections to peers for the messages in
-:mod:`limeshelf.dispatch.messages`, which may get lost.
+Owns how far each request of this process has come with the owners; relies on
+:mod:`limeshelf.dispatch.exchange` for the messages, which may get lost.
 """
 
 from __future__ import annotations
@@ -14,7 +13,6 @@
 import math
 from typing import TYPE_CHECKING
 
-from limeshelf.dispatch.dispatcher import Dispatcher
 from limeshelf.dispatch.fallback import ANSWER_TIMEOUT_S, AVOID_S, Fallback
 from limeshelf.dispatch.grants import Grant, NoHolder, NoRoom
 from limeshelf.dispatch.messages import (
@@ -35,11 +33,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from limeshelf.calls.routes import ServingConfig
+    from limeshelf.dispatch.exchange import DispatchExchange
     from limeshelf.dispatch.grants import GrantRequest
     from limeshelf.dispatch.owners import Grantor
-    from limeshelf.peers.codec import Envelope
-    from limeshelf.peers.node import PeerNode
     from limeshelf.replicas.directory import ReplicaDirectory
 
 #: A queued request is sent again this often, so that a new dispatcher learns of it; four times
@@ -51,16 +47,11 @@
 HOP_S = 0.02
 #: Owners that are asked for one call before it is refused. Chosen, not measured.
 MAX_OWNERS_ASKED = 3
-#: The own queue is tried this often while requests wait in it, because time alone makes room
-#: too. Chosen, not measured. Trying also an empty one woke each gateway 67 times a second, half
-#: of all that an idle gateway did.
-PUMP_INTERVAL_S = 0.015
 
 
 class DispatchClient:
-    """Asks the owners of replicas; holds this process's own dispatcher too.
+    """Asks the owners of replicas.
 
-    :param config: returns the configuration in force, ``None`` before the first.
     :param owner_of: returns the owner of a data centre's replicas, as
         :class:`~limeshelf.dispatch.owners.OwnerChooser` takes it.
     :param data_centre: of this process.
@@ -68,34 +59,15 @@
 
     def __init__(
         self,
-        node: PeerNode,
+        exchange: DispatchExchange,
         directory: ReplicaDirectory,
-        config: Callable[[], ServingConfig | None],
         owner_of: Callable[[str], str | None],
         data_centre: str,
     ) -> None:
-        self.dispatcher = Dispatcher(directory, config, self._send_verdict, owner_of, data_centre)
-        self._node = node
+        self._exchange = exchange
         self._data_centre = data_centre
-        self._pending: dict[str, PendingRequest] = {}
         self._fallback = Fallback()
         self._owners = OwnerChooser(directory, self._fallback, owner_of, data_centre)
-        self._queued = asyncio.Event()
-
-    def start(self) -> None:
-        """Take messages."""
-        self._node.add_handler(DispatchQuery, self._take_query)
-        self._node.add_handler(DispatchVerdict, self._take_verdict)
-        self._node.add_handler(DispatchProgress, self._take_progress)
-
-    async def run(self) -> None:
-        """Try the own queue again and again while requests wait in it, until cancelled."""
-        while True:
-            await self._queued.wait()
-            self._queued.clear()
-            while self.dispatcher.waiting:
-                await asyncio.sleep(PUMP_INTERVAL_S)
-                self.dispatcher.pump()
 
     async def ask(self, request: GrantRequest) -> Grant | NoRoom | NoHolder:
         """Return a grant, or why there is none.
@@ -150,11 +122,11 @@
             self._withdraw(pending)
             pending.asked = chosen.address
             pending.request_id = new_id('t')
-            self._pending[pending.request_id] = pending
+            self._exchange.await_verdicts(pending)
         excluded = set(pending.request.excluded)
         if chosen.address == LOCAL:
             excluded |= replicas_of(one for one in candidates if one is not chosen)
-        self._send_query(chosen.address, self._query(pending, excluded))
+        self._exchange.send_query(chosen.address, self._query(pending, excluded))
 
     async def _final_verdict(
         self, pending: PendingRequest, candidates: list[Grantor]
@@ -183,7 +155,7 @@
         return Grant(
             pending.request_id,
             verdict.replica_id,
-            lambda progress: self._send_progress(owner, progress),
+            lambda progress: self._exchange.send_progress(owner, progress),
         )
 
     def _note_refused(self, pending: PendingRequest, verdict: DispatchVerdict) -> None:
@@ -197,12 +169,12 @@
         """Take the request back from who was asked last."""
         if pending.asked is not None:
             ended = DispatchProgress(pending.request_id, Stage.ENDED)
-            self._send_progress(pending.asked, ended)
+            self._exchange.send_progress(pending.asked, ended)
             self._forget(pending)
 
     def _forget(self, pending: PendingRequest) -> None:
         """Take no more verdicts of who was asked last."""
-        del self._pending[pending.request_id]
+        self._exchange.forget(pending)
         pending.verdicts = asyncio.Queue()
         pending.asked = None
 
@@ -225,40 +197,3 @@
             excluded=sorted(excluded),
             returned=request.returned,
         )
-
-    def _send_query(self, dispatcher: str, query: DispatchQuery) -> None:
-        if dispatcher == LOCAL:
-            self._take(query, LOCAL)
-        else:
-            self._node.send(dispatcher, query)
-
-    def _send_progress(self, dispatcher: str, progress: DispatchProgress) -> None:
-        if dispatcher == LOCAL:
-            self.dispatcher.take_progress(progress)
-        else:
-            self._node.send(dispatcher, progress)
-
-    def _send_verdict(self, asker: str, verdict: DispatchVerdict) -> None:
-        if asker == LOCAL:
-            self._deliver(verdict)
-        else:
-            self._node.send(asker, verdict)
-
-    def _deliver(self, verdict: DispatchVerdict) -> None:
-        pending = self._pending.get(verdict.ticket_id)
-        if pending is not None:
-            pending.verdicts.put_nowait(verdict)
-
-    def _take(self, query: DispatchQuery, asker: str) -> None:
-        self.dispatcher.take_query(query, asker)
-        if self.dispatcher.waiting:
-            self._queued.set()
-
-    def _take_query(self, envelope: Envelope) -> None:
-        self._take(envelope.message, envelope.sender)
-
-    def _take_verdict(self, envelope: Envelope) -> None:
-        self._deliver(envelope.message)
-
-    def _take_progress(self, envelope: Envelope) -> None:
-        self.dispatcher.take_progress(envelope.message)
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -14,6 +14,7 @@
 from limeshelf.calls.in_force import ConfigInForce
 from limeshelf.demand.meter import DemandMeter
 from limeshelf.dispatch.client import DispatchClient
+from limeshelf.dispatch.exchange import DispatchExchange
 from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.gateway.access import AccessGuard
 from limeshelf.gateway.edge import Edge
@@ -110,12 +111,12 @@
         self.add_seeds(settings)
 
     def _make_dispatch(self, settings: GatewaySettings) -> None:
-        self.dispatch = DispatchClient(
-            self.node,
-            self.directory,
-            self.in_force.get,
-            self.dispatchers.of_centre,
-            settings.data_centre,
+        owner_of = self.dispatchers.of_centre
+        self.dispatch = DispatchExchange(
+            self.node, self.directory, self.in_force.get, owner_of, settings.data_centre
+        )
+        self.dispatch_client = DispatchClient(
+            self.dispatch, self.directory, owner_of, settings.data_centre
         )
 
     def _make_placement(self, settings: GatewaySettings, tasks: TaskSet) -> None:
@@ -187,7 +188,7 @@
         self.budgets = RetryBudgets(retry_rule(settings))
         self.pool = ConnectionPool(wire)
         chooser = Chooser(self.directory, settings.data_centre)
-        selector = ReplicaSelector(self.directory, chooser, self.dispatch)
+        selector = ReplicaSelector(self.directory, chooser, self.dispatch_client)
         self.access = AccessGuard(self.in_force, self.config_age_s, access_rule(settings))
         self.pipeline = Pipeline(
             wire,
--- a/tests/dispatch/test_client.py
+++ b/tests/dispatch/test_client.py
@@ -12,6 +12,7 @@
 from limeshelf.calls.call import ModelNeed, PromptPart
 from limeshelf.demand.keys import ModelKey
 from limeshelf.dispatch.client import HOP_S, MAX_OWNERS_ASKED, DispatchClient
+from limeshelf.dispatch.exchange import DispatchExchange
 from limeshelf.dispatch.fallback import ANSWER_TIMEOUT_S
 from limeshelf.dispatch.grants import Grant, GrantRequest, NoHolder, NoRoom
 from limeshelf.dispatch.messages import (
@@ -84,9 +85,9 @@
 ) -> DispatchClient:
     node: Any = wire
     directory = directory_of(*data_centres)
-    client = DispatchClient(node, directory, lambda: None, owner_of, 'z1')
-    wire.deliver = client._deliver
-    return client
+    exchange = DispatchExchange(node, directory, lambda: None, owner_of, 'z1')
+    wire.deliver = exchange.deliver
+    return DispatchClient(exchange, directory, owner_of, 'z1')
 
 
 def request(
@@ -144,7 +145,7 @@
     asked = asyncio.create_task(client.ask(request()))
     await asyncio.sleep(0)
     request_id = wire.sent[0][1].ticket_id
-    client._deliver(DispatchVerdict(request_id, VerdictKind.GRANTED, 'r1'))
+    client._exchange.deliver(DispatchVerdict(request_id, VerdictKind.GRANTED, 'r1'))
     grant = await asked
     assert isinstance(grant, Grant)
     assert grant.replica_id == 'r1'
@@ -164,7 +165,8 @@
     wire = Wire(None)
     client = client_of(wire)
     local: list[str] = []
-    client.dispatcher.take_query = lambda query, asker: _grant_locally(client, local, query)  # type: ignore[method-assign]
+    exchange = client._exchange
+    exchange.dispatcher.take_query = lambda query, asker: _grant_locally(exchange, local, query)  # type: ignore[method-assign]
     grant = await client.ask(request())
     assert isinstance(grant, Grant)
     assert wire.queries() == ['g1']
@@ -172,9 +174,9 @@
     assert wire.stages() == [('g1', Stage.ENDED)]
 
 
-def _grant_locally(client: DispatchClient, local: list[str], query: DispatchQuery) -> None:
+def _grant_locally(exchange: DispatchExchange, local: list[str], query: DispatchQuery) -> None:
     local.append(query.ticket_id)
-    client._deliver(DispatchVerdict(query.ticket_id, VerdictKind.GRANTED, 'r0'))
+    exchange.deliver(DispatchVerdict(query.ticket_id, VerdictKind.GRANTED, 'r0'))
 
 
 @in_loop
@@ -269,7 +271,7 @@
     owners = {'z1': LOCAL, 'z2': 'g2'}
     client = client_of(wire, owners.__getitem__, data_centres=('z1', 'z2'))
     queries: list[DispatchQuery] = []
-    client.dispatcher.take_query = lambda query, asker: queries.append(query)  # type: ignore[method-assign]
+    client._exchange.dispatcher.take_query = lambda query, asker: queries.append(query)  # type: ignore[method-assign]
     busy = client._owners.directory.get('r1')
     assert busy is not None
     busy.own.calls = 4
--- a/tests/dispatch/test_idle.py
+++ b/tests/dispatch/test_idle.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from limeshelf.dispatch.client import DispatchClient
+from limeshelf.dispatch.exchange import DispatchExchange
 from limeshelf.replicas.directory import ReplicaDirectory
 
 
@@ -31,14 +31,14 @@
     async def play() -> None:
         node: Any = None
         directory = ReplicaDirectory(lambda replica_id, value: None)  # type: ignore[arg-type]
-        client = DispatchClient(node, directory, lambda: None, lambda: None, 'c1')
+        exchange = DispatchExchange(node, directory, lambda: None, lambda: None, 'c1')
         dispatcher: Any = CountingDispatcher()
-        client.dispatcher = dispatcher
-        running = asyncio.create_task(client.run())
+        exchange.dispatcher = dispatcher
+        running = asyncio.create_task(exchange.run())
         await asyncio.sleep(0.1)
         assert dispatcher.pumps == 0
         query: Any = object()
-        client._take(query, 'peer')
+        exchange._take(query, 'peer')
         async with asyncio.timeout(5.0):
             while dispatcher.waiting:
                 await asyncio.sleep(0.01)
