--- a/limeshelf/calls/wire.py
+++ b/limeshelf/calls/wire.py
@@ -19,7 +19,7 @@
     """What goes with a call to a replica beside the call itself.
 
     :param left_s: time that the replica may work, in seconds.
-    :param replica_id: the incarnation that is meant; no other may run the call.
+    :param replica_id: the replica that is meant; no other may run the call.
     :param priority: rank of the call; 0 is the most urgent.
     :param last_event_id: go on behind this event, on resumption.
     :param organisation: name of the one that holds the call's key; ``None`` without one.
@@ -40,7 +40,7 @@
     :param stamped: whether it bears the replica's signature.
     :param encoded: whether the body was encoded on the way.
     :param not_run: the replica says that it did not run the call.
-    :param misdirected: another incarnation answered, or what the call needs is
+    :param misdirected: another replica answered, or what the call needs is
         not there.
     :param headers: those that travel on.
     :param retry_after_s: when the replica expects to have room, in seconds.
--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -80,7 +80,7 @@
     """The replica did not run the call and never will.
 
     :param reached: whether the call reached the replica.
-    :param misdirected: another incarnation answered, or the model is not there.
+    :param misdirected: another replica answered, or the model is not there.
     :param status: of its answer; 0 if it was not reached.
     """
 
--- a/limeshelf/gateway/learning.py
+++ b/limeshelf/gateway/learning.py
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True)
 class Replaced:
-    """Another incarnation answered at the replica's address."""
+    """Another replica answered at the replica's address."""
 
 
 @dataclass(frozen=True)
@@ -68,7 +68,7 @@
     """Return what *result* says about the replica.
 
     :param to_engine: whether the call was for a model; a plain replica that does not
-        take a call for itself must be another incarnation.
+        take a call for itself must be another one.
     """
     if isinstance(result, NeverRan):
         if not result.reached:
--- a/limeshelf/orders/order.py
+++ b/limeshelf/orders/order.py
@@ -35,7 +35,7 @@
     BUSY_OR_STALE = 'busy_or_stale'
     #: It has seen a higher fence. Also where this process may not order any more.
     FENCED_OFF = 'fenced_off'
-    #: Another incarnation stands at the address.
+    #: Another replica stands at the address.
     GONE = 'gone'
     #: It refuses for another reason. Also a load that is withheld for want of room.
     REJECTED = 'rejected'
--- a/limeshelf/platform/headers.py
+++ b/limeshelf/platform/headers.py
@@ -33,7 +33,7 @@
 LENGTH_HINT = 'Limeshelf-Length-Hint'
 #: The last event of the stream that the receiver of the answer already has.
 LAST_EVENT = 'Last-Event-Id'
-#: Not an instance in our sense: the incarnation of a replica that is meant.
+#: Not an instance in our sense: the replica that is meant, by an id that outlives its starts.
 EXPECT_INSTANCE = 'Limeshelf-Expect-Instance'
 #: Urgency within a replica's batch; see :data:`MOST_URGENT`. Routes have their own rank.
 PRIORITY = 'Limeshelf-Request-Priority'
--- a/limeshelf/platform/wire.py
+++ b/limeshelf/platform/wire.py
@@ -19,7 +19,7 @@
 
     from multidict import MultiMapping
 
-#: The replica is another incarnation than the one that was meant, or does not
+#: The replica is another one than was meant, or does not
 #: hold what the call needs; it did not run the call.
 STATUS_MISDIRECTED = 421
 
--- a/limeshelf/replicas/pool.py
+++ b/limeshelf/replicas/pool.py
@@ -1,7 +1,7 @@
 """The connections of this process to all replicas, and probes of those out of reach.
 
-Owns the connections by incarnation, opened when a call first goes there and closed
-after the incarnation is gone. Relies on the directory for who is there, and on
+Owns the connections by start of the replica, opened when a call first goes there and closed
+after that start is gone. Relies on the directory for who is there, and on
 :mod:`limeshelf.replicas.health` for when a probe is due.
 """
 
