--- a/tests/forms/test_deploy.py
+++ b/tests/forms/test_deploy.py
@@ -16,6 +16,8 @@
 import tomllib
 from pathlib import Path
 
+import pytest
+
 from tests.forms.recorded import ROOT
 
 WHAT_TO_DO = 'The deploy file is a contract; see the docstring of tests/forms/test_deploy.py.'
@@ -23,11 +25,27 @@
 
 
 def contents(directory: Path) -> dict[str, str]:
-    return {path.name: path.read_text() for path in directory.iterdir()}
+    return {path.name: path.read_text() for path in directory.iterdir() if path.is_file()}
 
 
 def test_files_are_the_recorded_ones() -> None:
+    """Beside them there are the days of our own, which no instance reads."""
     assert contents(ROOT / 'deploy') == contents(RECORDED), WHAT_TO_DO
+    folders = [path.name for path in (ROOT / 'deploy').iterdir() if path.is_dir()]
+    assert folders == ['days']
+
+
+@pytest.mark.parametrize(
+    'path', sorted((ROOT / 'deploy/days').iterdir()), ids=lambda path: path.stem
+)
+def test_day_of_our_own_says_what_it_guards_and_names_no_deployment(path: Path) -> None:
+    text = path.read_text()
+    assert text.startswith('# Guards: ')
+    (day,) = tomllib.loads(text)['day']
+    assert day['name'] == path.stem.replace('_', '-')
+    for trouble in [*day.get('faults', []), *day.get('plan', [])]:
+        assert trouble.get('zone', '@z0') == '@z0'
+        assert not {'service', 'class'} & trouble.keys()
 
 
 def test_run_line_starts_a_program_that_takes_settings() -> None:
