--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -191,7 +191,8 @@
         try:
             value = read_value(row)
         except InvalidDocument as error:
-            log_change('lease_row_invalid', problem=str(error))
+            if row is not None:
+                self._note_unreadable(row, error)
             return None
         if value is not None:
             self._highest_fence = max(self._highest_fence, value.fence)
@@ -202,10 +203,14 @@
 
         It may have replaced that of a holder, who finds it when its renewal is due.
         """
+        stands_s = boottime_s() - self._unreadable_since_s
+        return self._unreadable_version == row.version and stands_s > self._lease_s
+
+    def _note_unreadable(self, row: Row, error: InvalidDocument) -> None:
         if self._unreadable_version != row.version:
             self._unreadable_version = row.version
             self._unreadable_since_s = boottime_s()
-        return boottime_s() - self._unreadable_since_s > self._lease_s
+            log_change('lease_row_invalid', row_version=row.version, problem=str(error))
 
     async def _renew(self, term: Term) -> None:
         """Write the row anew; it is read before only if it is not as this process left it."""
--- a/limeshelf/lease/row.py
+++ b/limeshelf/lease/row.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from limeshelf.errors import InvalidDocument, Problem
+from limeshelf.util.decoding import UNREADABLE
 
 if TYPE_CHECKING:
     from limeshelf.feeds.rows import Page, Row
@@ -57,7 +58,7 @@
         return None
     try:
         return _values.decode(row.value)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except UNREADABLE as error:
         raise InvalidDocument([Problem(LEASE_KEY, str(error))]) from None
 
 
--- a/limeshelf/membership/registration.py
+++ b/limeshelf/membership/registration.py
@@ -18,6 +18,7 @@
 from limeshelf.membership.messages import GatewayLeaving
 from limeshelf.metrics.event_log import log_change
 from limeshelf.util.backoff import full_jitter_s
+from limeshelf.util.decoding import UNREADABLE
 
 if TYPE_CHECKING:
     from limeshelf.feeds.rows import Row, RowTable
@@ -38,7 +39,7 @@
     """Return what a row says; ``None`` if it is not a gateway's."""
     try:
         member = _values.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+    except UNREADABLE:
         return None
     host, _, port = member.address.rpartition(':')
     return member if host and port.isascii() and port.isdigit() else None
--- a/limeshelf/platform/configuration.py
+++ b/limeshelf/platform/configuration.py
@@ -20,6 +20,7 @@
 )
 from limeshelf.errors import InvalidDocument, Problem
 from limeshelf.platform.organisations import OrganisationEntry, read_organisations
+from limeshelf.util.decoding import UNREADABLE
 
 #: Table and key of the row that holds the newest configuration, whole.
 CONFIG_TABLE = 'op'
@@ -128,7 +129,7 @@
     """
     try:
         document = _configs.decode(value)
-    except msgspec.MsgspecError as error:
+    except UNREADABLE as error:
         raise InvalidDocument([Problem(CONFIG_KEY, str(error))]) from None
     limits = document.limits
     return ServingConfig(
--- a/limeshelf/platform/replicas.py
+++ b/limeshelf/platform/replicas.py
@@ -13,6 +13,7 @@
 
 from limeshelf.errors import InvalidDocument, Problem
 from limeshelf.replicas.record import Holding, ReplicaRecord, ReplicaReport
+from limeshelf.util.decoding import UNREADABLE
 
 #: Table of the store in which replicas record themselves.
 REPLICA_TABLE = 'servers'
@@ -86,8 +87,6 @@
 _MS = 1000.0
 _entries = msgspec.json.Decoder(_Entry)
 _reports = msgspec.json.Decoder(_Report)
-#: What a decoder raises for bytes that are no such document; nesting without end is among them.
-_UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 def _name(item: Any) -> str:
@@ -153,7 +152,7 @@
     """
     try:
         entry = _entries.decode(value)
-    except _UNREADABLE as error:
+    except UNREADABLE as error:
         raise InvalidDocument([Problem(replica_id, str(error))]) from None
     _check(replica_id, entry)
     return ReplicaRecord(
@@ -177,7 +176,7 @@
     """
     try:
         report = _reports.decode(value)
-    except _UNREADABLE as error:
+    except UNREADABLE as error:
         raise InvalidDocument([Problem('report', str(error))]) from None
     copies = report.available or _Copies()
     return ReplicaReport(
--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -26,6 +26,7 @@
 from limeshelf.metrics.event_log import log_change
 from limeshelf.platform.sessions import open_session
 from limeshelf.util.clock import MS_PER_S, boottime_s
+from limeshelf.util.decoding import UNREADABLE
 from limeshelf.util.sockets import keepalive_socket
 
 if TYPE_CHECKING:
@@ -113,8 +114,6 @@
 
 _answers = msgspec.json.Decoder(_Answer)
 _row_decoder = msgspec.json.Decoder(_Row)
-#: What a decoder raises for bytes that are no such document; nesting without end is among them.
-_UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 def read_rows(body: bytes, table: str) -> tuple[Row, ...]:
@@ -128,7 +127,7 @@
 def _decode(body: bytes) -> _Answer:
     try:
         return _answers.decode(body)
-    except _UNREADABLE:
+    except UNREADABLE:
         raise PlatformUnknown(STORE) from None
 
 
@@ -140,12 +139,12 @@
 def _read_row(encoded: msgspec.Raw, table: str) -> Row | None:
     """Return a row, without a value if that cannot be read; ``None`` without key or version.
 
-    Whoever takes the row finds that it says nothing. One such row made a whole answer unusable
-    once, and the gateway knew no replica at all.
+    Whoever takes the row finds that it says nothing. Were the whole answer unusable for one such
+    row, the gateway would know no replica at all.
     """
     try:
         row = _row_decoder.decode(encoded)
-    except _UNREADABLE as error:
+    except UNREADABLE as error:
         log_change('row_unreadable', table=table, problem=str(error))
         return None
     try:
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -23,7 +23,7 @@
 )
 from limeshelf.replicas.loads import PeerLoads
 from limeshelf.replicas.replica import Load, Replica, by_model
-from limeshelf.replicas.starts import KnownStart, Order, ReplicaStart, StatementWay
+from limeshelf.replicas.starts import KnownStart, ReplicaStart, StartOrder, StatementWay
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
@@ -98,9 +98,9 @@
             self._add(Replica(record, by_model(record.holdings)))
             return
         order = replica.known_start.order_of(record.born_ms, boottime_s())
-        if order is Order.EARLIER:
+        if order is StartOrder.EARLIER:
             return
-        if order is Order.LATER:
+        if order is StartOrder.LATER:
             self._restart(replica, record, StatementWay.ROW)
         elif replica.gone:
             # The row went and came back, as with a cut: no other start.
@@ -193,9 +193,9 @@
         if replica is None:
             return False
         order = replica.known_start.order_of(report.born_ms, boottime_s(), asked_s)
-        if order is Order.EARLIER:
+        if order is StartOrder.EARLIER:
             return False
-        if order is Order.LATER:
+        if order is StartOrder.LATER:
             replica = self._restart_by_report(replica, report, way)
         if is_late_report(report.order_number, replica.order_number, settled):
             return False
--- a/limeshelf/replicas/starts.py
+++ b/limeshelf/replicas/starts.py
@@ -29,7 +29,7 @@
     PEER = 'peer'
 
 
-class Order(enum.Enum):
+class StartOrder(enum.Enum):
     """Which start a statement speaks of, beside the known one."""
 
     SAME = enum.auto()
@@ -65,7 +65,9 @@
     _doubted_born_ms: int | None = None
     _doubted_s: float = 0.0
 
-    def order_of(self, born_ms: int | None, now_s: float, asked_s: float | None = None) -> Order:
+    def order_of(
+        self, born_ms: int | None, now_s: float, asked_s: float | None = None
+    ) -> StartOrder:
         """Return which start a statement speaks of.
 
         :param born_ms: that it states, if any. The first that does makes no other start.
@@ -77,14 +79,14 @@
             self.born_ms = born_ms if self.born_ms is None else self.born_ms
             if born_ms is not None:
                 self._doubted_born_ms = None
-            return Order.SAME
+            return StartOrder.SAME
         if born_ms > self.born_ms or (asked_s is not None and asked_s > self.learned_s):
-            return Order.LATER
+            return StartOrder.LATER
         return self._order_of_lower(born_ms, now_s)
 
-    def _order_of_lower(self, born_ms: int, now_s: float) -> Order:
+    def _order_of_lower(self, born_ms: int, now_s: float) -> StartOrder:
         if self._doubted_born_ms != born_ms:
             self._doubted_born_ms = born_ms
             self._doubted_s = now_s
         has_stepped_back = now_s - self._doubted_s > STEPPED_BACK_S
-        return Order.LATER if has_stepped_back else Order.EARLIER
+        return StartOrder.LATER if has_stepped_back else StartOrder.EARLIER
--- a/tests/platform/test_foreign_rows.py
+++ b/tests/platform/test_foreign_rows.py
@@ -12,9 +12,13 @@
 
 from limeshelf.errors import InvalidDocument
 from limeshelf.feeds.rows import Row
+from limeshelf.peers.codec import decode
+from limeshelf.peers.framing import MalformedMessage
 from limeshelf.platform import store as platform_store
+from limeshelf.platform.configuration import read_config
 from limeshelf.platform.replicas import read_record, read_report
 from limeshelf.replicas.directory import ReplicaDirectory
+from tests.support.gateway import configuration
 
 GOOD_ENTRY: dict[str, Any] = {
     'Service': 's',
@@ -98,6 +102,24 @@
         return
 
 
+@given(
+    name=st.sampled_from(['Version', 'Routes', 'Services', 'Limits', 'Tenants']), value=ANY_JSON
+)
+def test_changed_field_of_a_configuration_makes_no_other_error(name: str, value: Any) -> None:
+    try:
+        read_config(json.dumps({**configuration(1), name: value}).encode())
+    except InvalidDocument:
+        return
+
+
+@given(value=st.binary())
+def test_bytes_of_a_peer_are_a_message_or_malformed(value: bytes) -> None:
+    try:
+        decode(value)
+    except MalformedMessage:
+        return
+
+
 @pytest.mark.parametrize('name', REQUIRED)
 def test_entry_that_lacks_a_field_names_no_replica(name: str) -> None:
     value = {key: field for key, field in GOOD_ENTRY.items() if key != name}
--- a/tests/replicas/test_starts.py
+++ b/tests/replicas/test_starts.py
@@ -17,7 +17,7 @@
 from limeshelf.replicas.directory import ReplicaDirectory
 from limeshelf.replicas.loads import PeerLoads
 from limeshelf.replicas.replica import Replica
-from limeshelf.replicas.starts import STEPPED_BACK_S, KnownStart, Order, StatementWay
+from limeshelf.replicas.starts import STEPPED_BACK_S, KnownStart, StartOrder, StatementWay
 from limeshelf.util.clock import VirtualClock, virtual_clock
 
 #: A statement arrives at most this late, in seconds.
@@ -140,18 +140,18 @@
 
 def test_answer_to_a_question_of_after_shows_a_clock_that_stepped_back() -> None:
     start = KnownStart(2000, learned_s=10.0)
-    assert start.order_of(1000, 11.0, asked_s=9.0) is Order.EARLIER
-    assert start.order_of(1000, 11.0, asked_s=10.5) is Order.LATER
+    assert start.order_of(1000, 11.0, asked_s=9.0) is StartOrder.EARLIER
+    assert start.order_of(1000, 11.0, asked_s=10.5) is StartOrder.LATER
 
 
 def test_rows_show_a_clock_that_stepped_back_once_late_ones_have_come() -> None:
     start = KnownStart(2000, learned_s=0.0)
-    assert start.order_of(1000, 10.0) is Order.EARLIER
-    assert start.order_of(1000, 10.0 + STEPPED_BACK_S) is Order.EARLIER
-    assert start.order_of(1000, 10.1 + STEPPED_BACK_S) is Order.LATER
-    assert start.order_of(1000, 20.0 + STEPPED_BACK_S) is Order.LATER
-    assert start.order_of(2000, 30.0) is Order.SAME
-    assert start.order_of(1000, 30.1) is Order.EARLIER
+    assert start.order_of(1000, 10.0) is StartOrder.EARLIER
+    assert start.order_of(1000, 10.0 + STEPPED_BACK_S) is StartOrder.EARLIER
+    assert start.order_of(1000, 10.1 + STEPPED_BACK_S) is StartOrder.LATER
+    assert start.order_of(1000, 20.0 + STEPPED_BACK_S) is StartOrder.LATER
+    assert start.order_of(2000, 30.0) is StartOrder.SAME
+    assert start.order_of(1000, 30.1) is StartOrder.EARLIER
 
 
 def test_loads_of_an_earlier_start_are_forgotten() -> None:
