Sight: attempt lines tell what content a call carries, the same for each try

Whether one request was at work at every replica that ended could not be told: each try has another id.

--- /dev/null
+++ b/benchmarks/fingerprint.py
@@ -0,0 +1,27 @@
+"""What the fingerprint of a call costs, by the size of its body."""
+
+from __future__ import annotations
+
+import time
+
+from limeshelf.calls.call import Call, ModelNeed
+from limeshelf.calls.fingerprint import fingerprint_of
+
+SIZES_BYTES = (0, 3_000, 100_000, 1_000_000)
+ROUNDS = 200
+NEED = ModelNeed('model', 'a1', 1000, 100, 80, ())
+
+
+def main() -> None:
+    """Print microseconds a call."""
+    for size in SIZES_BYTES:
+        call = Call('id', 'POST', 'h', '/route/x', (), b'x' * size, 0.0, 1.0, NEED, None)
+        began_s = time.perf_counter()
+        for _ in range(ROUNDS):
+            fingerprint_of(call)
+        taken_us = (time.perf_counter() - began_s) / ROUNDS * 1e6
+        print(f'{size:>9} bytes: {taken_us:8.1f} us')
+
+
+if __name__ == '__main__':
+    main()
--- a/limeshelf/gateway/lines.py
+++ b/limeshelf/gateway/lines.py
@@ -62,6 +62,7 @@
         status=_status(result),
         took_ms=int((state.since_arrival_s - state.waited_s) * 1000),
         answer_started=state.answer.started,
+        content=state.fingerprint,
     )
 
 
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from limeshelf.admission.patience import has_returned
+from limeshelf.calls.fingerprint import Fingerprint, fingerprint_of
 from limeshelf.gateway.events import EventSplitter
 from limeshelf.gateway.exchange import Delivered, NeverRan, NotSent
 from limeshelf.gateway.settling import Progress
@@ -36,6 +37,7 @@
     :ivar excluded: ids of replicas that it is not sent to again.
     :ivar last: what the latest attempt gave.
     :ivar waited_s: time from its arrival to the latest send, in seconds.
+    :ivar fingerprint: the same for each try of the caller.
     """
 
     call: Call
@@ -52,6 +54,9 @@
     excluded: set[str] = attrs.field(factory=set)
     last: Result | None = None
     waited_s: float = 0.0
+    fingerprint: Fingerprint = attrs.Factory(
+        lambda self: fingerprint_of(self.call), takes_self=True
+    )
 
     def note_send(self) -> None:
         """Count an attempt that begins now."""
