--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -7,11 +7,14 @@
 import re
 import socket
 import struct
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 from aiohttp import web
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 #: Adapters are named so; an order about another one is not taken, fence and all.
 KNOWN_ADAPTER = re.compile(r'a\d+')
 #: What an event without an end sends before it stands still.
@@ -90,6 +93,8 @@
     :param events: events of a whole stream.
     :ivar born_ms: time of its start that it states; ``None`` states none.
     :ivar starts: how often it has started again.
+    :ivar deadly_text: it ends as soon as it begins to run a call with this in its body.
+    :ivar on_end: called when that has happened.
     """
 
     def __init__(self, replica_id: str, models: list[str] | None = None, events: int = 5) -> None:
@@ -115,6 +120,9 @@
         self.address = ''
         self.born_ms: int | None = None
         self.starts = 0
+        self.deadly_text: bytes | None = None
+        self.on_end: Callable[[ReplicaStandIn], None] = lambda replica: None
+        self.has_ended = False
         self._first_beat = 0
         self._busy = False
         self._runner: web.ServerRunner | None = None
@@ -133,15 +141,26 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def restart(self, born_ms: int | None, beat: int) -> None:
-        """Crash with all that runs here, and start again empty under the same id and address.
+    async def end(self) -> None:
+        """Crash with all that runs here; connects are refused from now on."""
+        assert self._runner is not None
+        self.has_ended = True
+        for site in list(self._runner.sites):
+            await site.stop()
+        self._reset_all()
 
-        :param beat: number of heartbeats until now; they count from the beginning.
-        """
+    def _reset_all(self) -> None:
         assert self._runner is not None and self._runner.server is not None
         for connection in self._runner.server.connections:
             if connection.transport is not None:
                 _reset(connection.transport)
+
+    async def restart(self, born_ms: int | None, beat: int) -> None:
+        """Crash with all that runs here, and start again empty under the same id and address.
+
+        :param beat: number of heartbeats until now; they count from the beginning.
+        """
+        self._reset_all()
         self.models = {}
         self.order_number = self.highest_fence = 0
         self._busy = False
@@ -291,6 +310,10 @@
         if fault is Fault.FULL:
             return self._refusal(503, call_id)
         self.runs.append(call_id)
+        if self.deadly_text is not None and self.deadly_text in body:
+            await self.end()
+            self.on_end(self)
+            return web.Response()
         try:
             return await self._run(request, call_id, fault, bool(model))
         except asyncio.CancelledError:
