--- a/limeshelf/crashes/quarantine.py
+++ b/limeshelf/crashes/quarantine.py
@@ -65,19 +65,19 @@
     suspects: Suspects
 
     def check(
-        self, fingerprint: Fingerprint, unconfirmed_ends: int = 0, *, is_repeat: bool = False
+        self, fingerprint: Fingerprint, unconfirmed_ends: int = 0, *, broken_twice: bool = False
     ) -> Quarantined | None:
         """Return how a call is refused; ``None`` if it may be sent now.
 
         :param unconfirmed_ends: of replicas that broke the call off, and may have ended.
-        :param is_repeat: whether it was sent before within this try of its caller.
+        :param broken_twice: whether two replicas broke it off within this try of its caller.
         """
         state = self.suspects.state_of(fingerprint)
         ends = unconfirmed_ends + (state.open_count if state is not None else 0)
         if ends >= LAST_ENDS:
             return Quarantined(ends, FOR_GOOD_S)
         lone_ends = unconfirmed_ends + (state.lone_count if state is not None else 0)
-        if (ends if is_repeat else lone_ends) < REST_ENDS:
+        if (ends if broken_twice else lone_ends) < REST_ENDS:
             return None
         age_s = self.suspects.age_s(fingerprint) if state is not None else 0.0
         if age_s < PAUSE_S:
--- a/limeshelf/gateway/quarantine.py
+++ b/limeshelf/gateway/quarantine.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from limeshelf.crashes.quarantine import REST_ENDS
 from limeshelf.errors import NotRun, RefusalReason
 from limeshelf.gateway.learning import CallLesson, call_lesson_of
 from limeshelf.gateway.settling import STATUS_UNAVAILABLE, Refuse
@@ -40,11 +41,11 @@
         Waited for only where the call would be refused if they had.
         """
         fingerprint = state.fingerprint
-        is_repeat = state.sends > 0
+        broken_twice = state.runs >= REST_ENDS
         unconfirmed = self.watch.unconfirmed_ends(fingerprint)
-        if self.quarantine.check(fingerprint, unconfirmed, is_repeat=is_repeat):
+        if self.quarantine.check(fingerprint, unconfirmed, broken_twice=broken_twice):
             await self.watch.until_checked(fingerprint)
-        quarantined = self.quarantine.check(fingerprint, is_repeat=is_repeat)
+        quarantined = self.quarantine.check(fingerprint, broken_twice=broken_twice)
         return _refusal_of(quarantined) if quarantined is not None else None
 
     def note_sent(self, fingerprint: Fingerprint) -> None:
--- a/tests/crashes/test_quarantine.py
+++ b/tests/crashes/test_quarantine.py
@@ -66,3 +66,14 @@
     rule = quarantine(0)
     rule.note_sent(CALL)
     assert rule.check(CALL) is None
+
+
+def test_two_ends_that_came_together_stop_only_the_try_that_met_both() -> None:
+    """A later try that found a replica gone, and so is sent again, is not the one that met both."""
+    rule = quarantine(2)
+    for number in range(2):
+        rule.suspects.note_coincident(ReplicaEnd(f'r{number}'))
+    assert rule.check(CALL) is None
+    assert rule.check(CALL, broken_twice=True) is not None
+    rule.suspects.note_end(CALL, ReplicaEnd('r2'))
+    assert rule.check(CALL) is not None
