Calls whose time went by while the machine was suspended are answered as it wakes

Cause: time limits were on the loop's clock, which stands still meanwhile. Change: limits on which a promise rests are on the boot clock; a watch that compares both clocks each 0.1 s sets them right, logs and counts it; peers are not taken for silent for the time slept; a call whose time went by while it waited for a replica is not sent.

--- a/limeshelf/dispatch/pending.py
+++ b/limeshelf/dispatch/pending.py
@@ -13,6 +13,7 @@
 import attrs
 
 from limeshelf.dispatch.grants import NoHolder, NoRoom
+from limeshelf.util.suspension import boot_timeout
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -51,7 +52,7 @@
     async def next_verdict(self, limit_s: float) -> DispatchVerdict | None:
         """Return the next verdict on the request, or ``None`` after *limit_s* seconds."""
         try:
-            async with asyncio.timeout(limit_s):
+            async with boot_timeout(limit_s):
                 return await self.verdicts.get()
         except TimeoutError:
             return None
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -19,7 +19,7 @@
 
 from limeshelf.admission import come_back
 from limeshelf.admission.absent_model import AbsentModel, Hold, RefuseUntilReady, decide_absent
-from limeshelf.admission.repeats import head_limit_s, reason_not_to_send
+from limeshelf.admission.repeats import head_limit_s, is_too_late, reason_not_to_send
 from limeshelf.calls.wire import SendFacts
 from limeshelf.dispatch.grants import NoRoom
 from limeshelf.errors import NotRun, RefusalReason
@@ -39,10 +39,12 @@
     SendAgain,
     give_up,
     refuse,
+    refuse_too_late,
     settle,
 )
 from limeshelf.gateway.state import CallState
 from limeshelf.util.clock import boottime_s
+from limeshelf.util.suspension import boot_timeout
 
 if TYPE_CHECKING:
     from limeshelf.admission.retry_budget import RetryBudgets
@@ -171,6 +173,9 @@
 
     def _admit(self, state: CallState) -> AccessGranted | Refuse:
         """Return who sends a call, or why it may not be sent now."""
+        if is_too_late(state.left_s):
+            # Waking from a suspension, the wait may end with a replica though the time is over.
+            return refuse_too_late(state.route)
         quarantined = self._quarantine.check(state.fingerprint)
         return quarantined or self._access.check(state.call, state.route)
 
@@ -273,7 +278,7 @@
             # Read once: where the head may take all the time left, both limits end at one
             # moment, and the outer one decides.
             left_s = state.left_s
-            async with asyncio.timeout(max(0.0, left_s)):
+            async with boot_timeout(left_s):
                 limit_s = head_limit_s(state.route, state.runs, left_s)
                 return await exchange.run(facts, limit_s)
         except TimeoutError:
--- a/limeshelf/gateway/settling.py
+++ b/limeshelf/gateway/settling.py
@@ -113,6 +113,12 @@
     return refuse(progress, Refuse(STATUS_UNAVAILABLE, NotRun(reason, retry_after_s)))
 
 
+def refuse_too_late(route: Route) -> Refuse:
+    """Return the refusal of a call whose time is over before it was sent."""
+    outcome = NotRun(RefusalReason.DEADLINE_TOO_SHORT, come_back.after_refusals_s(route))
+    return Refuse(STATUS_UNAVAILABLE, outcome)
+
+
 def refuse(progress: Progress, refusal: Refuse) -> Ending:
     """Return how a call ends that is to be refused, if it can still be told that it never ran."""
     if progress.answer_started:
--- a/limeshelf/membership/members.py
+++ b/limeshelf/membership/members.py
@@ -70,6 +70,12 @@
         member.last_message_s = boottime_s()
         return was_silent
 
+    def note_slept(self, slept_s: float) -> None:
+        """Note that this machine was suspended: nobody was silent to it for that time."""
+        for member in self.others():
+            if member.last_message_s:
+                member.last_message_s += slept_s
+
     def note_leaving(self, address: str) -> None:
         """Note that a gateway stops."""
         member = self._by_address.get(address)
--- a/limeshelf/metrics/prometheus.py
+++ b/limeshelf/metrics/prometheus.py
@@ -58,6 +58,12 @@
             registry=self._registry,
         )
 
+        self._suspensions = Counter(
+            'limeshelf_suspensions',
+            'Times that the machine was suspended while the gateway ran.',
+            registry=self._registry,
+        )
+
     def observe_call(self, status: int, seconds: float) -> None:
         """Count a call that was answered with HTTP status *status* after *seconds*."""
         self._calls.labels(str(status)).inc()
@@ -88,6 +94,10 @@
         """
         self._restarts.labels(learned_by).inc()
 
+    def observe_suspension(self) -> None:
+        """Count a suspension of the machine."""
+        self._suspensions.inc()
+
     def watch(self, name: str, meaning: str, read: Callable[[], float]) -> None:
         """Serve what *read* returns as a gauge called *name*."""
         Gauge(f'limeshelf_{name}', meaning, registry=self._registry).set_function(read)
--- a/limeshelf/orders/sender.py
+++ b/limeshelf/orders/sender.py
@@ -20,6 +20,7 @@
 from limeshelf.orders.task import OrderTask, claim_task
 from limeshelf.replicas.starts import ReplicaStart
 from limeshelf.util.clock import boottime_s
+from limeshelf.util.suspension import boot_timeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -132,7 +133,7 @@
         if left_s <= 0:
             raise ReplicaSilent(replica.replica_id)
         try:
-            async with asyncio.timeout(left_s if math.isfinite(left_s) else None):
+            async with boot_timeout(left_s) if math.isfinite(left_s) else asyncio.timeout(None):
                 return await self._wire.order(replica.record.address, replica.replica_id, order)
         except TimeoutError:
             raise ReplicaSilent(replica.replica_id) from None
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -39,6 +39,7 @@
 from limeshelf.membership.state_changes import StateChanges
 from limeshelf.membership.state_exchange import StateExchange
 from limeshelf.membership.want_exchange import WantExchange
+from limeshelf.metrics.event_log import log_change
 from limeshelf.metrics.prometheus import GatewayMetrics
 from limeshelf.orders.sender import OrderSender
 from limeshelf.organisations.access import AccessRule
@@ -53,6 +54,8 @@
 from limeshelf.replicas.directory import ReplicaDirectory
 from limeshelf.replicas.pool import ConnectionPool
 from limeshelf.routing.chooser import Chooser
+from limeshelf.util.clock import MS_PER_S
+from limeshelf.util.suspension import SuspensionWatch
 
 if TYPE_CHECKING:
     from limeshelf.peers.node import PeerNode
@@ -122,6 +125,7 @@
         self.suspects = Suspects()
         self.end_watch = EndWatch(self.directory, self.suspects, tasks)
         self.quarantine_keeper = QuarantineKeeper(self.store, self.suspects)
+        self.suspension = SuspensionWatch(self._note_woke)
         self.crashes = CrashExchange(self.node, self.members, self.suspects)
 
     def _make_dispatch(self, settings: GatewaySettings) -> None:
@@ -219,6 +223,12 @@
         )
         self.edge = Edge(self.pipeline, wire, self.metrics)
 
+    def _note_woke(self, slept_s: float) -> None:
+        """Note that this machine was suspended."""
+        log_change('woke', slept_ms=int(slept_s * MS_PER_S))
+        self.metrics.observe_suspension()
+        self.members.note_slept(slept_s)
+
     def config_age_s(self) -> float:
         """Return for how long, at the most, the configuration may not have been the newest.
 
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -82,6 +82,7 @@
         self.tasks.keep(components.digests.run, 'digests')
         self.tasks.keep(components.states.run, 'states')
         self.tasks.keep(components.rows.run, 'rows')
+        self.tasks.keep(components.suspension.run, 'suspension')
         self.tasks.keep(components.crashes.run, 'crashes')
         self.tasks.keep(components.end_watch.run, 'replica-ends')
         self.tasks.keep(components.quarantine_keeper.run, 'quarantine')
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -25,6 +25,7 @@
 from limeshelf.replicas.replica import Load, Replica, by_model
 from limeshelf.replicas.starts import KnownStart, ReplicaStart, StartOrder, StatementWay
 from limeshelf.util.clock import boottime_s
+from limeshelf.util.suspension import boot_timeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -284,7 +285,7 @@
     async def wait_for_change(self, limit_s: float) -> None:
         """Return when something changed, or after *limit_s* seconds."""
         try:
-            async with asyncio.timeout(max(0.0, limit_s)):
+            async with boot_timeout(limit_s):
                 await self._changed.wait()
         except TimeoutError:
             # Callers check for themselves what there is, changed or not.
--- a/tests/crashes/test_quarantine.py
+++ b/tests/crashes/test_quarantine.py
@@ -69,7 +69,7 @@
 
 
 def test_two_ends_that_came_together_stop_only_the_try_that_met_both() -> None:
-    """A later try that found a replica gone, and so is sent again, is not the one that met both."""
+    """A later try that found a replica gone, and is sent again, did not meet both."""
     rule = quarantine(2)
     for number in range(2):
         rule.suspects.note_coincident(ReplicaEnd(f'r{number}'))
--- a/tests/gateway/test_suspended_machine.py
+++ b/tests/gateway/test_suspended_machine.py
@@ -1,4 +1,4 @@
-"""A machine is suspended with calls under way: its boot clock goes on, its loop's clock does not."""
+"""A machine is suspended with calls under way: its boot clock goes on, its loop does not."""
 
 from __future__ import annotations
 
@@ -39,13 +39,16 @@
     yield clock
 
 
-def test_call_whose_time_went_by_while_asleep_is_answered_at_once(slept: SleptClock) -> None:
+@pytest.mark.parametrize('slept_s', [2.0, 6.0, 60.0])
+def test_call_whose_time_went_by_while_asleep_is_answered_at_once(
+    slept: SleptClock, slept_s: float
+) -> None:
     async def scenario(world: GatewayWorld) -> None:
         for replica in world.plain:
             replica.fault = Fault.SILENT
         task = asyncio.create_task(world.call('/unsafe/x', Limeshelf_Deadline_Ms='1900'))
         await world.until(lambda: any(replica.runs for replica in world.plain))
-        slept.slept_s += 6.0
+        slept.slept_s += slept_s
         began_s = time.monotonic()
         assert (await task).status == 504
         assert time.monotonic() - began_s < ANSWERED_WITHIN_S
@@ -71,3 +74,19 @@
         )
 
     run(scenario)
+
+
+def test_peers_and_replicas_are_not_taken_for_silent(slept: SleptClock) -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        members = world.gateway.components.members
+        peer = members.add('127.0.0.9:7001', 'z1')
+        members.note_message(peer.address, 'z1')
+        slept.slept_s += 6.0
+        await asyncio.sleep(0.3)
+        assert peer.is_active
+        assert (await world.call('/safe/x')).status == 200
+        assert not any(
+            replica.health.is_suspended() for replica in world.gateway.components.directory.all()
+        )
+
+    run(scenario)
