--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -21,6 +21,10 @@
 ENDLESS_EVENT_BYTES = 2 << 20
 
 
+#: From the answer to an order to the begin of its load, in seconds.
+LOAD_BEGINS_S = 0.05
+
+
 class Fault(enum.StrEnum):
     """What a replica does to the calls it gets."""
 
@@ -94,6 +98,7 @@
     :ivar born_ms: time of its start that it states; ``None`` states none.
     :ivar starts: how often it has started again.
     :ivar deadly_text: it ends as soon as it begins to run a call with this in its body.
+    :ivar deadly_model: it ends as soon as it begins to load it.
     :ivar on_end: called when that has happened.
     """
 
@@ -121,6 +126,8 @@
         self.born_ms: int | None = None
         self.starts = 0
         self.deadly_text: bytes | None = None
+        self.deadly_model = ''
+        self._ending: asyncio.Task[None] | None = None
         self.on_end: Callable[[ReplicaStandIn], None] = lambda replica: None
         self._first_beat = 0
         self._busy = False
@@ -147,6 +154,11 @@
             await site.stop()
         self._reset_all()
 
+    async def _end_under_load(self) -> None:
+        await asyncio.sleep(LOAD_BEGINS_S)
+        await self.end()
+        self.on_end(self)
+
     def _reset_all(self) -> None:
         assert self._runner is not None and self._runner.server is not None
         for connection in self._runner.server.connections:
@@ -250,6 +262,9 @@
         if adapter and model not in self.models:
             return 400
         self.order_number += 1
+        if model == self.deadly_model and not adapter:
+            self._ending = asyncio.get_running_loop().create_task(self._end_under_load())
+            return 202
         if adapter:
             self.models[model].append(adapter)
             held = sum(map(len, self.models.values()))
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -28,17 +28,23 @@
 
     :param engines: replicas that hold model ``m1``.
     :param deadly_text: what ends a replica that begins to run a call with it.
+    :param deadly_model: what ends a replica that begins to load it.
     :param back_after_s: from the end of a replica to its return under another id, in seconds.
     :ivar ends: when replicas ended, on the clock of the loop.
     """
 
     def __init__(
-        self, engines: int = 4, deadly_text: bytes | None = None, back_after_s: float = 0.6
+        self,
+        engines: int = 4,
+        deadly_text: bytes | None = None,
+        deadly_model: str = '',
+        back_after_s: float = 0.6,
     ) -> None:
         super().__init__()
         self.engines = [ReplicaStandIn(f'e-{number}', ['m1']) for number in range(engines)]
         self.ends: list[float] = []
         self._deadly_text = deadly_text
+        self._deadly_model = deadly_model
         self._back_after_s = back_after_s
         self._gateways: dict[int, Gateway] = {}
         self._settings: dict[int, GatewaySettings] = {}
@@ -105,19 +111,20 @@
         except aiohttp.ClientError:
             return 0
 
-    async def generate_at(self, number: int, body: bytes) -> int:
-        """Call the model at a gateway; see :meth:`call_at`."""
+    async def generate_at(self, number: int, body: bytes, model: str = 'm1') -> int:
+        """Call a model at a gateway; see :meth:`call_at`."""
         return await self.call_at(
             number,
             '/stream/x',
             body,
-            Limeshelf_Model='m1',
+            Limeshelf_Model=model,
             Limeshelf_Token_Count='100,20',
             Limeshelf_Prompt_Prefix='aa:40,bb:60',
         )
 
     async def _start_replica(self, replica: ReplicaStandIn) -> None:
         replica.deadly_text = self._deadly_text
+        replica.deadly_model = self._deadly_model
         replica.on_end = self._note_end
         await replica.start()
         self.announce(replica)
