Loads under which replicas end are ordered no more after three ends

Cause: as with calls that end replicas, what a load did was kept for the replica alone, and the next one got the order. Change: loads are suspects like calls, shared by all gateways and kept in the store, so that the next leader knows; three lone ends bar one (two that came together count as one), a load that comes clears it. Behind a silent cut a replica counts as ended only where it refuses connections.

--- a/limeshelf/calls/fingerprint.py
+++ b/limeshelf/calls/fingerprint.py
@@ -1,6 +1,7 @@
-"""Tells a call that comes again from another one, whatever its id and the gateway it comes to.
+"""Tells a call or a load that comes again from another one, whoever sends it.
 
-Owns nothing; relies on what of a call stays the same when its caller sends it again.
+Owns nothing; relies on what of a call stays the same when its caller sends it again, whatever its
+id and the gateway it comes to.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 if TYPE_CHECKING:
     from limeshelf.calls.call import Call
 
-#: Stands for the content of a call, in hexadecimal digits.
+#: Stands for the content of a call, or for a load, in hexadecimal digits.
 Fingerprint = NewType('Fingerprint', str)
 
 #: With 1,000 fingerprints remembered and 10^9 calls, two contents share one of this length with
@@ -37,6 +38,17 @@
     return Fingerprint(digest.hexdigest())
 
 
+def load_fingerprint(service: str, model: str, adapter: str) -> Fingerprint:
+    """Return what stands for the load of a model or of an adapter.
+
+    :param adapter: empty where the model itself is meant.
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, person=b'load')
+    for part in (service, model, adapter):
+        _add(digest, part.encode())
+    return Fingerprint(digest.hexdigest())
+
+
 def _add(digest: hashlib.blake2b, part: bytes) -> None:
     # Its length first: otherwise parts that are cut elsewhere would read the same.
     digest.update(len(part).to_bytes(8, 'big'))
--- a/limeshelf/crashes/end_watch.py
+++ b/limeshelf/crashes/end_watch.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -46,12 +47,23 @@
 TRY_AGAIN_S = 0.15
 
 
+class _Reached(enum.Enum):
+    """What came of an attempt to connect."""
+
+    ACCEPTED = enum.auto()
+    REFUSED = enum.auto()
+    #: No answer in time.
+    SILENT = enum.auto()
+
+
 @attrs.define
 class _Watched:
-    """A start of a replica that broke off calls.
+    """A start of a replica that broke off calls, or lost a load.
 
-    :ivar broken: these calls.
+    :ivar broken: these calls and loads.
     :ivar broken_s: when the latest broke off, on the boot clock.
+    :ivar broke_connection: whether a connection ended; a load that is lost may be one behind a
+        silent cut.
     :ivar has_ended: whether the start was found to have ended.
     :ivar ended_s: when it was found, on the boot clock.
     :ivar is_coincident: whether another replica was found to have ended at about that time.
@@ -61,6 +73,7 @@
     replica: Replica
     broken_s: float
     broken: set[Fingerprint] = attrs.field(factory=set)
+    broke_connection: bool = False
     has_ended: bool = False
     ended_s: float = 0.0
     is_coincident: bool = False
@@ -85,10 +98,21 @@
 
         A replica that has announced that it leaves ends by itself, whatever it runs.
         """
-        if replica.leaving:
-            return
+        if not _said_it_leaves(replica):
+            self._watched_of(replica).broke_connection = True
+            self._note(fingerprint, replica)
+
+    def note_lost_load(self, fingerprint: Fingerprint, replica: Replica) -> None:
+        """Note that a replica does not answer while it loads something, or has not loaded it."""
+        if not _said_it_leaves(replica):
+            self._note(fingerprint, replica)
+
+    def _watched_of(self, replica: Replica) -> _Watched:
+        return self._watched.setdefault(replica.start, _Watched(replica, boottime_s()))
+
+    def _note(self, fingerprint: Fingerprint, replica: Replica) -> None:
         now_s = boottime_s()
-        watched = self._watched.setdefault(replica.start, _Watched(replica, now_s))
+        watched = self._watched_of(replica)
         watched.broken_s = now_s
         watched.broken.add(fingerprint)
         if watched.has_ended:
@@ -136,8 +160,10 @@
             for attempt in range(TRIES):
                 if attempt:
                     await asyncio.sleep(TRY_AGAIN_S)
-                if not await _accepts(watched.replica.record.address):
-                    self._confirm(watched, 'not_reached')
+                reached = await _connect(watched.replica.record.address)
+                is_silent = reached is _Reached.SILENT and watched.broke_connection
+                if reached is _Reached.REFUSED or is_silent:
+                    self._confirm(watched, reached.name.lower())
                     return
         finally:
             watched.check = None
@@ -200,18 +226,26 @@
         )
 
 
+def _said_it_leaves(replica: Replica) -> bool:
+    # Not whether it leaves: that is also so once another replica states its address.
+    reported = replica.report is not None and replica.report.leaving
+    return replica.record.leaving or reported
+
+
 def _end_of(replica: Replica) -> ReplicaEnd:
     return ReplicaEnd(replica.replica_id, replica.known_start.born_ms or 0)
 
 
-async def _accepts(address: str) -> bool:
-    """Return whether a connection can be made."""
+async def _connect(address: str) -> _Reached:
+    """Make a connection, and close it."""
     host, _, port = address.rpartition(':')
     try:
         async with asyncio.timeout(CONNECT_S):
             _, writer = await asyncio.open_connection(host, int(port))
+    except TimeoutError:
+        # No line here and below: whoever confirms an end by it logs that.
+        return _Reached.SILENT
     except OSError:
-        # Also a time-out. That is what was asked; the outcome is logged by whoever confirms it.
-        return False
+        return _Reached.REFUSED
     writer.close()
-    return True
+    return _Reached.ACCEPTED
--- a/limeshelf/orders/pending.py
+++ b/limeshelf/orders/pending.py
@@ -72,10 +72,16 @@
         """Count *item* as on its way, unless a time for it is known already."""
         self._ready_at_s.setdefault(item, ready_s)
 
-    def note_ended(self, item: Loadable) -> None:
-        """Note that a load has come or was given up."""
+    def ordered_loads(self) -> set[Loadable]:
+        """Return the loads that were ordered and have neither come nor been given up."""
+        return set(self._sent)
+
+    def note_ended(self, item: Loadable) -> bool:
+        """Note that a load has come or was given up; return whether it was ordered."""
+        was_sent = item in self._sent
         self._ready_at_s.pop(item, None)
         self._sent.discard(item)
+        return was_sent
 
     def note_unloading(self, item: Loadable) -> None:
         """Note that *item* is about to be unloaded."""
--- a/limeshelf/orders/sender.py
+++ b/limeshelf/orders/sender.py
@@ -29,6 +29,7 @@
     from limeshelf.lease.leadership import Leadership
     from limeshelf.metrics.prometheus import GatewayMetrics
     from limeshelf.orders.order import OrderWire, ReplicaOrderAnswer
+    from limeshelf.orders.task import Loadable
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
 
@@ -42,6 +43,7 @@
 
     :param holder: names this process's machine in orders.
     :param config: returns the configuration in force, which says what an engine bears.
+    :param on_load_in_doubt: called with each load on its way to a replica that is silent.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         holder: str,
         metrics: GatewayMetrics,
         config: Callable[[], ServingConfig | None],
+        on_load_in_doubt: Callable[[Replica, Loadable], None] = lambda replica, item: None,
     ) -> None:
         self._wire = wire
         self._directory = directory
@@ -59,6 +62,7 @@
         self._holder = holder
         self._metrics = metrics
         self._config = config
+        self._on_load_in_doubt = on_load_in_doubt
         self._pending: dict[ReplicaStart, PendingOrders] = {}
 
     def pending(self, replica: Replica) -> PendingOrders:
@@ -84,6 +88,8 @@
             # No line for each poll: the caller sees it, and the replica counts as lost
             # after some.
             pending.note_missed_poll()
+            for item in pending.ordered_loads():
+                self._on_load_in_doubt(replica, item)
             return False
         counts = self._directory.take_report(
             replica.replica_id, report, settled=settled, asked_s=asked_s
--- a/limeshelf/orders/task_runner.py
+++ b/limeshelf/orders/task_runner.py
@@ -24,6 +24,8 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from limeshelf.orders.sender import OrderSender
     from limeshelf.orders.task import OrderTask
     from limeshelf.replicas.directory import ReplicaDirectory
@@ -31,11 +33,21 @@
 
 
 class TaskRunner:
-    """Sees the tasks of a move through."""
+    """Sees the tasks of a move through.
+
+    :param on_load_ended: called with each load that was ordered, when it has come or was given
+        up.
+    """
 
-    def __init__(self, directory: ReplicaDirectory, sender: OrderSender) -> None:
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        sender: OrderSender,
+        on_load_ended: Callable[[Replica, OrderTask], None] = lambda replica, task: None,
+    ) -> None:
         self._directory = directory
         self._sender = sender
+        self._on_load_ended = on_load_ended
 
     async def run(self, replica: Replica, tasks: list[OrderTask]) -> bool:
         """Carry out *tasks* one after the other; return whether all were done."""
@@ -56,7 +68,8 @@
         finally:
             replica.retiring -= retired
             for task in loads:
-                pending.note_ended(task.item)
+                if pending.note_ended(task.item):
+                    self._on_load_ended(replica, task)
 
     async def _until_adapters_came(self, replica: Replica, loads: list[OrderTask]) -> bool:
         for task in loads:
--- a/limeshelf/placement/move_runner.py
+++ b/limeshelf/placement/move_runner.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from limeshelf.crashes.lost_loads import LostLoads
     from limeshelf.orders.sender import OrderSender
     from limeshelf.placement.adapters import AdapterMove
     from limeshelf.placement.planner import CopyMove
@@ -43,10 +44,12 @@
         sender: OrderSender,
         tasks: TaskSet,
         on_load: Callable[[], None],
+        lost_loads: LostLoads,
     ) -> None:
         self._directory = directory
         self._sender = sender
-        self._runner = TaskRunner(directory, sender)
+        self._lost_loads = lost_loads
+        self._runner = TaskRunner(directory, sender, self._note_load_ended)
         self._tasks = tasks
         self._on_load = on_load
 
@@ -84,6 +87,12 @@
             pending.note_unloading(unload.item)
         self._tasks.spawn(self._run(move.replica, tasks), 'adapter')
 
+    def _note_load_ended(self, replica: Replica, task: OrderTask) -> None:
+        if task.is_done(replica):
+            self._lost_loads.note_came(replica.record.service, task.model, task.adapter)
+        else:
+            self._lost_loads.note_lost(replica, *task.item)
+
     async def _run(self, replica: Replica, tasks: list[OrderTask]) -> None:
         try:
             done = await self._runner.run(replica, tasks)
--- a/limeshelf/placement/planner.py
+++ b/limeshelf/placement/planner.py
@@ -17,6 +17,8 @@
 from limeshelf.placement.worth import CopyWorth
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from limeshelf.calls.routes import EngineSpec
     from limeshelf.demand.model_demand import ModelDemand
     from limeshelf.placement.survey import ReplicaCopies
@@ -96,6 +98,7 @@
     :param first_copies: copies of each model that the leader found, which show what was
         busy before any call was seen.
     :param starved_s: for how long a model that is asked for has had no copy.
+    :param barred: models that are loaded no more, whatever they would gain.
     """
 
     def __init__(
@@ -104,11 +107,13 @@
         demands: dict[str, ModelDemand],
         first_copies: dict[str, int],
         starved_s: dict[str, float] | None = None,
+        barred: Collection[str] = (),
     ) -> None:
         self._engine = engine
         self._demands = demands
         self._first_copies = first_copies
         self._starved_s = starved_s or {}
+        self._barred = barred
 
     def next_move(
         self, replicas: list[ReplicaCopies], store_allowed: bool = True
@@ -123,7 +128,8 @@
         """
         survey = CopySurvey.take(self._engine, self._demands, replicas)
         worth = CopyWorth(survey, self._first_copies, self._starved_s)
-        candidates = [(worth.idle_gain(name), name) for name in self._engine.models]
+        loadable = (name for name in self._engine.models if name not in self._barred)
+        candidates = [(worth.idle_gain(name), name) for name in loadable]
         candidates.sort(reverse=True)
         for idle_gain, model in candidates:
             if idle_gain < LEAST_GAIN_PER_S:
--- a/limeshelf/placement/service.py
+++ b/limeshelf/placement/service.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable, Iterator
 
     from limeshelf.calls.routes import EngineSpec, ServingConfig
+    from limeshelf.crashes.lost_loads import LostLoads
     from limeshelf.demand.totals import KeyTotals
     from limeshelf.lease.leadership import Leadership
     from limeshelf.orders.sender import OrderSender
@@ -55,6 +56,7 @@
     :param window_s: window in which loads from the weight store are counted.
     :param read_ms: returns the milliseconds that reading tokens of a model takes.
     :param on_load: called when the load of a model begins.
+    :param lost_loads: says which loads are ordered no more.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         window_s: float,
         read_ms: Callable[[str, float], float],
         on_load: Callable[[], None],
+        lost_loads: LostLoads,
     ) -> None:
         self.totals = DemandTotals()
         self._directory = directory
@@ -75,7 +78,8 @@
         self._config = config
         self._read_ms = read_ms
         self._replicas = ReplicaWatch(directory, leadership, sender, tasks)
-        self._moves = MoveRunner(directory, sender, tasks, on_load)
+        self._lost_loads = lost_loads
+        self._moves = MoveRunner(directory, sender, tasks, on_load, lost_loads)
         self._pace = LoadPace(window_s)
         self._starvation = Starvation()
         self._term_fence = 0
@@ -129,7 +133,8 @@
         copies = self._replicas.copies(service)
         starved_s = self._starvation.step(service, demands, copies)
         first_copies = self._replicas.first_copies(service)
-        planner = CopyPlanner(engine, demands, first_copies, starved_s)
+        barred = {name for name in engine.models if self._lost_loads.is_barred(service, name)}
+        planner = CopyPlanner(engine, demands, first_copies, starved_s, barred)
         await self._begin_moves(engine, planner, copies)
 
     async def _begin_moves(
@@ -172,7 +177,8 @@
             key.service, engine, self._directory, self.totals.latest(), self._leadership.fence
         )
         move = planner.plan(key, pending)
-        if move is not None:
+        barred = self._lost_loads.is_barred(key.service, key.model, key.adapter)
+        if move is not None and not barred:
             self._moves.begin_adapter(move)
 
     def awaited(self) -> dict[ModelKey, float]:
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -14,6 +14,7 @@
 from limeshelf.calls.in_force import ConfigInForce
 from limeshelf.crashes.end_watch import EndWatch
 from limeshelf.crashes.keeper import QuarantineKeeper
+from limeshelf.crashes.lost_loads import LostLoads
 from limeshelf.crashes.quarantine import Quarantine
 from limeshelf.crashes.suspects import Suspects
 from limeshelf.demand.meter import DemandMeter
@@ -124,6 +125,7 @@
         """Make what remembers the calls under which replicas ended."""
         self.suspects = Suspects()
         self.end_watch = EndWatch(self.directory, self.suspects, tasks)
+        self.lost_loads = LostLoads(self.suspects, self.end_watch)
         self.quarantine_keeper = QuarantineKeeper(self.store, self.suspects)
         self.suspension = SuspensionWatch(self._note_woke)
         self.crashes = CrashExchange(self.node, self.members, self.suspects)
@@ -146,6 +148,7 @@
             settings.instance_id,
             self.metrics,
             self.in_force.get,
+            lambda replica, item: self.lost_loads.note_lost(replica, *item),
         )
         self.placement = PlacementService(
             self.directory,
@@ -156,6 +159,7 @@
             settings.placement.window_s,
             self.dispatch.dispatcher.speed.read_ms,
             self.changes.note_load,
+            self.lost_loads,
         )
 
     def _make_exchanges(self, settings: GatewaySettings) -> None:
--- a/tests/crashes/test_end_watch.py
+++ b/tests/crashes/test_end_watch.py
@@ -193,6 +193,27 @@
     play(scenario)
 
 
+@pytest.mark.parametrize(('has_ended', 'ends'), [(True, 1), (False, 0)])
+def test_lost_load_counts_where_the_replica_refuses_connections_alone(
+    monkeypatch: pytest.MonkeyPatch, has_ended: bool, ends: int
+) -> None:
+    """Behind a silent cut a load is lost, too, and its replica lives."""
+
+    async def silent(*_: object) -> None:
+        raise TimeoutError
+
+    async def scenario(made: World) -> None:
+        replica = made.add()
+        await made.end()
+        if not has_ended:
+            monkeypatch.setattr(asyncio, 'open_connection', silent)
+        made.watch.note_lost_load(CALL, replica)
+        await made.watch.until_checked(CALL)
+        assert made.ends() == ends
+
+    play(scenario)
+
+
 def test_ends_that_come_together_let_no_call_rest() -> None:
     """What users saw: calls that were struck twice by a cut with resets were refused for 300 s.
 
--- a/tests/placement/test_service.py
+++ b/tests/placement/test_service.py
@@ -9,6 +9,9 @@
 import attrs
 
 from limeshelf.calls.routes import EngineSpec, ModelSpec, ServiceSpec
+from limeshelf.crashes.end_watch import EndWatch
+from limeshelf.crashes.lost_loads import LostLoads
+from limeshelf.crashes.suspects import Suspects
 from limeshelf.demand.keys import ModelKey
 from limeshelf.lease.leadership import Term
 from limeshelf.metrics.prometheus import GatewayMetrics
@@ -85,6 +88,7 @@
             5.0,
             lambda model, tokens: 0.0,
             lambda: None,
+            LostLoads(Suspects(), EndWatch(directory, Suspects(), tasks)),
         )
         replica = directory.get('e-1')
         assert replica is not None
