--- a/limeshelf/demand/meter.py
+++ b/limeshelf/demand/meter.py
@@ -12,7 +12,7 @@
 
 from limeshelf.demand.adapter_waits import AdapterWaits
 from limeshelf.demand.keys import KeyDemand, ModelKey, key_of
-from limeshelf.demand.waits import ModelOutlook, model_wait_s, plain_wait_s
+from limeshelf.demand.waits import CallOutlook, ModelOutlook, model_wait_s, plain_wait_s
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
@@ -101,40 +101,22 @@
         if key is not None and key.adapter:
             self._adapter_waits.note_found(key, boottime_s())
 
-    def model_is_held(self, call: Call, service: ServiceSpec) -> bool:
-        """Return whether a replica holds the call's model, with its adapter or without."""
-        need = call.model_need
-        replicas = self._directory.of_service(service.name)
-        return need is not None and any(replica.holds(need.model) for replica in replicas)
-
-    def is_announced(self, call: Call, service: ServiceSpec) -> bool:
-        """Return whether the leader announced when the call's model will be there.
-
-        A plain call needs no announcement.
-        """
-        key = key_of(call, service.name)
-        return key is None or key.base in self.announced_s
-
-    def announced_in_s(self, call: Call, service: ServiceSpec) -> float | None:
-        """Return the time until a copy that the leader announced is there, in seconds.
-
-        ``None`` where no copy of the call's model is on its way; below zero if overdue.
-        """
-        key = key_of(call, service.name)
-        ready_s = None if key is None else self.announced_s.get(key.base)
-        return None if ready_s is None else ready_s - boottime_s()
-
-    def expected_wait_s(self, call: Call, service: ServiceSpec) -> float:
-        """Return the time until a replica can likely run the call, in seconds.
-
-        0 where one holds what it needs already.
-        """
+    def outlook(self, call: Call, service: ServiceSpec) -> CallOutlook:
+        """Return when a replica can likely run a call, and what is on its way for it."""
         key = key_of(call, service.name)
         if key is None or service.engine is None:
-            return plain_wait_s(bool(self._directory.of_service(service.name)))
-        return model_wait_s(self._outlook(key, service.engine))
+            wait_s = plain_wait_s(bool(self._directory.of_service(service.name)))
+            return CallOutlook(wait_s, None, is_announced=key is None, model_held=False)
+        model = self._model_outlook(key, service.engine)
+        announced_in_s = model.announced_in_s
+        return CallOutlook(
+            model_wait_s(model),
+            announced_in_s,
+            is_announced=announced_in_s is not None,
+            model_held=model.has_model,
+        )
 
-    def _outlook(self, key: ModelKey, engine: EngineSpec) -> ModelOutlook:
+    def _model_outlook(self, key: ModelKey, engine: EngineSpec) -> ModelOutlook:
         replicas = self._directory.of_service(key.service)
         spec = engine.models.get(key.model)
         ready_s = self.announced_s.get(key.base)
--- a/limeshelf/demand/waits.py
+++ b/limeshelf/demand/waits.py
@@ -43,6 +43,23 @@
     adapter_wait_s: float
 
 
+@attrs.frozen
+class CallOutlook:
+    """When, and why, a call can likely run.
+
+    :param wait_s: until a replica can likely run it, in seconds; 0 where one holds what it needs.
+    :param announced_in_s: until a copy of its model that the leader announced is there, in
+        seconds, below zero if overdue; ``None`` where none is on its way.
+    :param is_announced: whether the leader announced one; a plain call needs no announcement.
+    :param model_held: whether a replica holds its model, with its adapter or without.
+    """
+
+    wait_s: float
+    announced_in_s: float | None
+    is_announced: bool
+    model_held: bool
+
+
 def plain_wait_s(has_replica: bool) -> float:
     """Return the expected wait of a call to a service without models, in seconds."""
     return 0.0 if has_replica else PLAIN_WAIT_S
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -5,8 +5,8 @@
 :mod:`~limeshelf.gateway.quarantine` (which replicas ended under it),
 :mod:`~limeshelf.gateway.selection` (which replica),
 :mod:`~limeshelf.admission.absent_model` (held or refused),
-:mod:`~limeshelf.admission.repeats` and :mod:`~limeshelf.admission.retry_budget` (sent
-again), :mod:`~limeshelf.gateway.learning` (what a result says of its replica),
+:mod:`~limeshelf.gateway.attempts` (one send), :mod:`~limeshelf.admission.repeats` and
+:mod:`~limeshelf.admission.retry_budget` (sent again),
 :mod:`~limeshelf.gateway.settling` (how the call ends),
 :mod:`~limeshelf.gateway.final_answer` (what its caller gets) and
 :mod:`~limeshelf.admission.come_back` (when a refused caller comes back).
@@ -19,15 +19,11 @@
 
 from limeshelf.admission import come_back
 from limeshelf.admission.absent_model import AbsentModel, Hold, RefuseUntilReady, decide_absent
-from limeshelf.admission.repeats import head_limit_s, is_too_late, reason_not_to_send
-from limeshelf.calls.wire import SendFacts
+from limeshelf.admission.repeats import is_too_late, reason_not_to_send
 from limeshelf.dispatch.grants import NoRoom
 from limeshelf.errors import NotRun, RefusalReason
-from limeshelf.gateway.exchange import Exchange
 from limeshelf.gateway.final_answer import FinalAnswer
-from limeshelf.gateway.learning import apply, excludes, lesson_of
 from limeshelf.gateway.lines import (
-    log_attempt,
     log_no_replica,
     log_overloaded,
 )
@@ -43,8 +39,6 @@
     settle,
 )
 from limeshelf.gateway.state import CallState
-from limeshelf.util.clock import boottime_s
-from limeshelf.util.suspension import boot_timeout
 
 if TYPE_CHECKING:
     from limeshelf.admission.retry_budget import RetryBudgets
@@ -53,18 +47,16 @@
     from limeshelf.calls.routes import ServingConfig
     from limeshelf.calls.wire import CallWire
     from limeshelf.demand.meter import DemandMeter
+    from limeshelf.demand.waits import CallOutlook
     from limeshelf.gateway.access import AccessGuard
     from limeshelf.gateway.answer import Answer
-    from limeshelf.gateway.exchange import Result
+    from limeshelf.gateway.attempts import AttemptRunner
     from limeshelf.gateway.limits import LimitGuard
     from limeshelf.gateway.quarantine import QuarantineGuard
     from limeshelf.gateway.selection import ReplicaSelector
     from limeshelf.gateway.settling import Ending
     from limeshelf.organisations.access import AccessGranted
-    from limeshelf.organisations.organisation import Organisation
     from limeshelf.replicas.directory import ReplicaDirectory
-    from limeshelf.replicas.pool import ConnectionPool
-    from limeshelf.replicas.replica import Replica
 
 #: The final answer goes out this long before the caller's time is over. Chosen, not measured.
 ANSWER_MARGIN_S = 0.02
@@ -80,7 +72,7 @@
         wire: CallWire,
         directory: ReplicaDirectory,
         selector: ReplicaSelector,
-        pool: ConnectionPool,
+        attempts: AttemptRunner,
         demand: DemandMeter,
         budgets: RetryBudgets,
         in_force: ConfigInForce,
@@ -88,10 +80,9 @@
         limits: LimitGuard,
         quarantine: QuarantineGuard,
     ) -> None:
-        self._wire = wire
         self._directory = directory
         self._selector = selector
-        self._pool = pool
+        self._attempts = attempts
         self._demand = demand
         self._budgets = budgets
         self._in_force = in_force
@@ -162,11 +153,7 @@
             if isinstance(admitted, Refuse):
                 selected.note_end()
                 return refuse(state.progress(), admitted)
-            sent_s = boottime_s()
-            result = await self._attempt(state, selected, admitted.organisation)
-            state.note_result(result)
-            self._learn(state, selected.replica, result)
-            self._quarantine.note_result(state, selected.replica, result, sent_s)
+            await self._attempts.run(state, selected, admitted.organisation)
             settled = settle(state.progress())
             if not isinstance(settled, SendAgain):
                 return settled
@@ -220,16 +207,16 @@
                     selection.note_end()
                     return give_up(state.progress(), RefusalReason.UPSTREAM_REFUSED)
                 return selection
-            decided = decide_absent(self._absent(state))
+            outlook = self._demand.outlook(state.call, state.service)
+            decided = decide_absent(_absent(state, outlook))
             if isinstance(decided, RefuseUntilReady):
-                model_held = self._demand.model_is_held(state.call, state.service)
-                return _refuse_no_replica(state, decided, model_held)
+                return _refuse_no_replica(state, decided, outlook.model_held)
             await self._hold(state, decided)
 
     def _refuse_overloaded(self, state: CallState, queue_wait_s: float) -> Ending:
         left_s = state.left_s
         self._demand.note_refused(state.call, state.service)
-        copy_in_s = self._demand.announced_in_s(state.call, state.service)
+        copy_in_s = self._demand.outlook(state.call, state.service).announced_in_s
         log_overloaded(state, queue_wait_s, copy_in_s)
         retry_after_s = come_back.when_room_s(queue_wait_s, copy_in_s, left_s)
         return give_up(state.progress(), RefusalReason.OVERLOADED, retry_after_s)
@@ -241,68 +228,18 @@
         self._demand.report_missing(state.call, state.service)
         await self._directory.wait_for_change(hold.wait_s)
 
-    def _absent(self, state: CallState) -> AbsentModel:
-        return AbsentModel(
-            route=state.route,
-            expected_wait_s=self._demand.expected_wait_s(state.call, state.service),
-            waited_s=state.since_arrival_s,
-            left_s=state.left_s,
-            returned=state.returned,
-            announced=self._demand.is_announced(state.call, state.service),
-            excluded=bool(state.excluded),
-            answer_started=state.answer.started,
-        )
 
-    async def _attempt(
-        self, state: CallState, selected: Selected, organisation: Organisation | None
-    ) -> Result:
-        call = state.call
-        replica = selected.replica
-        tokens = call.model_need.memory_tokens if call.model_need else 0
-        state.note_send()
-        self._quarantine.note_sent(state.fingerprint)
-        facts = SendFacts(
-            left_s=state.left_s,
-            replica_id=replica.replica_id,
-            priority=state.priority,
-            last_event_id=state.splitter.last_id or call.last_event_id,
-            organisation=organisation.name if organisation else None,
-        )
-        connections = self._pool.connections(replica, state.service)
-        exchange = Exchange(
-            call, connections, self._wire, state.answer, state.splitter, selected.note_first_event
-        )
-        replica.own.calls += 1
-        replica.own.tokens += tokens
-        try:
-            # Read once: where the head may take all the time left, both limits end at one
-            # moment, and the outer one decides.
-            left_s = state.left_s
-            async with boot_timeout(left_s):
-                limit_s = head_limit_s(state.route, state.runs, left_s)
-                return await exchange.run(facts, limit_s)
-        except TimeoutError:
-            return exchange.time_over()
-        finally:
-            replica.own.calls -= 1
-            replica.own.tokens -= tokens
-            selected.note_end()
-
-    def _learn(self, state: CallState, replica: Replica, result: Result) -> None:
-        need = state.call.model_need
-        to_engine = need is not None and state.service.engine is not None
-        lesson = lesson_of(result, to_engine)
-        if excludes(lesson):
-            state.excluded.add(replica.replica_id)
-        suspended = apply(lesson, replica, need, self._directory)
-        if replica.health.awaits_probe:
-            self._pool.note_out_of_reach()
-        load = self._directory.load_of(replica)
-        log_attempt(state, replica, load, result, suspended, self._version)
-
-    @property
-    def _version(self) -> int | None:
-        return self.config.version if self.config else None
+def _absent(state: CallState, outlook: CallOutlook) -> AbsentModel:
+    return AbsentModel(
+        route=state.route,
+        expected_wait_s=outlook.wait_s,
+        waited_s=state.since_arrival_s,
+        left_s=state.left_s,
+        returned=state.returned,
+        announced=outlook.is_announced,
+        excluded=bool(state.excluded),
+        answer_started=state.answer.started,
+    )
 
 
 def _not_ready(reason: RefusalReason) -> Refuse:
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -22,6 +22,7 @@
 from limeshelf.dispatch.exchange import DispatchExchange
 from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.gateway.access import AccessGuard
+from limeshelf.gateway.attempts import AttemptRunner
 from limeshelf.gateway.edge import Edge
 from limeshelf.gateway.limits import LimitGuard
 from limeshelf.gateway.pipeline import Pipeline
@@ -213,17 +214,19 @@
         chooser = Chooser(self.directory, settings.data_centre)
         selector = ReplicaSelector(self.directory, chooser, self.dispatch_client)
         self.access = AccessGuard(self.in_force, self.config_age_s, access_rule(settings))
+        quarantine = QuarantineGuard(Quarantine(self.suspects), self.end_watch)
+        attempts = AttemptRunner(wire, self.directory, self.pool, self.in_force, quarantine)
         self.pipeline = Pipeline(
             wire,
             self.directory,
             selector,
-            self.pool,
+            attempts,
             self.meter,
             self.budgets,
             self.in_force,
             self.access,
             LimitGuard(self.limits),
-            QuarantineGuard(Quarantine(self.suspects), self.end_watch),
+            quarantine,
         )
         self.edge = Edge(self.pipeline, wire, self.metrics)
 
--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -127,7 +127,7 @@
         self.starts = 0
         self.deadly_text: bytes | None = None
         self.deadly_model = ''
-        self._ending: asyncio.Task[None] | None = None
+        self._endings: set[asyncio.Task[None]] = set()
         self.on_end: Callable[[ReplicaStandIn], None] = lambda replica: None
         self._first_beat = 0
         self._busy = False
@@ -144,6 +144,8 @@
 
     async def close(self) -> None:
         """Stop listening."""
+        for ending in self._endings:
+            ending.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -263,7 +265,7 @@
             return 400
         self.order_number += 1
         if model == self.deadly_model and not adapter:
-            self._ending = asyncio.get_running_loop().create_task(self._end_under_load())
+            self._endings.add(asyncio.get_running_loop().create_task(self._end_under_load()))
             return 202
         if adapter:
             self.models[model].append(adapter)
--- a/tests/demand/test_meter.py
+++ b/tests/demand/test_meter.py
@@ -43,7 +43,7 @@
 
     @property
     def wait_s(self) -> float:
-        return self.meter.expected_wait_s(CALL, SERVICE)
+        return self.meter.outlook(CALL, SERVICE).wait_s
 
 
 @pytest.fixture
@@ -68,7 +68,7 @@
         assert gateway.meter.recent() == []
     gateway.meter.report_missing(PLAIN_CALL, PLAIN_SERVICE)
     assert gateway.missing == []
-    assert gateway.meter.is_announced(PLAIN_CALL, PLAIN_SERVICE)
+    assert gateway.meter.outlook(PLAIN_CALL, PLAIN_SERVICE).is_announced
 
 
 def test_a_missing_key_is_reported_at_most_ten_times_a_second(gateway: Gateway) -> None:
@@ -82,10 +82,10 @@
 
 def test_wait_follows_what_replicas_hold_and_what_was_announced(gateway: Gateway) -> None:
     assert gateway.wait_s == 1.0 + 8.0
-    assert not gateway.meter.is_announced(CALL, SERVICE)
+    assert not gateway.meter.outlook(CALL, SERVICE).is_announced
     gateway.meter.announced_s = {ModelKey('lm', 'm1'): gateway.clock.now_s + 5.0}
     assert gateway.wait_s == 5.0
-    assert gateway.meter.is_announced(CALL, SERVICE)
+    assert gateway.meter.outlook(CALL, SERVICE).is_announced
     gateway.add('lm', Holding('m1'))
     assert gateway.wait_s == FIRST_GUESS_S
 
@@ -96,6 +96,6 @@
 
 
 def test_plain_call_waits_only_without_replicas(gateway: Gateway) -> None:
-    assert gateway.meter.expected_wait_s(PLAIN_CALL, PLAIN_SERVICE) == 1.0
+    assert gateway.meter.outlook(PLAIN_CALL, PLAIN_SERVICE).wait_s == 1.0
     gateway.add('web')
-    assert gateway.meter.expected_wait_s(PLAIN_CALL, PLAIN_SERVICE) == 0.0
+    assert gateway.meter.outlook(PLAIN_CALL, PLAIN_SERVICE).wait_s == 0.0
