--- a/limeshelf/membership/crash_exchange.py
+++ b/limeshelf/membership/crash_exchange.py
@@ -2,8 +2,8 @@
 
 Each gateway tells the relays of its data centre what it saw itself; relays pass on what was new
 to them, to all gateways of their data centre and, if it comes from there, to the relays of the
-others. A message that is lost costs one end of a replica more at the most before the call rests:
-what rests is in the store, too (:mod:`limeshelf.crashes.keeper`). Owns what is still to be sent.
+others. Messages may be lost: a gateway that hears no other learns of a call once it rests, by its
+row in the store (:mod:`limeshelf.crashes.keeper`). Owns what is still to be sent.
 """
 
 from __future__ import annotations
