--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -19,6 +19,8 @@
 KNOWN_ADAPTER = re.compile(r'a\d+')
 #: What an event without an end sends before it stands still.
 ENDLESS_EVENT_BYTES = 2 << 20
+#: Status of an answer that turns a call away for want of room.
+STATUS_FULL = 503
 
 
 #: From the answer to an order to the begin of its load, in seconds.
@@ -71,6 +73,44 @@
     holder: str = ''
 
 
+@attrs.define
+class Needs:
+    """What a replica states in the heads of its answers.
+
+    :ivar rate_per_s: calls a second that it takes from all gateways, as text.
+    :ivar leaving: it is to get no more calls.
+    :ivar rest_s: for which a gateway that it turns away is to send nothing, as text.
+    """
+
+    rate_per_s: str | None = None
+    leaving: bool = False
+    rest_s: str | None = None
+
+    def headers(self, status: int) -> dict[str, str]:
+        """Return the headers that state it in an answer with a status."""
+        headers = {}
+        if self.rate_per_s is not None:
+            headers['Server-Limit'] = self.rate_per_s
+        if self.leaving:
+            headers['Server-Leaving'] = '1'
+        if self.rest_s is not None and status == STATUS_FULL:
+            headers['Retry-After'] = self.rest_s
+        return headers
+
+
+@attrs.define
+class Stated:
+    """What a replica stated to the gateway that sent a call.
+
+    :ivar at_s: when it began its answer, on the clock of the loop.
+    """
+
+    call_id: str
+    needs: Needs
+    status: int
+    at_s: float = attrs.field(factory=lambda: asyncio.get_running_loop().time())
+
+
 def _reset(transport: asyncio.Transport) -> None:
     """End a connection by a reset, as a crash does, not in order."""
     raw = transport.get_extra_info('socket')
@@ -100,6 +140,8 @@
     :ivar deadly_text: it ends as soon as it begins to run a call with this in its body.
     :ivar deadly_model: it ends as soon as it begins to load it.
     :ivar on_end: called when that has happened.
+    :ivar needs: what it states in all its answers.
+    :ivar stated: what it has stated in answers to calls.
     """
 
     def __init__(self, replica_id: str, models: list[str] | None = None, events: int = 5) -> None:
@@ -129,6 +171,8 @@
         self.deadly_model = ''
         self._endings: set[asyncio.Task[None]] = set()
         self.on_end: Callable[[ReplicaStandIn], None] = lambda replica: None
+        self.needs = Needs()
+        self.stated: list[Stated] = []
         self._first_beat = 0
         self._busy = False
         self._runner: web.ServerRunner | None = None
@@ -174,6 +218,7 @@
         """
         self._reset_all()
         self.models = {}
+        self.needs = Needs()
         self.order_number = self.highest_fence = 0
         self._busy = False
         self._first_beat = beat
@@ -221,7 +266,8 @@
                 'IsBusy': self._busy,
                 'SeqNo': self.order_number,
                 **self._stated_start(),
-            }
+            },
+            headers=self.needs.headers(200),
         )
 
     async def _order(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -230,7 +276,8 @@
             loop = asyncio.get_running_loop()
             loop.call_later(self.order_late_s, self._carry_out, body)
             await asyncio.sleep(3600)
-        return web.Response(status=self._carry_out(body))
+        status = self._carry_out(body)
+        return web.Response(status=status, headers=self.needs.headers(status))
 
     def _carry_out(self, body: dict[str, Any]) -> int:
         status = self._take_order(body)
@@ -299,9 +346,20 @@
         return 202
 
     def _refusal(self, status: int, call_id: str) -> web.Response:
-        headers = {'Limeshelf-Not-Executed': '1', 'Limeshelf-Attempt-Id': call_id}
+        headers = {
+            'Limeshelf-Not-Executed': '1',
+            'Limeshelf-Attempt-Id': call_id,
+            **self._state(call_id, status),
+        }
         return web.Response(status=status, headers=headers)
 
+    def _state(self, call_id: str, status: int) -> dict[str, str]:
+        """Note what it states in an answer to a call; return the headers that say so."""
+        headers = self.needs.headers(status)
+        if headers:
+            self.stated.append(Stated(call_id, attrs.evolve(self.needs), status))
+        return headers
+
     def _struck(self) -> Fault:
         if self.fault_calls is None:
             return self.fault
@@ -344,7 +402,7 @@
         if fault is Fault.RESET_FIRST:
             _reset(request.transport)
             return web.Response()
-        headers = _answer_headers(call_id, fault)
+        headers = {**_answer_headers(call_id, fault), **self._state(call_id, 200)}
         if fault is Fault.ERROR:
             return web.Response(status=500, headers=headers, body=b'failed')
         if fault is Fault.RESET_UNFRAMED:
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -31,6 +32,7 @@
     :param deadly_model: what ends a replica that begins to load it.
     :param back_after_s: from the end of a replica to its return under another id, in seconds.
     :ivar ends: when replicas ended, on the clock of the loop.
+    :ivar gateway_of: number of the gateway at which each call was made, by the call's id.
     """
 
     def __init__(
@@ -49,6 +51,8 @@
         self._gateways: dict[int, Gateway] = {}
         self._settings: dict[int, GatewaySettings] = {}
         self._returns: set[asyncio.Task[None]] = set()
+        self._call_numbers = itertools.count()
+        self.gateway_of: dict[str, int] = {}
 
     async def __aenter__(self) -> FleetWorld:
         self.store_address = await self.store.start()
@@ -105,6 +109,9 @@
 
     async def call_at(self, number: int, path: str, body: bytes, **headers: str) -> int:
         """Make a call at a gateway; return its status, 0 where the answer is not whole."""
+        call_id = f'f{next(self._call_numbers)}'
+        self.gateway_of[call_id] = number
+        headers['Limeshelf_Attempt_Id'] = call_id
         self.port = int(self.gateway_settings(number).calls_address.rpartition(':')[2])
         try:
             return (await self.call(path, body=body, **headers)).status
