Sight: a line tells what rate a replica names, from the head of its answer on

What a replica asks for is read in the adapter and kept with its start, by the head of the answer: a stream goes on for seconds after it. Nothing acts on it yet. That an answer names no rate counts only if its call was sent after the rate was last heard, since answers on two connections may pass each other. An unusable number is logged once and changes nothing.

--- a/limeshelf/calls/wire.py
+++ b/limeshelf/calls/wire.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from limeshelf.calls.notice import NO_NOTICE, ReplicaNotice
+
 if TYPE_CHECKING:
     from limeshelf.calls.call import Call
 
@@ -45,6 +47,7 @@
     :param headers: those that travel on.
     :param retry_after_s: when the replica expects to have room, in seconds.
     :param keep_alive_s: how long the replica keeps an idle connection, in seconds.
+    :param notice: what the replica asks of those who send to it.
     """
 
     status: int
@@ -56,6 +59,7 @@
     retry_after_s: float | None
     headers: tuple[tuple[str, str], ...]
     keep_alive_s: float | None
+    notice: ReplicaNotice = NO_NOTICE
 
 
 class CallWire(Protocol):
--- a/limeshelf/gateway/attempts.py
+++ b/limeshelf/gateway/attempts.py
@@ -28,6 +28,7 @@
     from limeshelf.gateway.state import CallState
     from limeshelf.organisations.organisation import Organisation
     from limeshelf.replicas.directory import ReplicaDirectory
+    from limeshelf.replicas.notices import NoticeTaker
     from limeshelf.replicas.pool import ConnectionPool
     from limeshelf.replicas.replica import Replica
 
@@ -41,6 +42,7 @@
     pool: ConnectionPool
     in_force: ConfigInForce
     quarantine: QuarantineGuard
+    notices: NoticeTaker
 
     async def run(
         self, state: CallState, selected: Selected, organisation: Organisation | None
@@ -68,8 +70,15 @@
             organisation=organisation.name if organisation else None,
         )
         connections = self.pool.connections(replica, state.service)
+        sent_s = boottime_s()
         exchange = Exchange(
-            call, connections, self.wire, state.answer, state.splitter, selected.note_first_event
+            call,
+            connections,
+            self.wire,
+            state.answer,
+            state.splitter,
+            selected.note_first_event,
+            lambda facts: self.notices.take_of_call(replica, facts, sent_s),
         )
         replica.own.calls += 1
         replica.own.tokens += tokens
--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -114,6 +114,9 @@
 
     :param splitter: keeps the place in a stream across attempts.
     :param on_first: called when the first event of a stream is there.
+    :param on_head: called as soon as the head of an answer is there that is surely the
+        replica's: it bears the call's id, and the replica's signature or its word that it did
+        not run the call. Another replica may have given a misdirected one.
     """
 
     def __init__(
@@ -124,6 +127,7 @@
         answer: Answer,
         splitter: EventSplitter,
         on_first: Callable[[], None],
+        on_head: Callable[[AnswerFacts], None] = lambda facts: None,
     ) -> None:
         self._call = call
         self._connections = connections
@@ -131,6 +135,7 @@
         self._answer = answer
         self._splitter = splitter
         self._on_first = on_first
+        self._on_head = on_head
         self._progress = SendProgress()
 
     async def run(self, facts: SendFacts, head_limit_s: float) -> Result:
@@ -177,10 +182,13 @@
         if facts.call_id != self._call.call_id and not facts.misdirected:
             return Broken(BrokenBy.FOREIGN_ANSWER)
         if facts.not_run:
+            if not facts.misdirected:
+                self._on_head(facts)
             await self._finish(response, facts)
             return NeverRan(True, facts.misdirected, facts.status)
         if not facts.stamped or facts.encoded:
             return Broken(BrokenBy.FOREIGN_ANSWER)
+        self._on_head(facts)
         if response.status == STATUS_OK and response.content_type == EVENT_STREAM:
             return await self._relay(response, facts, first_s)
         body = await self._read_whole(response)
--- a/limeshelf/platform/headers.py
+++ b/limeshelf/platform/headers.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from limeshelf.calls.call import ModelNeed, PromptPart
+from limeshelf.calls.notice import NO_NOTICE, ReplicaNotice
 from limeshelf.errors import InvalidRequest
 from limeshelf.organisations.organisation import digest_of
 
@@ -56,6 +58,9 @@
 NOT_EXECUTED = 'Limeshelf-Not-Executed'
 #: Seconds, with fractions.
 RETRY_AFTER = 'Retry-After'
+#: Calls a second, a decimal number, that a replica takes from all gateways together; it is in
+#: each of its answers for as long as that holds.
+RATE_LIMIT = 'Server-Limit'
 #: The caller's key, behind :data:`KEY_SCHEME`. It ends here: no replica sees it.
 AUTHORIZATION = 'Authorization'
 #: Who holds the key, as a replica is told; a caller's own is thrown away.
@@ -200,6 +205,26 @@
     return tuple(parts)
 
 
+def read_notice(fields: Mapping[str, str]) -> ReplicaNotice:
+    """Return what a replica asks for in the head of an answer.
+
+    :param fields: case-insensitive multi-dictionary of the answer's headers.
+    """
+    text = fields.get(RATE_LIMIT)
+    if text is None:
+        return NO_NOTICE
+    return ReplicaNotice(rate_per_s=_read_rate(text), names_rate=True)
+
+
+def _read_rate(text: str) -> float | None:
+    """Return calls a second; ``None`` where the text names no number that can be kept to."""
+    try:
+        rate_per_s = float(text)
+    except ValueError:
+        return None
+    return rate_per_s if rate_per_s >= 0 and math.isfinite(rate_per_s) else None
+
+
 def read_seconds(text: str | None) -> float | None:
     """Return a time in seconds; ``None`` if there is none, or another notation."""
     try:
--- a/limeshelf/platform/wire.py
+++ b/limeshelf/platform/wire.py
@@ -94,6 +94,7 @@
                 if name.lower() not in headers.HOP_HEADERS
             ),
             keep_alive_s=headers.read_keep_alive_s(fields.get('Keep-Alive')),
+            notice=headers.read_notice(fields),
         )
 
     def refusal_headers(
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -54,6 +54,7 @@
 from limeshelf.platform.wire import PlatformWire
 from limeshelf.programs.followed_tables import ConfigRows, follow_tables
 from limeshelf.replicas.directory import ReplicaDirectory
+from limeshelf.replicas.notices import NoticeTaker
 from limeshelf.replicas.pool import ConnectionPool
 from limeshelf.routing.chooser import Chooser
 from limeshelf.util.clock import MS_PER_S
@@ -106,6 +107,7 @@
         self.directory = ReplicaDirectory(
             read_record, self.changes.note_replica, self.metrics.observe_restart
         )
+        self.notices = NoticeTaker()
         self.members = Members(Member(node.address, settings.data_centre, settings.weight))
         self.leadership = Leadership(
             self.store,
@@ -215,7 +217,9 @@
         selector = ReplicaSelector(self.directory, chooser, self.dispatch_client)
         self.access = AccessGuard(self.in_force, self.config_age_s, access_rule(settings))
         quarantine = QuarantineGuard(Quarantine(self.suspects), self.end_watch)
-        attempts = AttemptRunner(wire, self.directory, self.pool, self.in_force, quarantine)
+        attempts = AttemptRunner(
+            wire, self.directory, self.pool, self.in_force, quarantine, self.notices
+        )
         self.pipeline = Pipeline(
             wire,
             self.directory,
--- /dev/null
+++ b/limeshelf/replicas/backpressure.py
@@ -0,0 +1,49 @@
+"""What one start of a replica has asked the gateways for, merged from all that was heard of it.
+
+Values and their merging alone; :mod:`limeshelf.replicas.notices` takes what comes. The result
+is the same in whatever order statements arrive: answers on two connections may pass each other,
+and what peers pass on comes late.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+
+@attrs.define
+class Backpressure:
+    """What a start of a replica asks for.
+
+    A rate holds until an answer to a call that was sent after the rate was last heard names none:
+    only of such an answer is it sure that the replica gave it later. It is kept however long no
+    answer comes, since calls that were sent at full speed to find out would exceed it.
+
+    :ivar heard_s: when an answer last named a rate, on the boot clock.
+    :ivar ended_s: when the latest call was sent whose answer named none, on the boot clock.
+    """
+
+    heard_s: float = -math.inf
+    ended_s: float = -math.inf
+    _named_per_s: float | None = None
+
+    @property
+    def rate_per_s(self) -> float | None:
+        """Return the calls a second that it takes from all gateways; ``None`` for any number."""
+        return self._named_per_s if self.heard_s >= self.ended_s else None
+
+    def note_rate(self, rate_per_s: float, heard_s: float) -> None:
+        """Note that an answer named a rate.
+
+        :param heard_s: when that answer began to arrive, on the boot clock.
+        """
+        if heard_s >= self.heard_s:
+            self._named_per_s, self.heard_s = rate_per_s, heard_s
+
+    def note_no_rate(self, sent_s: float) -> None:
+        """Note that an answer to a call named no rate.
+
+        :param sent_s: when that call was sent, on the boot clock.
+        """
+        self.ended_s = max(self.ended_s, sent_s)
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -110,6 +110,7 @@
                 by_model(record.holdings),
                 start=replica.start,
                 known_start=replica.known_start,
+                backpressure=replica.backpressure,
             )
             self._add(same)
         elif not is_late_heartbeat(record.beat_number, replica.record.beat_number):
--- /dev/null
+++ b/limeshelf/replicas/notices.py
@@ -0,0 +1,71 @@
+"""Takes what replicas ask for, whoever heard it, and logs what changes.
+
+The one place that takes notices: of the head of an answer to a call, as soon as it is there (a
+stream goes on for seconds), of other answers, and of peers. Owns nothing but what was
+logged; what holds is kept with the start of the replica (:mod:`limeshelf.replicas.backpressure`).
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.metrics.event_log import log_change
+from limeshelf.util.clock import boottime_s
+
+if TYPE_CHECKING:
+    from limeshelf.calls.wire import AnswerFacts
+    from limeshelf.replicas.replica import Replica
+    from limeshelf.replicas.starts import ReplicaStart
+
+
+class NoticeWay(enum.StrEnum):
+    """How a notice came."""
+
+    CALL = 'call'
+    PEER = 'peer'
+
+
+@attrs.define
+class NoticeTaker:
+    """Takes notices.
+
+    :ivar unusable: starts of replicas that named a rate that is no usable number; logged once.
+    """
+
+    unusable: set[ReplicaStart] = attrs.field(factory=set)
+
+    def take_of_call(self, replica: Replica, facts: AnswerFacts, sent_s: float) -> None:
+        """Take what the head of an answer to a call says.
+
+        That it names no rate counts only where the replica ran the call.
+
+        :param sent_s: when the call was sent, on the boot clock.
+        """
+        before = replica.backpressure.rate_per_s
+        notice = facts.notice
+        if notice.rate_per_s is not None:
+            replica.backpressure.note_rate(notice.rate_per_s, boottime_s())
+        elif notice.names_rate:
+            self._log_unusable(replica)
+        elif not facts.not_run:
+            replica.backpressure.note_no_rate(sent_s)
+        self._log_change(replica, before, NoticeWay.CALL)
+
+    def _log_change(self, replica: Replica, before: float | None, way: NoticeWay) -> None:
+        now = replica.backpressure.rate_per_s
+        if now != before:
+            log_change(
+                'replica_rate',
+                replica=replica.replica_id,
+                rate_per_s=now,
+                earlier_per_s=before,
+                learned_by=way,
+            )
+
+    def _log_unusable(self, replica: Replica) -> None:
+        if replica.start not in self.unusable:
+            self.unusable.add(replica.start)
+            log_change('replica_rate_unusable', replica=replica.replica_id)
--- a/limeshelf/replicas/replica.py
+++ b/limeshelf/replicas/replica.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from limeshelf.replicas.backpressure import Backpressure
 from limeshelf.replicas.health import ReplicaHealth
 from limeshelf.replicas.record import Holding, ReplicaRecord, ReplicaReport
 from limeshelf.replicas.starts import KnownStart, ReplicaStart
@@ -51,6 +52,9 @@
         :mod:`limeshelf.gateway.pipeline`.
     :ivar health: updated with each outcome by :mod:`limeshelf.gateway.pipeline`, and
         with probes by :mod:`limeshelf.replicas.pool`.
+    :ivar backpressure: what it asks the gateways for, taken by
+        :mod:`limeshelf.replicas.notices`; that of its start, also where its row went and
+        came back.
     """
 
     record: ReplicaRecord
@@ -61,6 +65,7 @@
     health: ReplicaHealth = attrs.field(factory=ReplicaHealth)
     report: ReplicaReport | None = None
     reported_s: float = 0.0
+    backpressure: Backpressure = attrs.field(factory=Backpressure)
     leaving: bool = False
     retiring: set[str] = attrs.field(factory=set)
     start: ReplicaStart = attrs.Factory(
--- a/tests/forms/test_platform_wire.py
+++ b/tests/forms/test_platform_wire.py
@@ -17,6 +17,7 @@
 from multidict import CIMultiDict
 
 from limeshelf.calls.call import Call, ModelNeed, PromptPart
+from limeshelf.calls.notice import ReplicaNotice
 from limeshelf.calls.wire import AnswerFacts, SendFacts
 from limeshelf.errors import InvalidRequest, PlatformUnavailable, PlatformUnknown
 from limeshelf.feeds.rows import ConditionFailed, HistoryGone, Page, Row
@@ -510,6 +511,26 @@
         ),
     ),
     'busy, but perhaps run': (OWN, attrs.evolve(BARE_ANSWER, status=429)),
+    **{
+        f'rate {text}': (
+            (*OWN, ('server-limit', text)),
+            attrs.evolve(
+                BARE_ANSWER,
+                headers=(*OWN, ('server-limit', text)),
+                notice=ReplicaNotice(rate_per_s=rate_per_s, names_rate=True),
+            ),
+        )
+        for text, rate_per_s in [
+            ('2.3', 2.3),
+            ('0', 0.0),
+            ('1e9', 1e9),
+            ('-1', None),
+            ('nan', None),
+            ('inf', None),
+            ('few', None),
+            ('', None),
+        ]
+    },
     'misdirected': (OWN, attrs.evolve(BARE_ANSWER, status=421, not_run=True, misdirected=True)),
     'kept alive': (
         (*OWN, ('Connection', 'keep-alive'), ('Keep-Alive', 'max=9, timeout=4')),
--- /dev/null
+++ b/tests/replicas/test_backpressure.py
@@ -0,0 +1,53 @@
+"""The rate that a replica asks for holds until a later answer surely names none."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limeshelf.replicas.backpressure import Backpressure
+
+
+def test_no_rate_until_one_is_named() -> None:
+    assert Backpressure().rate_per_s is None
+
+
+def test_named_rate_holds_however_long_nothing_is_heard() -> None:
+    backpressure = Backpressure()
+    backpressure.note_rate(2.3, heard_s=10.0)
+    assert backpressure.rate_per_s == 2.3
+
+
+def test_answer_without_a_rate_ends_it_only_if_its_call_was_sent_later() -> None:
+    backpressure = Backpressure()
+    backpressure.note_rate(2.3, heard_s=10.0)
+    backpressure.note_no_rate(sent_s=9.9)
+    assert backpressure.rate_per_s == 2.3
+    backpressure.note_no_rate(sent_s=10.1)
+    assert backpressure.rate_per_s is None
+
+
+def test_rate_is_named_again() -> None:
+    backpressure = Backpressure()
+    backpressure.note_no_rate(sent_s=10.0)
+    backpressure.note_rate(0.3, heard_s=11.0)
+    assert backpressure.rate_per_s == 0.3
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from([None, 0.3, 2.3]), st.integers(0, 20)), max_size=8),
+    st.randoms(),
+)
+def test_order_of_arrival_does_not_matter(said: list[tuple[float | None, int]], random) -> None:
+    said = [one for index, one in enumerate(said) if one[1] not in [at for _, at in said[:index]]]
+    results = []
+    for _ in range(2):
+        backpressure = Backpressure()
+        for rate_per_s, at in said:
+            if rate_per_s is None:
+                backpressure.note_no_rate(at)
+            else:
+                backpressure.note_rate(rate_per_s, at)
+        results.append(backpressure.rate_per_s)
+        random.shuffle(said)
+    assert results[0] == results[1]
