A replica that names a rate gets no more calls than that from all gateways together

Callers saw a replica in need get slower and slower: it said in each answer how many calls a second it takes from all gateways, and got several times as many.

Cause: the head of an answer was read for whether the call had run, and for nothing else, and each gateway chose by itself. No gateway alone sent too many.

Mend: one gateway gives the turns at such a replica, the owner of its data centre that grants model calls there anyway. It takes a turn with each grant; plain calls, and calls granted by who had not heard of the rate, ask it for one (80 ms, then the replica is passed over). Who has no turn is refused at once with the time of the next. Whether a call may go is judged once its connection is there. Gateways tell one another of the rate through relays; a pacer that has missed it learns it by the question. A split by the number of gateways was weighed: 2.3 a second over nine starves who has more than one call in four seconds, and exceeds it where counts differ. Without a pacer nobody sends: a part for each gateway by itself sums up to more than all.

Why it holds: a pacer uses half of the rate in its first 4 s, and always where it stands in for an owner, so that two at once stay below 1.5 times the rate.

The questions to a silent limiter and a silent pacer share one class now.

--- a/limeshelf/dispatch/client.py
+++ b/limeshelf/dispatch/client.py
@@ -156,6 +156,7 @@
             pending.request_id,
             verdict.replica_id,
             lambda progress: self._exchange.send_progress(owner, progress),
+            has_turn=verdict.has_turn,
         )
 
     def _note_refused(self, pending: PendingRequest, verdict: DispatchVerdict) -> None:
--- a/limeshelf/dispatch/dispatcher.py
+++ b/limeshelf/dispatch/dispatcher.py
@@ -22,11 +22,12 @@
     Stage,
     VerdictKind,
 )
+from limeshelf.dispatch.pace import ReplicaPaces
 from limeshelf.dispatch.queue import RequestQueue
-from limeshelf.dispatch.refusal import QueuePosition, estimate_wait
+from limeshelf.dispatch.refusal import QueuePosition, WaitEstimate, estimate_wait
 from limeshelf.dispatch.requests import GrantedRequest, QueuedRequest
 from limeshelf.dispatch.selector import HolderSelector
-from limeshelf.util.clock import boottime_s
+from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,6 +54,7 @@
     :param owner_of: returns the owner of a data centre's replicas, as
         :class:`~limeshelf.dispatch.owners.OwnerChooser` takes it.
     :param data_centre: of this process.
+    :param paces: the turns at replicas that take only so many calls a second.
     :ivar speed: how fast prompts are read, as this process has seen it.
     """
 
@@ -63,13 +65,15 @@
         answer: Callable[[str, DispatchVerdict], None],
         owner_of: Callable[[str], str | None],
         data_centre: str,
+        paces: ReplicaPaces | None = None,
     ) -> None:
         self.speed = ReadingSpeed()
         self._config = config
         self._answer = answer
         self._queue = RequestQueue()
         self._granted = GrantedRequests()
-        self._selector = HolderSelector(directory, self.speed, owner_of, data_centre)
+        self._paces = paces or ReplicaPaces(owner_of)
+        self._selector = HolderSelector(directory, self.speed, owner_of, data_centre, self._paces)
 
     @property
     def waiting(self) -> int:
@@ -144,23 +148,24 @@
             self._queue.remove(request.request_id)
             self._send(request, VerdictKind.ABSENT)
             return
-        wait = estimate_wait(self._position(request, len(holders)))
+        wait = self._estimate(request, holders)
         if wait.is_too_long:
             self._queue.remove(request.request_id)
             self._send(request, VerdictKind.REFUSED, int(wait.expected_ms))
             return
         self._send(request, VerdictKind.QUEUED, int(wait.expected_ms))
 
-    def _position(self, request: QueuedRequest, holders: int) -> QueuePosition:
+    def _estimate(self, request: QueuedRequest, holders: list[Replica]) -> WaitEstimate:
         now_s = boottime_s()
         query = request.query
         model, urgency = query.key.model, request.urgency(now_s)
-        ahead_ms = sum(
-            self.speed.read_ms(model, other.query.prompt_tokens)
-            for other in self._queue.of_model(model)
-            if other.urgency(now_s) <= urgency
+        ahead = [one for one in self._queue.of_model(model) if one.urgency(now_s) <= urgency]
+        ahead_ms = sum(self.speed.read_ms(model, one.query.prompt_tokens) for one in ahead)
+        position = QueuePosition(
+            ahead_ms, len(holders), query.objective_ms, query.left_ms, query.returned
         )
-        return QueuePosition(ahead_ms, holders, query.objective_ms, query.left_ms, query.returned)
+        turn_s = self._paces.queue_wait_s(holders, len(ahead), now_s)
+        return estimate_wait(position).at_least(turn_s * MS_PER_S)
 
     def _try_grant(self, request: QueuedRequest, now_s: float) -> bool:
         config = self._config()
@@ -185,12 +190,20 @@
             unread_tokens,
             read_ms=self.speed.read_ms(query.key.model, unread_tokens),
             granted_s=now_s,
+            has_turn=self._takes_turn(replica, now_s),
         )
         load.add(granted)
         self._queue.remove(request.request_id)
         self._granted.add(granted)
         self._send_grant(granted)
 
+    def _takes_turn(self, replica: Replica, now_s: float) -> bool:
+        """Take the turn that a grant needs; return whether one was needed and taken here."""
+        if replica.backpressure.rate_per_s is None:
+            return False
+        turn = self._paces.try_take(replica, 0.0, now_s)
+        return turn is not None and turn.is_granted
+
     def _note_read(self, granted: GrantedRequest) -> None:
         if granted.read_alone:
             first_event_ms = granted.elapsed_ms(boottime_s())
@@ -208,5 +221,7 @@
 
     def _send_grant(self, granted: GrantedRequest) -> None:
         replica_id = granted.replica.replica_id
-        verdict = DispatchVerdict(granted.request_id, VerdictKind.GRANTED, replica_id)
+        verdict = DispatchVerdict(
+            granted.request_id, VerdictKind.GRANTED, replica_id, has_turn=granted.has_turn
+        )
         self._answer(granted.asker, verdict)
--- a/limeshelf/dispatch/exchange.py
+++ b/limeshelf/dispatch/exchange.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable
 
     from limeshelf.calls.routes import ServingConfig
+    from limeshelf.dispatch.pace import ReplicaPaces
     from limeshelf.dispatch.pending import PendingRequest
     from limeshelf.peers.codec import Envelope
     from limeshelf.peers.node import PeerNode
@@ -35,6 +36,7 @@
     :param owner_of: returns the owner of a data centre's replicas, as
         :class:`~limeshelf.dispatch.owners.OwnerChooser` takes it.
     :param data_centre: of this process.
+    :param paces: as :class:`~limeshelf.dispatch.dispatcher.Dispatcher` takes it.
     """
 
     def __init__(
@@ -44,8 +46,11 @@
         config: Callable[[], ServingConfig | None],
         owner_of: Callable[[str], str | None],
         data_centre: str,
+        paces: ReplicaPaces | None = None,
     ) -> None:
-        self.dispatcher = Dispatcher(directory, config, self._send_verdict, owner_of, data_centre)
+        self.dispatcher = Dispatcher(
+            directory, config, self._send_verdict, owner_of, data_centre, paces
+        )
         self._node = node
         self._waiting: dict[str, PendingRequest] = {}
         self._queued = asyncio.Event()
--- a/limeshelf/dispatch/grants.py
+++ b/limeshelf/dispatch/grants.py
@@ -64,11 +64,13 @@
     otherwise the dispatcher counts the call at the replica until its time is over.
 
     :ivar replica_id: where the call goes.
+    :ivar has_turn: a turn at a replica that takes only so many calls a second goes with it.
     """
 
     request_id: str
     replica_id: str
     _report: Callable[[DispatchProgress], None]
+    has_turn: bool = False
     _was_read: bool = False
 
     def report_read(self) -> None:
--- a/limeshelf/dispatch/messages.py
+++ b/limeshelf/dispatch/messages.py
@@ -86,12 +86,48 @@
 
     :param replica_id: where the call goes; empty unless granted.
     :param wait_ms: time until a replica likely has room, where it is refused or queued.
+    :param has_turn: whether a turn at the replica goes with a grant.
     """
 
     ticket_id: str
     kind: VerdictKind
     replica_id: str
     wait_ms: int = 0
+    has_turn: bool = False
+
+
+@add_message('turn-query')
+@attrs.frozen
+class TurnQuery:
+    """Asks the pacer of a replica for a turn of one call there.
+
+    :param query_id: given by the asking gateway.
+    :param born_ms: when the replica started, in milliseconds since 1970; ``None`` where it does
+        not say so.
+    :param rate_per_s: calls a second that it takes, as the asker knows it.
+    :param heard_ms_ago: how long ago an answer last named that rate.
+    :param patience_ms: how long the call can wait for its turn.
+    """
+
+    query_id: str
+    replica_id: str
+    born_ms: int | None
+    rate_per_s: float
+    heard_ms_ago: int
+    patience_ms: int
+
+
+@add_message('turn-verdict')
+@attrs.frozen
+class TurnVerdict:
+    """Answers a query.
+
+    :param wait_ms: until the call may go; where it may not, until another one likely may.
+    """
+
+    query_id: str
+    granted: bool
+    wait_ms: int
 
 
 @add_message('dispatch-progress')
--- a/limeshelf/dispatch/refusal.py
+++ b/limeshelf/dispatch/refusal.py
@@ -46,6 +46,10 @@
     expected_ms: float
     bearable_ms: float
 
+    def at_least(self, expected_ms: float) -> WaitEstimate:
+        """Return the estimate of a request that also waits for something else, so long."""
+        return attrs.evolve(self, expected_ms=max(self.expected_ms, expected_ms))
+
     @property
     def is_too_long(self) -> bool:
         """Return whether the request is better refused at once."""
--- a/limeshelf/dispatch/requests.py
+++ b/limeshelf/dispatch/requests.py
@@ -61,6 +61,7 @@
     :ivar read_ms: how long that likely takes.
     :ivar granted_s: on the steady clock.
     :ivar read_alone: no other prompt was read there at the same time.
+    :ivar has_turn: a turn at the replica goes with the grant.
     """
 
     query: DispatchQuery
@@ -71,6 +72,7 @@
     read_ms: float
     granted_s: float
     read_alone: bool = True
+    has_turn: bool = False
 
     @property
     def request_id(self) -> str:
--- a/limeshelf/dispatch/selector.py
+++ b/limeshelf/dispatch/selector.py
@@ -2,7 +2,8 @@
 
 Among the replicas that hold what the call needs and are not suspended (or among all
 holders, where all are suspended), and that may read and hold it now
-(:mod:`limeshelf.dispatch.limits`), the one with the least to read, to run and to hold.
+(:mod:`limeshelf.dispatch.limits`) and have a turn for it (:mod:`limeshelf.dispatch.pace`), the
+one with the least to read, to run and to hold.
 Owns what granted requests take of each replica, and the holders of each model until the
 next :meth:`~HolderSelector.forget_holders`; relies on
 :mod:`limeshelf.replicas.directory` for records, holdings, health and reported loads.
@@ -15,6 +16,7 @@
 from limeshelf.dispatch.fallback import reading_share
 from limeshelf.dispatch.granted_load import GrantedLoad
 from limeshelf.dispatch.limits import Occupancy, ReadingWindow
+from limeshelf.dispatch.pace import ReplicaPaces
 from limeshelf.membership.member import LOCAL
 from limeshelf.replicas.penalties import with_penalties
 from limeshelf.util.clock import boottime_s
@@ -38,6 +40,7 @@
     :param owner_of: returns the owner of a data centre's replicas, as
         :class:`~limeshelf.dispatch.owners.OwnerChooser` takes it.
     :param data_centre: of this process.
+    :param paces: the turns at replicas that take only so many calls a second.
     :ivar loads: what granted requests take, by start of the replica.
     """
 
@@ -47,12 +50,14 @@
         speed: ReadingSpeed,
         owner_of: Callable[[str], str | None],
         data_centre: str,
+        paces: ReplicaPaces | None = None,
     ) -> None:
         self.loads: dict[ReplicaStart, GrantedLoad] = {}
         self._directory = directory
         self._speed = speed
         self._owner_of = owner_of
         self._data_centre = data_centre
+        self._paces = paces or ReplicaPaces(owner_of)
         self._holders: dict[ModelKey, list[Replica]] = {}
 
     def forget_holders(self) -> None:
@@ -107,6 +112,8 @@
         """Return what the call costs at a replica, ``None`` if that has no room for it."""
         load = self.load(replica)
         now_s = boottime_s()
+        if self._paces.wait_s(replica, now_s) > 0:
+            return None
         load.end_overdue_reading(now_s)
         window = self._window(replica, query, engine)
         read_ms = self._speed.read_ms(query.key.model, load.blocks.unread_tokens(query, now_s))
--- a/limeshelf/errors.py
+++ b/limeshelf/errors.py
@@ -130,6 +130,11 @@
     upstream_id: str
 
 
+@dataclass(eq=False)
+class SendWithheld(LimeshelfError):
+    """A call was not sent after all; no byte of it left this process."""
+
+
 @dataclass(eq=False)
 class ExchangeBroken(LimeshelfError):
     """The exchange ended after bytes may have left and before a whole answer."""
--- a/limeshelf/gateway/attempts.py
+++ b/limeshelf/gateway/attempts.py
@@ -79,6 +79,7 @@
             state.splitter,
             selected.note_first_event,
             lambda facts: self.notices.take_of_call(replica, facts, sent_s),
+            selected.may_send,
         )
         replica.own.calls += 1
         replica.own.tokens += tokens
--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 
+from limeshelf.errors import SendWithheld
 from limeshelf.gateway.events import EventSplitter, EventTooLong
 from limeshelf.replicas.connections import SendProgress
 from limeshelf.util.clock import boottime_s
@@ -48,6 +49,8 @@
     EVENT_TOO_LONG = 'event_too_long'
     #: The call's own time was over first.
     TIME_OVER = 'time_over'
+    #: The replica has asked for no such call since it was chosen.
+    WITHHELD = 'withheld'
 
 
 @dataclass(frozen=True)
@@ -91,9 +94,10 @@
 
 @dataclass(frozen=True)
 class NotSent:
-    """The time was over before a connection was there, so the replica never got the call.
+    """The replica never got the call.
 
-    :param by: which time: ``SILENT`` for the attempt's, ``TIME_OVER`` for the call's.
+    :param by: ``SILENT`` or ``TIME_OVER`` where the attempt's time or the call's was over before
+        a connection was there; ``WITHHELD`` where the call was not to be sent any more.
     """
 
     by: BrokenBy
@@ -117,6 +121,7 @@
     :param on_head: called as soon as the head of an answer is there that is surely the
         replica's: it bears the call's id, and the replica's signature or its word that it did
         not run the call. Another replica may have given a misdirected one.
+    :param may_send: see :class:`~limeshelf.replicas.connections.SendProgress`.
     """
 
     def __init__(
@@ -128,6 +133,7 @@
         splitter: EventSplitter,
         on_first: Callable[[], None],
         on_head: Callable[[AnswerFacts], None] = lambda facts: None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         self._call = call
         self._connections = connections
@@ -136,7 +142,7 @@
         self._splitter = splitter
         self._on_first = on_first
         self._on_head = on_head
-        self._progress = SendProgress()
+        self._progress = SendProgress(may_send)
 
     async def run(self, facts: SendFacts, head_limit_s: float) -> Result:
         """Send the call and bring its answer on.
@@ -151,6 +157,8 @@
             async with asyncio.timeout(head_limit_s):
                 response = await self._connections.send(self._call, facts, self._progress)
             return await self._take(response, started_s)
+        except SendWithheld:
+            return NotSent(BrokenBy.WITHHELD)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             # Before TimeoutError, whose kind the second one is
             # (tests/gateway/test_path.py::test_replica_that_takes_no_connection).
--- a/limeshelf/gateway/learning.py
+++ b/limeshelf/gateway/learning.py
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True)
 class Nothing:
-    """The call's own time was over; that says nothing about the replica."""
+    """The call's own time was over, or it was withheld; that says nothing about the replica."""
 
 
 Lesson = Served | Failed | LacksModel | Replaced | Nothing
@@ -86,7 +86,7 @@
             return LacksModel() if to_engine else Replaced()
         return Failed(Failure.REFUSED, excluded=True)
     if isinstance(result, Broken | NotSent):
-        if result.by is BrokenBy.TIME_OVER:
+        if result.by in (BrokenBy.TIME_OVER, BrokenBy.WITHHELD):
             return Nothing()
         return Failed(_FAILURES[result.by], excluded=True)
     if isinstance(result, WholeAnswer) and result.facts.status >= STATUS_SERVER_ERROR:
--- a/limeshelf/gateway/selection.py
+++ b/limeshelf/gateway/selection.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
-from limeshelf.admission.patience import patience_left_s
+from limeshelf.admission.patience import hold_left_s, patience_left_s
 from limeshelf.demand.keys import ModelKey
 from limeshelf.dispatch.grants import GrantRequest, NoHolder, NoRoom
 
@@ -20,6 +21,7 @@
     from limeshelf.calls.call import ModelNeed
     from limeshelf.dispatch.client import DispatchClient
     from limeshelf.dispatch.grants import Grant
+    from limeshelf.dispatch.turns import TurnExchange
     from limeshelf.gateway.state import CallState
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
@@ -28,10 +30,21 @@
 
 @attrs.frozen
 class Selected:
-    """The replica for an attempt, with the dispatcher's grant if it gave one."""
+    """The replica for an attempt, with the dispatcher's grant if it gave one.
+
+    :param has_turn: a turn goes with it at a replica that takes only so many calls a second.
+    """
 
     replica: Replica
     grant: Grant | None
+    has_turn: bool = False
+
+    def may_send(self) -> bool:
+        """Return whether the call may go to the replica by what that asks for now.
+
+        What it was chosen by may have changed while it waited for a connection.
+        """
+        return self.has_turn or self.replica.backpressure.rate_per_s is None
 
     def note_first_event(self) -> None:
         """Report to the dispatcher that the first event came."""
@@ -54,14 +67,34 @@
     directory: ReplicaDirectory
     chooser: Chooser
     dispatch: DispatchClient
+    turns: TurnExchange
 
     async def select(self, state: CallState) -> Selection:
         """Return the replica to send a call to next, or why there is none."""
         need = state.call.model_need
         if need is not None and state.service.engine is not None:
             return await self._dispatched(state, need)
-        chosen = self.chooser.choose(state.service, frozenset(state.excluded))
-        return Selected(chosen, None) if chosen is not None else NoHolder()
+        return await self._routed(state)
+
+    async def _routed(self, state: CallState) -> Selection:
+        """Return the cheapest replica that takes the call now.
+
+        Those that have no turn for it in time are passed over.
+        """
+        excluded = set(state.excluded)
+        next_turns_s = []
+        while (chosen := self.chooser.choose(state.service, frozenset(excluded))) is not None:
+            if chosen.backpressure.rate_per_s is None:
+                return Selected(chosen, None)
+            turn = await self.turns.get(chosen, _turn_patience_s(state))
+            if turn.is_granted:
+                return Selected(chosen, None, has_turn=True)
+            excluded.add(chosen.replica_id)
+            next_turns_s.append(turn.wait_s)
+        if next_turns_s and not state.excluded:
+            return NoRoom(min(next_turns_s))
+        # Those that refused the call may take it sooner.
+        return NoHolder()
 
     async def _dispatched(self, state: CallState, need: ModelNeed) -> Selection:
         answered = await self.dispatch.ask(self._request(state, need))
@@ -69,12 +102,29 @@
             return answered
         replica = self.directory.get(answered.replica_id)
         if replica is not None and replica.takes_calls:
-            return Selected(replica, answered)
-        # The dispatcher has no report yet that the replica leaves.
+            has_turn = answered.has_turn or await self._gets_turn(state, replica, answered)
+            if has_turn or replica.backpressure.rate_per_s is None:
+                return Selected(replica, answered, has_turn)
+        # The dispatcher has no report yet that the replica leaves, or gives no turns there.
         answered.report_ended()
         state.excluded.add(answered.replica_id)
         return NoHolder()
 
+    async def _gets_turn(self, state: CallState, replica: Replica, grant: Grant) -> bool:
+        """Return whether there is a turn for a call that was granted without one.
+
+        Who granted it had not heard yet that the replica takes only so many calls, or stands in
+        for its owner.
+        """
+        if replica.backpressure.rate_per_s is None:
+            return False
+        try:
+            turn = await self.turns.get(replica, _turn_patience_s(state))
+        except asyncio.CancelledError:
+            grant.report_ended()
+            raise
+        return turn.is_granted
+
     def _request(self, state: CallState, need: ModelNeed) -> GrantRequest:
         waited_s = state.since_arrival_s
         return GrantRequest(
@@ -95,3 +145,9 @@
             for replica in self.directory.of_service(state.service.name)
             if replica.health.is_suspended()
         }
+
+
+def _turn_patience_s(state: CallState) -> float:
+    """Return how long a call can wait for its turn at a replica, in seconds."""
+    bearable_s = patience_left_s if state.returned else hold_left_s
+    return max(0.0, min(state.left_s, bearable_s(state.route, state.since_arrival_s)))
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -9,7 +9,7 @@
 from limeshelf.admission.patience import has_returned
 from limeshelf.calls.fingerprint import Fingerprint, fingerprint_of
 from limeshelf.gateway.events import EventSplitter
-from limeshelf.gateway.exchange import Delivered, NeverRan, NotSent
+from limeshelf.gateway.exchange import BrokenBy, Delivered, NeverRan, NotSent
 from limeshelf.gateway.settling import Progress
 from limeshelf.util.clock import boottime_s
 
@@ -69,7 +69,11 @@
         """Count what an attempt gave."""
         self.last = result
         if isinstance(result, NeverRan | NotSent):
-            self.refusals += 1
+            if isinstance(result, NotSent) and result.by is BrokenBy.WITHHELD:
+                # Nothing arrived anywhere, so the next send repeats none.
+                self.sends -= 1
+            else:
+                self.refusals += 1
             if self.reservation is not None:
                 self.reservation.note_not_run()
         elif not isinstance(result, Delivered):
--- a/limeshelf/membership/limit_exchange.py
+++ b/limeshelf/membership/limit_exchange.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 from typing import TYPE_CHECKING
 
@@ -20,6 +19,7 @@
 from limeshelf.organisations.limiter import Decision, Limiter, LimitQuestion, Ruling
 from limeshelf.organisations.pace import Paces
 from limeshelf.organisations.usage import UsageLedger
+from limeshelf.peers.questions import AVOID_S, Questions
 from limeshelf.util.clock import MS_PER_S, boottime_s
 from limeshelf.util.identifiers import new_id
 
@@ -33,10 +33,6 @@
     from limeshelf.peers.codec import Envelope
     from limeshelf.peers.node import PeerNode
 
-#: A limiter that does not answer within this time is silent, and not asked for a while. Both
-#: as for the owners of replicas (:mod:`limeshelf.dispatch.fallback`). Chosen, not measured.
-ANSWER_TIMEOUT_S = 0.08
-AVOID_S = 0.4
 #: While an organisation is over its limit, calls that count as much are refused without
 #: asking for this long: refusing costs next to nothing then. Chosen, not measured.
 REFUSED_KEPT_S = 0.1
@@ -72,8 +68,7 @@
         self._ledger = UsageLedger(rule.window_s)
         self._limiter: Limiter | None = None
         self._paces = Paces(rule)
-        self._asked: dict[str, asyncio.Future[Decision]] = {}
-        self._avoid_until_s: dict[str, float] = {}
+        self._questions: Questions[Decision] = Questions(node, _log_silent)
         self._refused: dict[str, _Refused] = {}
         #: Whether no limiter decided on the latest call, and when one last did.
         self._is_unheard = False
@@ -173,10 +168,9 @@
 
     def _limiters(self) -> list[str]:
         """Return whom to ask, the first first; :data:`LOCAL` for this process."""
-        now_s = boottime_s()
         own = self._members.own
         addresses = [LOCAL if one is own else one.address for one in self._members.own_relays()]
-        return [one for one in addresses if now_s >= self._avoid_until_s.get(one, 0.0)]
+        return [one for one in addresses if not self._questions.is_avoided(one)]
 
     def _decide_here(self, gateway: str, organisation: str, amount: int) -> Decision:
         config = self._in_force.config
@@ -198,19 +192,8 @@
 
     async def _ask(self, address: str, organisation: str, amount: int) -> Decision | None:
         """Return the decision of another gateway, ``None`` if it is silent."""
-        query_id = new_id('l')
-        answered: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
-        self._asked[query_id] = answered
-        self._node.send(address, LimitQuery(query_id, organisation, amount))
-        try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                return await answered
-        except TimeoutError:
-            self._avoid_until_s[address] = boottime_s() + AVOID_S
-            log_change('limiter_silent', limiter=address, avoided_s=AVOID_S)
-            return None
-        finally:
-            del self._asked[query_id]
+        query = LimitQuery(new_id('l'), organisation, amount)
+        return await self._questions.ask(address, query.query_id, query)
 
     def _take_query(self, envelope: Envelope) -> None:
         query: LimitQuery = envelope.message
@@ -220,6 +203,9 @@
 
     def _take_verdict(self, envelope: Envelope) -> None:
         verdict: LimitVerdict = envelope.message
-        answered = self._asked.get(verdict.query_id)
-        if answered is not None and not answered.done():
-            answered.set_result(Decision(verdict.ruling, verdict.wait_ms / MS_PER_S))
+        decision = Decision(verdict.ruling, verdict.wait_ms / MS_PER_S)
+        self._questions.answer(verdict.query_id, decision)
+
+
+def _log_silent(address: str) -> None:
+    log_change('limiter_silent', limiter=address, avoided_s=AVOID_S)
--- a/limeshelf/membership/members.py
+++ b/limeshelf/membership/members.py
@@ -109,6 +109,10 @@
         centres = {centre for centre, ranked in self._ranked.items() if ranked}
         return centres - {self.own.data_centre}
 
+    def centres(self) -> set[str]:
+        """Return all data centres that are known."""
+        return {*self.other_centres(), self.own.data_centre}
+
     def ranked(self, data_centre: str) -> list[Member]:
         """Return the gateways of a data centre, silent ones too, the highest rank first."""
         return list(self._ranked.get(data_centre, []))
--- a/limeshelf/membership/messages.py
+++ b/limeshelf/membership/messages.py
@@ -216,6 +216,29 @@
     ends: list[EndedReplica]
 
 
+class ToldNotice(msgspec.Struct, array_like=True):
+    """What a replica asks of all gateways.
+
+    :ivar born_ms: when it started, in milliseconds since 1970; ``None`` where it does not say.
+    :ivar rate_per_s: calls a second that it takes from all of them; ``None`` for any number.
+    :ivar known_ms_ago: how long before the message an answer named the rate; without a rate,
+        how long before it the latest call was sent whose answer named none.
+    """
+
+    replica_id: str
+    born_ms: int | None
+    rate_per_s: float | None
+    known_ms_ago: int
+
+
+@add_message('replica-notices')
+@attrs.frozen
+class ReplicaNotices:
+    """What replicas ask for, as far as that was new to the sender."""
+
+    notices: list[ToldNotice]
+
+
 @add_message('gateway-leaving')
 @attrs.frozen
 class GatewayLeaving:
--- a/limeshelf/membership/receivers.py
+++ b/limeshelf/membership/receivers.py
@@ -12,6 +12,10 @@
 rows               who asked the store     gateways of its data centre, relays of others
 the same, passed   first relay of another  gateways of its data centre
 on                 data centre
+what replicas ask  every gateway           relays of its data centre
+for
+the same, passed   relays                  gateways of their data centre, relays of others
+on                                         if it comes from their own
 leaving            every gateway           all gateways
 =================  ======================  ==============================================
 
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -20,6 +20,8 @@
 from limeshelf.demand.meter import DemandMeter
 from limeshelf.dispatch.client import DispatchClient
 from limeshelf.dispatch.exchange import DispatchExchange
+from limeshelf.dispatch.pace import ReplicaPaces
+from limeshelf.dispatch.turns import TurnExchange
 from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.gateway.access import AccessGuard
 from limeshelf.gateway.attempts import AttemptRunner
@@ -36,6 +38,7 @@
 from limeshelf.membership.limit_exchange import LimitExchange
 from limeshelf.membership.member import Member
 from limeshelf.membership.members import Members
+from limeshelf.membership.notice_exchange import NoticeExchange
 from limeshelf.membership.registration import Registration
 from limeshelf.membership.row_exchange import RowExchange
 from limeshelf.membership.state_changes import StateChanges
@@ -135,8 +138,10 @@
 
     def _make_dispatch(self, settings: GatewaySettings) -> None:
         owner_of = self.dispatchers.of_centre
+        paces = ReplicaPaces(owner_of, self.members.centres)
+        self.turns = TurnExchange(self.node, self.directory, self.notices, paces)
         self.dispatch = DispatchExchange(
-            self.node, self.directory, self.in_force.get, owner_of, settings.data_centre
+            self.node, self.directory, self.in_force.get, owner_of, settings.data_centre, paces
         )
         self.dispatch_client = DispatchClient(
             self.dispatch, self.directory, owner_of, settings.data_centre
@@ -168,6 +173,9 @@
     def _make_exchanges(self, settings: GatewaySettings) -> None:
         """Make what gateways send one another, and what follows the store with them."""
         instance_id = settings.instance_id
+        self.notice_exchange = NoticeExchange(
+            self.node, self.members, self.directory, self.notices
+        )
         self.wants = WantExchange(self.node, self.leader, self.placement)
         self.meter = DemandMeter(self.directory, self.wants.report)
         self.registration = Registration(instance_id, self.node, self.members, self.leader)
@@ -214,7 +222,7 @@
         self.budgets = RetryBudgets(retry_rule(settings))
         self.pool = ConnectionPool(wire)
         chooser = Chooser(self.directory, settings.data_centre)
-        selector = ReplicaSelector(self.directory, chooser, self.dispatch_client)
+        selector = ReplicaSelector(self.directory, chooser, self.dispatch_client, self.turns)
         self.access = AccessGuard(self.in_force, self.config_age_s, access_rule(settings))
         quarantine = QuarantineGuard(Quarantine(self.suspects), self.end_watch)
         attempts = AttemptRunner(
@@ -266,6 +274,8 @@
         self.wants.start()
         self.rows.start()
         self.dispatch.start()
+        self.turns.start()
+        self.notice_exchange.start()
 
     async def close(self) -> None:
         """Close all connections."""
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -84,6 +84,7 @@
         self.tasks.keep(components.rows.run, 'rows')
         self.tasks.keep(components.suspension.run, 'suspension')
         self.tasks.keep(components.crashes.run, 'crashes')
+        self.tasks.keep(components.notice_exchange.run, 'notices')
         self.tasks.keep(components.end_watch.run, 'replica-ends')
         self.tasks.keep(components.quarantine_keeper.run, 'quarantine')
         self.tasks.keep(components.registration.write_row, 'register', components.store)
--- a/limeshelf/replicas/connections.py
+++ b/limeshelf/replicas/connections.py
@@ -20,11 +20,14 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
+from limeshelf.errors import SendWithheld
 from limeshelf.util.connector import SingleCloseConnector
 from limeshelf.util.http import without_silent_retry
 from limeshelf.util.sockets import keepalive_socket
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aiohttp.connector import Connection
 
     from limeshelf.calls.call import Call
@@ -81,10 +84,13 @@
 class SendProgress:
     """How far the send of one call has come.
 
+    :param may_send: asked once the connection is there, right before the first byte leaves: what
+        the replica asks for may have changed since it was chosen.
     :ivar connected: a connection was handed to the call, so bytes of it may have left;
         before that, none has.
     """
 
+    may_send: Callable[[], bool] = lambda: True
     connected: bool = False
 
 
@@ -95,14 +101,23 @@
 class NotingConnector(SingleCloseConnector):
     """Notes that a call got its connection, before the library writes a byte of it.
 
+    A call that may no longer be sent gives the connection back.
+
     The library's own traces tell the same, but take some 40 us more of each call (the
     commit that brought this class).
     """
 
     async def connect(self, *request: Any, **limits: Any) -> Connection:
-        """Return a connection for a request, new or kept."""
+        """Return a connection for a request, new or kept.
+
+        :raises SendWithheld: the call may no longer be sent.
+        """
         connection = await super().connect(*request, **limits)
-        _sending.get().connected = True
+        progress = _sending.get()
+        if not progress.may_send():
+            connection.release()
+            raise SendWithheld
+        progress.connected = True
         return connection
 
 
@@ -144,6 +159,7 @@
         The caller sets the time limit.
 
         :param progress: is kept up to date, also where the time limit ends the send.
+        :raises SendWithheld: it may no longer be sent; no byte left this process.
         :raises aiohttp.ClientConnectorError: no byte left this process.
         :raises aiohttp.ClientError: the replica may have received it.
         """
--- a/limeshelf/replicas/notices.py
+++ b/limeshelf/replicas/notices.py
@@ -16,6 +16,8 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from limeshelf.calls.wire import AnswerFacts
     from limeshelf.replicas.replica import Replica
     from limeshelf.replicas.starts import ReplicaStart
@@ -25,6 +27,7 @@
     """How a notice came."""
 
     CALL = 'call'
+    #: Another gateway's message.
     PEER = 'peer'
 
 
@@ -32,9 +35,12 @@
 class NoticeTaker:
     """Takes notices.
 
+    :ivar on_change: called with a replica when what it asks for has changed, and how that was
+        learned.
     :ivar unusable: starts of replicas that named a rate that is no usable number; logged once.
     """
 
+    on_change: Callable[[Replica, NoticeWay], None] = lambda replica, way: None
     unusable: set[ReplicaStart] = attrs.field(factory=set)
 
     def take_of_call(self, replica: Replica, facts: AnswerFacts, sent_s: float) -> None:
@@ -52,9 +58,22 @@
             self._log_unusable(replica)
         elif not facts.not_run:
             replica.backpressure.note_no_rate(sent_s)
-        self._log_change(replica, before, NoticeWay.CALL)
+        self._note_change(replica, before, NoticeWay.CALL)
+
+    def take_of_peer(self, replica: Replica, rate_per_s: float | None, known_s: float) -> None:
+        """Take what another gateway knows of a replica.
+
+        :param known_s: of a rate, when an answer named it; without one, when the latest call was
+            sent whose answer named none; on the boot clock.
+        """
+        before = replica.backpressure.rate_per_s
+        if rate_per_s is not None:
+            replica.backpressure.note_rate(rate_per_s, known_s)
+        else:
+            replica.backpressure.note_no_rate(known_s)
+        self._note_change(replica, before, NoticeWay.PEER)
 
-    def _log_change(self, replica: Replica, before: float | None, way: NoticeWay) -> None:
+    def _note_change(self, replica: Replica, before: float | None, way: NoticeWay) -> None:
         now = replica.backpressure.rate_per_s
         if now != before:
             log_change(
@@ -64,6 +83,7 @@
                 earlier_per_s=before,
                 learned_by=way,
             )
+            self.on_change(replica, way)
 
     def _log_unusable(self, replica: Replica) -> None:
         if replica.start not in self.unusable:
--- a/tests/forms/test_messages.py
+++ b/tests/forms/test_messages.py
@@ -42,6 +42,12 @@
     'a577686f6c65c2ab646174615f63656e747265a27a31a46b696e64ae7265706c6963612d73746174'
     '6573a673656e646572ad31302e302e302e313a37303031'
 )
+#: A verdict of the release whose grants brought no turns.
+OLD_VERDICT = (
+    '84a4626f647984a46b696e64a76772616e746564aa7265706c6963615f6964a3722d31a97469636b'
+    '65745f6964a3742d31a7776169745f6d7323ab646174615f63656e747265a27a31a46b696e64b064'
+    '697370617463682d76657264696374a673656e646572ad31302e302e302e313a37303031'
+)
 #: Frames of the release whose leader granted the calls of all data centres.
 OLD_DIGEST = (
     '84a4626f647989a761646472657373ad31302e302e302e313a37303031ae636f6e6669675f766572'
@@ -156,6 +162,11 @@
     assert [state.born_ms for state in message.states] == [None]
 
 
+def test_verdict_of_a_dispatcher_that_gives_no_turns() -> None:
+    message = decode(bytes.fromhex(OLD_VERDICT)).message
+    assert (message.replica_id, message.has_turn) == ('r-1', False)
+
+
 def test_digest_of_a_gateway_that_does_not_say_how_fast_prompts_are_read() -> None:
     message = decode(bytes.fromhex(OLD_DIGEST)).message
     assert (message.fence, message.reading_ms) == (5, {})
--- a/tests/gateway/test_learning.py
+++ b/tests/gateway/test_learning.py
@@ -49,6 +49,7 @@
         (Broken(BrokenBy.TIME_OVER), Nothing()),
         (NotSent(BrokenBy.SILENT), Failed(Failure.SILENT, excluded=True)),
         (NotSent(BrokenBy.TIME_OVER), Nothing()),
+        (NotSent(BrokenBy.WITHHELD), Nothing()),
     ],
 )
 def test_lesson_of_a_result(result: Result, lesson: Lesson) -> None:
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -11,14 +11,16 @@
 from limeshelf.calls.routes import EngineSpec, ServiceSpec
 from limeshelf.dispatch.grants import NoHolder, NoRoom
 from limeshelf.dispatch.messages import Stage, VerdictKind
+from limeshelf.dispatch.pace import Turn
 from limeshelf.gateway.answer import Answer
-from limeshelf.gateway.exchange import Broken, BrokenBy, Delivered, NeverRan
+from limeshelf.gateway.exchange import Broken, BrokenBy, Delivered, NeverRan, NotSent
 from limeshelf.gateway.selection import ReplicaSelector, Selected
 from limeshelf.gateway.state import CallState
 from limeshelf.platform.replicas import read_record
 from limeshelf.replicas.directory import ReplicaDirectory
 from limeshelf.replicas.health import Failure
 from limeshelf.replicas.record import Holding, ReplicaRecord
+from limeshelf.replicas.replica import Replica
 from limeshelf.routing.chooser import Chooser
 from limeshelf.util.clock import boottime_s
 from tests.dispatch.test_client import Wire, client_of, in_loop
@@ -29,7 +31,7 @@
 NEED = ModelNeed('m', '', 100, 50, 20, ())
 
 
-def selector_of(wire: Wire) -> ReplicaSelector:
+def selector_of(wire: Wire, turns: Any = None) -> ReplicaSelector:
     directory = ReplicaDirectory(read_record)
     for number in range(2):
         for service in (ENGINE, PLAIN):
@@ -46,7 +48,19 @@
                     1,
                 )
             )
-    return ReplicaSelector(directory, Chooser(directory, 'z1'), client_of(wire))
+    return ReplicaSelector(directory, Chooser(directory, 'z1'), client_of(wire), turns or Turns())
+
+
+class Turns:
+    """Gives turns as told, and notes for which replicas it was asked."""
+
+    def __init__(self, **turns: Turn) -> None:
+        self.turns = turns
+        self.asked: list[str] = []
+
+    async def get(self, replica: Replica, patience_s: float) -> Turn:
+        self.asked.append(replica.replica_id)
+        return self.turns[replica.replica_id]
 
 
 def state_of(service: ServiceSpec, need: ModelNeed | None = None, **changes: Any) -> CallState:
@@ -130,3 +144,70 @@
     for result in (NeverRan(reached=True), Broken(BrokenBy.SILENT), Delivered(200, 0.1)):
         state.note_result(result)
     assert (state.refusals, state.runs, state.last) == (1, 1, Delivered(200, 0.1))
+
+
+def limit(selector: ReplicaSelector, *replica_ids: str) -> None:
+    for replica_id in replica_ids:
+        replica = selector.directory.get(replica_id)
+        assert replica is not None
+        replica.backpressure.note_rate(2.0, boottime_s())
+
+
+@in_loop
+async def test_plain_call_passes_over_a_replica_without_a_turn() -> None:
+    turns = Turns(p0=Turn(False, 0.4))
+    selector = selector_of(Wire(VerdictKind.GRANTED), turns)
+    limit(selector, 'p0')
+    for _ in range(8):
+        selected = await selector.select(state_of(PLAIN))
+        assert isinstance(selected, Selected)
+        assert selected.replica.replica_id == 'p1'
+    assert set(turns.asked) == {'p0'}
+
+
+@in_loop
+async def test_plain_call_without_any_turn_is_told_when_the_next_one_is() -> None:
+    selector = selector_of(
+        Wire(VerdictKind.GRANTED), Turns(p0=Turn(False, 0.4), p1=Turn(False, 0.3))
+    )
+    limit(selector, 'p0', 'p1')
+    assert await selector.select(state_of(PLAIN)) == NoRoom(0.3)
+    assert await selector.select(state_of(PLAIN, excluded={'p1'})) == NoHolder()
+
+
+@in_loop
+async def test_plain_call_goes_with_a_turn() -> None:
+    selector = selector_of(Wire(VerdictKind.GRANTED), Turns(p0=Turn(True, 0.0)))
+    limit(selector, 'p0')
+    selected = await selector.select(state_of(PLAIN, excluded={'p1'}))
+    assert isinstance(selected, Selected)
+    assert selected.has_turn
+    assert selected.may_send()
+
+
+@in_loop
+async def test_grant_without_a_turn_needs_one_and_is_given_back_without() -> None:
+    for granted, stages in [(True, []), (False, [Stage.ENDED])]:
+        wire = Wire(VerdictKind.GRANTED)
+        selector = selector_of(wire, Turns(r0=Turn(granted, 0.0)))
+        limit(selector, 'r0')
+        selected = await selector.select(state_of(ENGINE, NEED))
+        assert isinstance(selected, Selected if granted else NoHolder)
+        assert [stage for _, stage in wire.stages()] == stages
+
+
+@in_loop
+async def test_replica_that_names_a_rate_after_the_choice_is_not_sent_to() -> None:
+    selector = selector_of(Wire(VerdictKind.GRANTED))
+    selected = await selector.select(state_of(PLAIN, excluded={'p1'}))
+    assert isinstance(selected, Selected)
+    assert selected.may_send()
+    limit(selector, 'p0')
+    assert not selected.may_send()
+
+
+def test_withheld_call_has_not_been_sent() -> None:
+    state = state_of(PLAIN)
+    state.note_send()
+    state.note_result(NotSent(BrokenBy.WITHHELD))
+    assert (state.sends, state.refusals, state.runs) == (0, 0, 0)
--- a/tests/replicas/test_connections.py
+++ b/tests/replicas/test_connections.py
@@ -12,6 +12,7 @@
 
 from limeshelf.calls.call import Call
 from limeshelf.calls.wire import SendFacts
+from limeshelf.errors import SendWithheld
 from limeshelf.platform.wire import PlatformWire
 from limeshelf.replicas.connections import ReplicaConnections, SendProgress, StrictResponseHandler
 from standins.users_platform.replica import Fault, ReplicaStandIn
@@ -82,15 +83,18 @@
 
 
 def test_progress_tells_whether_a_connection_was_handed_to_the_call() -> None:
-    """New, kept and none free; a connection that answers nothing is one all the same."""
+    """New, kept and none free; a connection that answers nothing is one all the same.
+
+    A call that may not be sent after all leaves no byte on its connection, which is kept.
+    """
 
     async def play() -> None:
         replica = ReplicaStandIn('p-1')
         connections = ReplicaConnections(await replica.start(), 1, PlatformWire())
         facts = SendFacts(1.0, 'p-1', 0, None)
 
-        async def send(call_id: str, limit_s: float) -> SendProgress:
-            progress = SendProgress()
+        async def send(call_id: str, limit_s: float, **options: Any) -> SendProgress:
+            progress = SendProgress(**options)
             headers = (('Limeshelf-Attempt-Id', call_id),)
             call = Call(call_id, 'GET', 'h', '/x', headers, b'', 0.0, None, None, None)
             with contextlib.suppress(TimeoutError):
@@ -100,6 +104,8 @@
             return progress
 
         assert (await send('new', 5.0)).connected
+        with pytest.raises(SendWithheld):
+            await send('withheld', 5.0, may_send=lambda: False)
         replica.fault = Fault.SILENT
         kept = asyncio.create_task(send('kept', 1.0))
         while len(replica.runs) < 2:
