Red: replicas that said in an answer that they leave go on getting calls

With three gateways, one plain and one model replica say in each answer that they leave, and their rows do not; these lapse and come back meanwhile, as while the store is away. 58 calls came to the plain one from gateways that had known for over 2 s.

--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -20,6 +20,8 @@
 
 #: Data centres of the gateways, in turn.
 CENTRES = ('z1', 'z1', 'z2')
+#: Calls of :func:`load`, from all callers together.
+CALLS_PER_S = 40
 #: After which the store drops the row of a replica that is silent, in seconds.
 ROW_LIFE_S = 1.0
 
@@ -154,6 +156,23 @@
         await replica.close()
 
 
+async def load(world: FleetWorld, path: str, for_s: float) -> list[int]:
+    """Make calls at all gateways in turn, at a steady pace; return what they were told.
+
+    :param path: ``/stream/x`` for calls to a model.
+    """
+    tasks = []
+    for number in range(int(for_s * CALLS_PER_S)):
+        at = number % len(CENTRES)
+        if path.startswith('/stream'):
+            call = world.generate_at(at, b'x')
+        else:
+            call = world.call_at(at, path, b'x')
+        tasks.append(asyncio.create_task(call))
+        await asyncio.sleep(1 / CALLS_PER_S)
+    return list(await asyncio.gather(*tasks))
+
+
 def run_fleet(scenario: Any, **options: Any) -> None:
     """Run *scenario* with a fleet of its own."""
 
--- a/tests/support/needs.py
+++ b/tests/support/needs.py
@@ -19,6 +19,8 @@
 #: What may come in a window, in units of what the rate allows, and beside that.
 TOLERATED_SHARE = 1.5
 TOLERATED_CALLS = 5
+#: A gateway that heard that a replica leaves may send there for this long, in seconds.
+LEAVING_AFTER_S = 2.0
 
 
 def tolerated(rate_per_s: float) -> float:
@@ -47,6 +49,18 @@
     )
 
 
+def arrivals_after_leaving(world: FleetWorld, replica: ReplicaStandIn) -> int:
+    """Return how many calls came of gateways that long knew that a replica leaves."""
+    told_s: dict[int, float] = {}
+    for one in replica.stated:
+        if one.needs.leaving:
+            told_s.setdefault(world.gateway_of[one.call_id], one.at_s)
+    return sum(
+        number in told_s and at_s > told_s[number] + LEAVING_AFTER_S
+        for at_s, number in _arrivals(world, replica)
+    )
+
+
 def _arrivals(world: FleetWorld, replica: ReplicaStandIn) -> Iterator[tuple[float, int]]:
     for seen in replica.seen:
         yield seen.at_s, world.gateway_of[seen.call_id]
