Red: replicas that ask a gateway for rest go on getting its calls

Three gateways, all replicas turn calls away with 503 and 3 s of rest: 21 calls of one gateway came to a plain replica within one such rest, where 2 may.

--- a/tests/support/needs.py
+++ b/tests/support/needs.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from standins.users_platform.replica import STATUS_FULL
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -21,6 +23,8 @@
 TOLERATED_CALLS = 5
 #: A gateway that heard that a replica leaves may send there for this long, in seconds.
 LEAVING_AFTER_S = 2.0
+#: Calls that may come from a gateway within the rest that it was asked for.
+TOLERATED_IN_REST = 2
 
 
 def tolerated(rate_per_s: float) -> float:
@@ -61,6 +65,20 @@
     )
 
 
+def most_in_a_rest(world: FleetWorld, replica: ReplicaStandIn) -> int:
+    """Return the most calls of one gateway within a rest that it was asked for."""
+    arrivals = list(_arrivals(world, replica))
+    most = 0
+    for one in replica.stated:
+        if one.needs.rest_s is None or one.status != STATUS_FULL:
+            continue
+        number = world.gateway_of[one.call_id]
+        begin_s, end_s = one.at_s + KNOWN_AFTER_S, one.at_s + float(one.needs.rest_s)
+        within = sum(who == number and begin_s <= at_s <= end_s for at_s, who in arrivals)
+        most = max(most, within)
+    return most
+
+
 def _arrivals(world: FleetWorld, replica: ReplicaStandIn) -> Iterator[tuple[float, int]]:
     for seen in replica.seen:
         yield seen.at_s, world.gateway_of[seen.call_id]
