A replica that asks a gateway for rest gets nothing of it until that is over

Callers were refused late: a replica turned their gateway away and asked it for some seconds of rest, and the call came to it again 50 ms later, as did others, at replicas that had no room for them.

Cause: the time to come back in a replica's refusal was read and used for nothing. A refusal adds to the cost of a replica, and where all refuse, the cheapest gets the call.

Mend: 429 and 503 with a time to come back, in any answer, pause the start of the replica for this gateway: not chosen, not asked of its owner, not polled and given no order, and a call that already has a connection is withheld. Where all that could run a call rest, it waits only if it can still be in time, else it is refused at once with the rest that is left. A shorter rest that is asked for later ends none; none is longer than 300 s.

--- a/limeshelf/calls/notice.py
+++ b/limeshelf/calls/notice.py
@@ -18,11 +18,16 @@
     :param names_rate: whether it names a rate, usable or not. An unusable one neither sets a
         rate nor ends one.
     :param leaving: it is to get no more calls, ever.
+    :param pause_s: for which it wants nothing of the gateway that it answers, in seconds; ``None``
+        where it asks for no pause.
+    :param unusable: whether it says something that cannot be read.
     """
 
     rate_per_s: float | None = None
     names_rate: bool = False
     leaving: bool = False
+    pause_s: float | None = None
+    unusable: bool = False
 
 
 #: Of an answer that asks for nothing.
--- a/limeshelf/demand/meter.py
+++ b/limeshelf/demand/meter.py
@@ -21,6 +21,7 @@
     from limeshelf.calls.call import Call
     from limeshelf.calls.routes import EngineSpec, ServiceSpec
     from limeshelf.replicas.directory import ReplicaDirectory
+    from limeshelf.replicas.replica import Replica
 
 #: The same missing key is reported to the leader at most this often. Chosen, not measured.
 REPORT_AGAIN_S = 0.1
@@ -105,17 +106,25 @@
         """Return when a replica can likely run a call, and what is on its way for it."""
         key = key_of(call, service.name)
         if key is None or service.engine is None:
-            wait_s = plain_wait_s(bool(self._directory.of_service(service.name)))
+            replicas = self._directory.of_service(service.name)
+            wait_s = max(plain_wait_s(bool(replicas)), _pause_left_s(replicas))
             return CallOutlook(wait_s, None, is_announced=key is None, model_held=False)
         model = self._model_outlook(key, service.engine)
         announced_in_s = model.announced_in_s
         return CallOutlook(
-            model_wait_s(model),
+            max(model_wait_s(model), _pause_left_s(self._holders(key))),
             announced_in_s,
             is_announced=announced_in_s is not None,
             model_held=model.has_model,
         )
 
+    def _holders(self, key: ModelKey) -> list[Replica]:
+        return [
+            replica
+            for replica in self._directory.of_service(key.service)
+            if replica.holds(key.model, key.adapter)
+        ]
+
     def _model_outlook(self, key: ModelKey, engine: EngineSpec) -> ModelOutlook:
         replicas = self._directory.of_service(key.service)
         spec = engine.models.get(key.model)
@@ -131,3 +140,8 @@
             load_s=spec.load_s if spec else None,
             adapter_wait_s=self._adapter_waits.wait_s(key, now_s) if misses_adapter else 0.0,
         )
+
+
+def _pause_left_s(replicas: list[Replica]) -> float:
+    """Return how much longer none of some replicas wants a call of this gateway, in seconds."""
+    return min((replica.backpressure.pause_left_s for replica in replicas), default=0.0)
--- a/limeshelf/gateway/selection.py
+++ b/limeshelf/gateway/selection.py
@@ -44,7 +44,7 @@
 
         What it was chosen by may have changed while it waited for a connection.
         """
-        if not self.replica.takes_calls:
+        if not self.replica.takes_calls or self.replica.backpressure.is_paused:
             return False
         return self.has_turn or self.replica.backpressure.rate_per_s is None
 
@@ -145,7 +145,7 @@
         return {
             replica.replica_id
             for replica in self.directory.of_service(state.service.name)
-            if replica.health.is_suspended()
+            if replica.health.is_suspended() or replica.backpressure.is_paused
         }
 
 
--- a/limeshelf/orders/sender.py
+++ b/limeshelf/orders/sender.py
@@ -77,8 +77,13 @@
     async def poll(self, replica: Replica, settled: bool = False) -> bool:
         """Ask a replica for its report; return whether it answered.
 
+        One that asked this gateway for a pause is not asked.
+
         :param settled: nothing was ordered there for longer than reports lag.
         """
+        if replica.backpressure.is_paused:
+            # Nothing shows that it is lost, and nothing is ordered there without a new report.
+            return False
         pending = self.pending(replica)
         settled = settled or pending.is_settled
         asked_s = boottime_s()
--- a/limeshelf/placement/replica_watch.py
+++ b/limeshelf/placement/replica_watch.py
@@ -111,6 +111,7 @@
             and not pending.models_expected()
             and not busy
             and not replica.health.is_suspended()
+            and not replica.backpressure.is_paused
         )
 
     def is_coming_or_held(self, key: ModelKey) -> bool:
--- a/limeshelf/platform/headers.py
+++ b/limeshelf/platform/headers.py
@@ -78,6 +78,9 @@
 #: run the call.
 STATUS_MISDIRECTED = 421
 
+#: Statuses with which a replica turns a call away for now.
+TURNED_AWAY = (429, 503)
+
 #: Lower numbers are more urgent.
 MOST_URGENT = 0
 LEAST_URGENT = 9
@@ -212,22 +215,31 @@
     return tuple(parts)
 
 
-def read_notice(fields: Mapping[str, str]) -> ReplicaNotice:
+def read_notice(status: int, fields: Mapping[str, str]) -> ReplicaNotice:
     """Return what a replica asks for in the head of an answer.
 
     :param fields: case-insensitive multi-dictionary of the answer's headers.
     """
     rate = fields.get(RATE_LIMIT)
     leaving = fields.get(LEAVING, '').strip() == YES
-    if rate is None and not leaving:
+    pause = fields.get(RETRY_AFTER) if status in TURNED_AWAY else None
+    if rate is None and pause is None and not leaving:
         return NO_NOTICE
+    rate_per_s = _read_rate(rate) if rate is not None else None
+    pause_s = read_seconds(pause)
     return ReplicaNotice(
-        rate_per_s=_read_rate(rate) if rate is not None else None,
+        rate_per_s=rate_per_s,
         names_rate=rate is not None,
         leaving=leaving,
+        pause_s=pause_s,
+        unusable=_is_unusable(rate, rate_per_s) or _is_unusable(pause, pause_s),
     )
 
 
+def _is_unusable(text: str | None, value: float | None) -> bool:
+    return text is not None and value is None
+
+
 def _read_rate(text: str) -> float | None:
     """Return calls a second; ``None`` where the text names no number that can be kept to."""
     try:
--- a/limeshelf/platform/orders.py
+++ b/limeshelf/platform/orders.py
@@ -132,7 +132,7 @@
                     method, f'http://{address}{path}', data=data, headers=headers
                 ) as answer:
                     if answer.status != STATUS_MISDIRECTED:
-                        self._on_notice(replica_id, read_notice(answer.headers))
+                        self._on_notice(replica_id, read_notice(answer.status, answer.headers))
                     return answer.status, await answer.read()
         except (TimeoutError, aiohttp.ClientError, OSError):
             raise ReplicaSilent(replica_id) from None
--- a/limeshelf/platform/wire.py
+++ b/limeshelf/platform/wire.py
@@ -90,7 +90,7 @@
                 if name.lower() not in headers.HOP_HEADERS
             ),
             keep_alive_s=headers.read_keep_alive_s(fields.get('Keep-Alive')),
-            notice=headers.read_notice(fields),
+            notice=headers.read_notice(status, fields),
         )
 
     def refusal_headers(
--- a/limeshelf/replicas/backpressure.py
+++ b/limeshelf/replicas/backpressure.py
@@ -11,6 +11,12 @@
 
 import attrs
 
+from limeshelf.util.clock import boottime_s
+
+#: No pause is longer, in seconds: one that is stated in another unit by mistake must not take the
+#: replica out of use for good.
+MAX_PAUSE_S = 300.0
+
 
 @attrs.define
 class Backpressure:
@@ -21,11 +27,15 @@
     answer comes, since calls that were sent at full speed to find out would exceed it.
 
     :ivar leaving: it has said, in whatever way, that it leaves; it never takes that back.
+    :ivar paused_until_s: until when it wants nothing of this gateway, on the boot clock. It asks
+        each gateway by itself, so that others go on. A shorter pause that it asks for later ends
+        none that it asked for before.
     :ivar heard_s: when an answer last named a rate, on the boot clock.
     :ivar ended_s: when the latest call was sent whose answer named none, on the boot clock.
     """
 
     leaving: bool = False
+    paused_until_s: float = -math.inf
     heard_s: float = -math.inf
     ended_s: float = -math.inf
     _named_per_s: float | None = None
@@ -35,6 +45,21 @@
         """Return the calls a second that it takes from all gateways; ``None`` for any number."""
         return self._named_per_s if self.heard_s >= self.ended_s else None
 
+    @property
+    def is_paused(self) -> bool:
+        """Return whether it wants nothing of this gateway now."""
+        return self.pause_left_s > 0
+
+    @property
+    def pause_left_s(self) -> float:
+        """Return for how much longer it wants nothing of this gateway, in seconds."""
+        return max(0.0, self.paused_until_s - boottime_s())
+
+    def note_pause(self, pause_s: float) -> None:
+        """Note that it asked this gateway for a pause, in seconds."""
+        until_s = boottime_s() + min(MAX_PAUSE_S, pause_s)
+        self.paused_until_s = max(self.paused_until_s, until_s)
+
     def note_rate(self, rate_per_s: float, heard_s: float) -> None:
         """Note that an answer named a rate.
 
--- a/limeshelf/replicas/notices.py
+++ b/limeshelf/replicas/notices.py
@@ -14,7 +14,7 @@
 
 from limeshelf.calls.notice import NO_NOTICE
 from limeshelf.metrics.event_log import log_change
-from limeshelf.util.clock import boottime_s
+from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,7 +55,7 @@
 
     :ivar on_change: called with a replica when what it asks for has changed, and how that was
         learned.
-    :ivar unusable: starts of replicas that named a rate that is no usable number; logged once.
+    :ivar unusable: starts of replicas that said something that cannot be read; logged once.
     """
 
     directory: ReplicaDirectory
@@ -91,9 +91,22 @@
             self.directory.mark_leaving(replica, way)
         if notice.rate_per_s is not None:
             replica.backpressure.note_rate(notice.rate_per_s, boottime_s())
-        elif notice.names_rate:
+        if notice.pause_s is not None:
+            self._pause(replica, notice.pause_s, way)
+        if notice.unusable:
             self._log_unusable(replica)
 
+    def _pause(self, replica: Replica, pause_s: float, way: NoticeWay) -> None:
+        was_paused = replica.backpressure.is_paused
+        replica.backpressure.note_pause(pause_s)
+        if not was_paused and pause_s:
+            log_change(
+                'replica_pause',
+                replica=replica.replica_id,
+                pause_ms=int(replica.backpressure.pause_left_s * MS_PER_S),
+                learned_by=way,
+            )
+
     def take_leaving_of_peer(self, replica: Replica) -> None:
         """Take that another gateway has heard that a replica leaves."""
         before = _Asked.by(replica)
@@ -131,4 +144,4 @@
     def _log_unusable(self, replica: Replica) -> None:
         if replica.start not in self.unusable:
             self.unusable.add(replica.start)
-            log_change('replica_rate_unusable', replica=replica.replica_id)
+            log_change('replica_notice_unusable', replica=replica.replica_id)
--- a/limeshelf/routing/chooser.py
+++ b/limeshelf/routing/chooser.py
@@ -67,12 +67,14 @@
     def choose(self, service: ServiceSpec, excluded: frozenset[str]) -> Replica | None:
         """Return the cheapest replica of a service, any of them where several are alike.
 
+        One that asked this gateway for a pause gets none, whatever else there is.
+
         :param excluded: ids of replicas that refused or failed this call.
         """
         replicas = [
             replica
             for replica in self.directory.of_service(service.name)
-            if replica.replica_id not in excluded
+            if replica.replica_id not in excluded and not replica.backpressure.is_paused
         ]
         costs = [(self._cost(replica, service), replica) for replica in replicas]
         # Gateways that see the same loads must not all choose the same replica.
--- a/tests/forms/test_platform_wire.py
+++ b/tests/forms/test_platform_wire.py
@@ -508,8 +508,31 @@
             not_run=True,
             retry_after_s=0.25,
             headers=(*OWN, ('Limeshelf-Not-Executed', '1'), ('Retry-After', '0.25')),
+            notice=ReplicaNotice(pause_s=0.25),
         ),
     ),
+    **{
+        f'{status} with a pause of {text}': (
+            (*OWN, ('Retry-After', text)),
+            attrs.evolve(
+                BARE_ANSWER,
+                status=status,
+                retry_after_s=pause_s,
+                headers=(*OWN, ('Retry-After', text)),
+                notice=notice,
+            ),
+        )
+        for status, text, pause_s, notice in [
+            (503, '3', 3.0, ReplicaNotice(pause_s=3.0)),
+            (429, '0.5', 0.5, ReplicaNotice(pause_s=0.5)),
+            (503, '86400', 86400.0, ReplicaNotice(pause_s=86400.0)),
+            (503, '-1', 0.0, ReplicaNotice(pause_s=0.0)),
+            (503, 'soon', None, ReplicaNotice(unusable=True)),
+            (503, 'Thu, 03 Dec 2026 06:00:00 GMT', None, ReplicaNotice(unusable=True)),
+            (200, '3', 3.0, ReplicaNotice()),
+            (500, '3', 3.0, ReplicaNotice()),
+        ]
+    },
     'busy, but perhaps run': (OWN, attrs.evolve(BARE_ANSWER, status=429)),
     **{
         f'leaving {text}': (
@@ -528,7 +551,7 @@
             attrs.evolve(
                 BARE_ANSWER,
                 headers=(*OWN, ('server-limit', text)),
-                notice=ReplicaNotice(rate_per_s=rate_per_s, names_rate=True),
+                notice=ReplicaNotice(rate_per_s, names_rate=True, unusable=rate_per_s is None),
             ),
         )
         for text, rate_per_s in [
--- a/tests/orders/test_sender.py
+++ b/tests/orders/test_sender.py
@@ -372,3 +372,16 @@
         world.replica.record = address
 
     play(scenario, replica)
+
+
+def test_replica_that_wants_nothing_of_this_gateway_is_neither_polled_nor_lost() -> None:
+    replica = ReplicaStandIn('e-1', ['m1'])
+
+    async def scenario(world: World) -> None:
+        world.replica.backpressure.note_pause(60.0)
+        assert not await world.sender.poll(world.replica)
+        assert not await world.runner.run(world.replica, [OrderTask(LOAD, 'm2')])
+        assert replica.orders == []
+        assert world.sender.pending(world.replica).missed_polls == 0
+
+    play(scenario, replica)
--- a/tests/replicas/test_notices.py
+++ b/tests/replicas/test_notices.py
@@ -8,6 +8,7 @@
 from limeshelf.calls.notice import NO_NOTICE, ReplicaNotice
 from limeshelf.calls.wire import AnswerFacts
 from limeshelf.platform.replicas import read_record
+from limeshelf.replicas.backpressure import MAX_PAUSE_S
 from limeshelf.replicas.directory import ReplicaDirectory
 from limeshelf.replicas.notices import NoticeTaker, NoticeWay
 from limeshelf.replicas.record import ReplicaRecord
@@ -17,7 +18,7 @@
 RAN = AnswerFacts(200, 'c', True, False, False, False, None, (), None)
 REFUSED = attrs.evolve(RAN, status=503, not_run=True)
 RATE = ReplicaNotice(rate_per_s=2.3, names_rate=True)
-UNUSABLE = ReplicaNotice(names_rate=True)
+UNUSABLE = ReplicaNotice(names_rate=True, unusable=True)
 LEAVING = ReplicaNotice(leaving=True)
 RECORD = ReplicaRecord('r-1', 'app', 'ip:1', 'z1', 4, False, None, (), 1)
 
@@ -91,3 +92,24 @@
     world.directory.take_record(attrs.evolve(RECORD, beat_number=1, born_ms=9))
     assert world.replica.takes_calls
     assert world.replica.backpressure.rate_per_s is None
+
+
+def test_pause_is_this_gateways_alone_and_a_shorter_one_ends_none() -> None:
+    world = World()
+    with virtual_clock() as clock:
+        world.answer(REFUSED, ReplicaNotice(pause_s=3.0), clock.now_s)
+        clock.advance(1.0)
+        world.answer(REFUSED, ReplicaNotice(pause_s=0.5), clock.now_s)
+        assert world.replica.backpressure.pause_left_s == pytest.approx(2.0)
+        world.answer(RAN, NO_NOTICE, clock.now_s)
+        assert world.replica.backpressure.is_paused
+        clock.advance(2.1)
+        assert not world.replica.backpressure.is_paused
+    assert world.changes == []
+
+
+def test_pause_of_a_day_is_bounded() -> None:
+    world = World()
+    with virtual_clock():
+        world.taker.take_of_order('r-1', ReplicaNotice(pause_s=86400.0))
+        assert world.replica.backpressure.pause_left_s == MAX_PAUSE_S
