--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -137,6 +137,7 @@
     :param events: events of a whole stream.
     :ivar born_ms: time of its start that it states; ``None`` states none.
     :ivar starts: how often it has started again.
+    :ivar restarted_s: when, on the clock of the loop.
     :ivar deadly_text: it ends as soon as it begins to run a call with this in its body.
     :ivar deadly_model: it ends as soon as it begins to load it.
     :ivar on_end: called when that has happened.
@@ -167,6 +168,7 @@
         self.address = ''
         self.born_ms: int | None = None
         self.starts = 0
+        self.restarted_s: list[float] = []
         self.deadly_text: bytes | None = None
         self.deadly_model = ''
         self._endings: set[asyncio.Task[None]] = set()
@@ -224,6 +226,7 @@
         self._first_beat = beat
         self.born_ms = born_ms
         self.starts += 1
+        self.restarted_s.append(asyncio.get_running_loop().time())
 
     def row(self, service: str, state: str = 'ready', beat: int = 1) -> dict[str, Any]:
         """Return the replica's entry for the store."""
--- a/tests/platform_soak/callers.py
+++ b/tests/platform_soak/callers.py
@@ -24,6 +24,7 @@
     :ivar status: 0 where the connection ended before a whole answer.
     :ivar key: that the call carries.
     :ivar sent_s: when it was sent, on the clock of the loop.
+    :ivar gateway: address of the gateway at which it was made.
     """
 
     call_id: str
@@ -34,6 +35,7 @@
     stamp: str = ''
     key: str = ''
     sent_s: float = 0.0
+    gateway: str = ''
 
 
 class Callers:
@@ -102,7 +104,7 @@
         self, session: aiohttp.ClientSession, ip: str, kind: str, key: str = ''
     ) -> Asked:
         """Make one call and keep it."""
-        asked = Asked(f's{self._seed}-{next(self._numbers)}', kind, '')
+        asked = Asked(f's{self._seed}-{next(self._numbers)}', kind, '', gateway=ip)
         asked.key = key or self._world.keys.draw()
         asked.sent_s = asyncio.get_running_loop().time()
         headers = {
--- a/tests/platform_soak/faults.py
+++ b/tests/platform_soak/faults.py
@@ -47,6 +47,7 @@
         for gateway in self.world.gateways:
             gateway.signal(signal.SIGCONT)
             if not gateway.runs:
+                self.world.note_struck(gateway.ip)
                 gateway.start()
 
     def a_gateway(self) -> GatewayProcess:
@@ -61,9 +62,17 @@
         """Harm links for a while."""
         for link in links:
             link.harm = harm
+        self.note_harmed(links)
         await self.for_a_while()
         for link in links:
             link.heal()
+        self.note_harmed(links)
+
+    def note_harmed(self, links: list[Link]) -> None:
+        """Note which replicas' links are struck, or whole again."""
+        for replica_id, link in self.world.links.items():
+            if link in links:
+                self.world.note_struck(replica_id)
 
     async def spoil(self, replica: ReplicaStandIn, fault: Fault) -> None:
         """Let a replica fail for a while."""
@@ -72,10 +81,12 @@
         replica.fault = Fault.NONE
 
 
-async def _restart(gateway: GatewayProcess) -> None:
+async def _restart(world: World, gateway: GatewayProcess) -> None:
+    world.note_struck(gateway.ip)
     while gateway.runs:
         await asyncio.sleep(0.05)
     await asyncio.sleep(RESTART_S)
+    world.note_struck(gateway.ip)
     if not gateway.runs:
         gateway.start()
 
@@ -85,7 +96,7 @@
     """Kill a gateway; it is started again."""
     gateway = faults.a_gateway()
     gateway.signal(signal.SIGKILL)
-    await _restart(gateway)
+    await _restart(faults.world, gateway)
 
 
 @strike
@@ -94,7 +105,7 @@
     for gateway in faults.random.sample(faults.world.gateways, 2):
         gateway.signal(signal.SIGTERM)
         await asyncio.sleep(0.5)
-        asyncio.get_running_loop().create_task(_restart(gateway))
+        asyncio.get_running_loop().create_task(_restart(faults.world, gateway))
 
 
 @strike
@@ -102,8 +113,10 @@
     """Freeze a gateway for a while."""
     gateway = faults.a_gateway()
     gateway.signal(signal.SIGSTOP)
+    faults.world.note_struck(gateway.ip)
     await faults.for_a_while()
     gateway.signal(signal.SIGCONT)
+    faults.world.note_struck(gateway.ip)
 
 
 @strike
@@ -211,3 +224,29 @@
             table, faults.random.choice(tables[table]), faults.random.choice(values)
         )
         await asyncio.sleep(faults.random.uniform(0.0, 0.3))
+
+
+@strike
+async def ask_for_less(faults: Faults) -> None:
+    """Let a replica name a rate, or turn all calls away and ask for rest, for a while."""
+    replica = faults.random.choice(faults.world.replicas)
+    if faults.random.random() < 0.5:
+        replica.needs.rate_per_s = faults.random.choice(['0', '0.3', '2.3', '5', 'nan'])
+    else:
+        replica.needs.rest_s = faults.random.choice(['0.5', '3', '20'])
+        replica.fault = Fault.FULL
+    await faults.for_a_while()
+    replica.needs.rate_per_s = replica.needs.rest_s = None
+    replica.fault = Fault.NONE
+
+
+@strike
+async def leave(faults: Faults) -> None:
+    """Let a replica say in its answers alone that it leaves; another start takes its place."""
+    replica = faults.random.choice(faults.world.replicas)
+    if replica.born_ms is None:
+        # A start that states no time cannot be told from the next one.
+        await faults.world.restart(replica, 1000)
+    replica.needs.leaving = True
+    await faults.for_a_while()
+    await faults.world.restart(replica, 1000)
--- a/tests/platform_soak/run.py
+++ b/tests/platform_soak/run.py
@@ -10,6 +10,7 @@
 from tests.platform_soak.callers import KINDS, Asked, Callers
 from tests.platform_soak.checks import broken_promises
 from tests.platform_soak.faults import Faults
+from tests.platform_soak.needs import Watch, broken_needs
 from tests.platform_soak.world import World
 
 START_LIMIT_S = 30.0
@@ -47,6 +48,8 @@
         await asyncio.sleep(SETTLE_S)
         await callers.stop()
         broken = broken_promises(callers.history, world.replicas, world.keys)
+        asked_of = {asked.call_id: asked for asked in callers.history}
+        broken += broken_needs(world.replicas, Watch(asked_of, world.struck_s))
         broken += [f'a log holds {key}' for key in world.logged_keys()]
         if recovered:
             broken += [recovered, world.log_tail()]
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -84,6 +84,9 @@
         self.gateways: list[GatewayProcess] = []
         self.version = 1
         self.keys = Keys()
+        #: When each gateway, by its address, and the link of each replica, by its id, were struck
+        #: or came back, on the clock of the loop.
+        self.struck_s: dict[str, list[float]] = {}
         self.ports = {name: free_port() for name in ('calls', 'ready', 'peers', 'figures')}
         self._count = gateways
         self._folder = tempfile.TemporaryDirectory()
@@ -132,6 +135,10 @@
         born_ms = (replica.born_ms or int(time.time() * 1000)) + step_ms
         await replica.restart(born_ms, self._beat)
 
+    def note_struck(self, name: str) -> None:
+        """Note that something strikes a gateway or the link of a replica, or has ended."""
+        self.struck_s.setdefault(name, []).append(asyncio.get_running_loop().time())
+
     def _announce(self) -> None:
         self._beat += 1
         for replica in self.replicas:
