--- a/limeshelf/metrics/prometheus.py
+++ b/limeshelf/metrics/prometheus.py
@@ -58,6 +58,12 @@
             registry=self._registry,
         )
 
+        self._notices = Counter(
+            'limeshelf_replica_notices',
+            'Times that a replica began to ask for something, by what.',
+            ['statement'],
+            registry=self._registry,
+        )
         self._suspensions = Counter(
             'limeshelf_suspensions',
             'Times that the machine was suspended while the gateway ran.',
@@ -94,6 +100,13 @@
         """
         self._restarts.labels(learned_by).inc()
 
+    def observe_notice(self, statement: str) -> None:
+        """Count that a replica began to ask for something.
+
+        :param statement: value of :class:`limeshelf.replicas.notices.Statement`.
+        """
+        self._notices.labels(statement).inc()
+
     def observe_suspension(self) -> None:
         """Count a suspension of the machine."""
         self._suspensions.inc()
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -110,7 +110,7 @@
         self.directory = ReplicaDirectory(
             read_record, self.changes.note_replica, self.metrics.observe_restart
         )
-        self.notices = NoticeTaker(self.directory)
+        self.notices = NoticeTaker(self.directory, count=self.metrics.observe_notice)
         self.members = Members(Member(node.address, settings.data_centre, settings.weight))
         self.leadership = Leadership(
             self.store,
--- a/limeshelf/replicas/notices.py
+++ b/limeshelf/replicas/notices.py
@@ -36,6 +36,14 @@
     PEER = 'peer'
 
 
+class Statement(enum.StrEnum):
+    """What a replica asks for, as the label of a counter."""
+
+    RATE = 'rate'
+    PAUSE = 'pause'
+    LEAVING = 'leaving'
+
+
 @attrs.frozen
 class _Asked:
     """What a replica asks of all gateways at a moment."""
@@ -55,11 +63,13 @@
 
     :ivar on_change: called with a replica when what it asks for has changed, and how that was
         learned.
+    :ivar count: called when a replica begins to ask for something, or names another rate.
     :ivar unusable: starts of replicas that said something that cannot be read; logged once.
     """
 
     directory: ReplicaDirectory
     on_change: Callable[[Replica, NoticeWay], None] = lambda replica, way: None
+    count: Callable[[Statement], None] = lambda statement: None
     unusable: set[ReplicaStart] = attrs.field(factory=set)
 
     def take_of_call(self, replica: Replica, facts: AnswerFacts, sent_s: float) -> None:
@@ -100,6 +110,7 @@
         was_paused = replica.backpressure.is_paused
         replica.backpressure.note_pause(pause_s)
         if not was_paused and pause_s:
+            self.count(Statement.PAUSE)
             log_change(
                 'replica_pause',
                 replica=replica.replica_id,
@@ -138,6 +149,10 @@
                 earlier_per_s=before.rate_per_s,
                 learned_by=way,
             )
+            if now.rate_per_s is not None:
+                self.count(Statement.RATE)
+        if now.leaving and not before.leaving:
+            self.count(Statement.LEAVING)
         if now != before:
             self.on_change(replica, way)
 
--- a/tests/forms/test_metrics.py
+++ b/tests/forms/test_metrics.py
@@ -130,6 +130,7 @@
         figures.observe_store_call('read', 'members')
         figures.observe_unreadable_row('servers')
         figures.observe_restart('row')
+        figures.observe_notice('rate')
         figures.watch('some_gauge', 'Meaning.', lambda: 4.0)
         server = MetricsServer(figures)
         with socket.socket() as probe:
