--- a/limeshelf/admission/absent_model.py
+++ b/limeshelf/admission/absent_model.py
@@ -18,11 +18,10 @@
 if TYPE_CHECKING:
     from limeshelf.calls.routes import Route
 
-#: Pause before a waiting call asks for a replica again; changes wake it earlier. Chosen, not
-#: measured.
+#: Pause before a waiting call asks for a replica again; changes wake it earlier.
 RECHECK_S = 0.05
 #: Time in which the leader says when an absent model will be there, at the most this share of
-#: the objective, so that a refusal still comes early. Both chosen, not measured.
+#: the objective, so that a refusal still comes early.
 ANNOUNCE_S = 0.5
 ANNOUNCE_SHARE = 0.2
 
--- a/limeshelf/admission/come_back.py
+++ b/limeshelf/admission/come_back.py
@@ -13,26 +13,24 @@
 #: Callers heed a time to come back up to this share of the time that they have left
 #: (the platform's page on requests: a third).
 COME_BACK_SHARE = 0.33
-#: Sooner than this a caller comes back before anything has changed. Chosen, not measured.
+#: Sooner than this a caller comes back before anything has changed.
 LEAST_COME_BACK_S = 0.2
 #: Part of the objective after which a caller comes back where no time is known, so that the
-#: next attempt can still be in time. Chosen, not measured.
+#: next attempt can still be in time.
 REFUSED_OBJECTIVE_SHARE = 0.3
-#: Callers come back a little later than the model is expected: those that came back before
-#: were refused again (the factor is chosen, not measured).
+#: Callers come back a little later than the model is expected: those that came back before were
+#: refused again.
 READY_MARGIN = 1.1
-#: Another gateway takes the call at once. Chosen, not measured.
+#: Another gateway takes the call at once.
 STOPPING_COME_BACK_S = 0.05
-#: The configuration and the replicas come within about a second of the start. Chosen, not
-#: measured.
+#: The configuration and the replicas come within about a second of the start.
 NOT_READY_COME_BACK_S = 0.5
 
 #: A gateway that is cut off does not know until when; another one takes the call sooner than
-#: this one would. Chosen, not measured.
+#: this one would.
 CONFIG_TOO_OLD_COME_BACK_S = 0.3
 
-#: A relay that fell silent is replaced within 1.2 s, and another gateway may hear one. Chosen,
-#: not measured.
+#: A relay that fell silent is replaced within 1.2 s, and another gateway may hear one.
 LIMIT_UNKNOWN_COME_BACK_S = 0.3
 
 
--- a/limeshelf/admission/patience.py
+++ b/limeshelf/admission/patience.py
@@ -12,13 +12,13 @@
     from limeshelf.calls.routes import Route
 
 #: Share of the objective that a call may wait for a model which no replica holds; the rest is
-#: left for the answer itself. Chosen, not measured.
+#: left for the answer itself.
 HOLD_SHARE = 0.6
 #: Share of the caller's patience after which a waiting call is refused, so that the refusal
-#: still finds it. Chosen, not measured.
+#: still finds it.
 PATIENCE_SHARE = 0.85
 #: A caller that allows less than this share of the route's time-out has spent the rest on an
-#: earlier attempt. Chosen, not measured.
+#: earlier attempt.
 RETURNED_SHARE = 0.97
 
 
--- a/limeshelf/admission/repeats.py
+++ b/limeshelf/admission/repeats.py
@@ -16,16 +16,16 @@
 if TYPE_CHECKING:
     from limeshelf.calls.routes import Route
 
-#: A call with less time than this left is not sent any more. Chosen, not measured.
+#: A call with less time than this left is not sent any more.
 LEAST_SEND_S = 0.03
-#: Refusals by replicas after which a call is not sent again. Chosen, not measured.
+#: Refusals by replicas after which a call is not sent again.
 MAX_REFUSALS = 4
-#: Share of the time left within which the head of a repeatable call's answer must come, so
-#: that another replica can still be tried. Chosen, not measured.
+#: Share of the time left within which the head of a repeatable call's answer must come, so that
+#: another replica can still be tried.
 FIRST_TRY_SHARE = 0.35
-#: The head of a repeatable stream must come within this many objectives. Chosen, not measured.
+#: The head of a repeatable stream must come within this many objectives.
 FIRST_TRY_OBJECTIVES = 2
-#: No attempt gets less time than this for its head. Chosen, not measured.
+#: No attempt gets less time than this for its head.
 LEAST_TRY_S = 0.25
 
 
--- a/limeshelf/admission/retry_budget.py
+++ b/limeshelf/admission/retry_budget.py
@@ -11,7 +11,7 @@
 from limeshelf.util.clock import boottime_s
 
 #: Share of the allowance that is used; the rest covers clocks and gateways that count one
-#: another late. Chosen, not measured.
+#: another late.
 USED_SHARE = 0.7
 
 
--- a/limeshelf/crashes/end_watch.py
+++ b/limeshelf/crashes/end_watch.py
@@ -31,19 +31,19 @@
     from limeshelf.replicas.starts import ReplicaStart
     from limeshelf.util.tasks import TaskSet
 
-#: A start of a replica that broke off calls is watched for this long after the last, in seconds.
-#: A later start is known within some 3 s of the end by its row. Chosen, not measured.
+#: A start of a replica that broke off calls is watched for this long after the last, in
+#: seconds. A later start is known within some 3 s of the end by its row.
 WATCHED_S = 8.0
-#: Time between two looks at whether a later start is known. Chosen, not measured.
+#: Time between two looks at whether a later start is known.
 LOOK_S = 0.25
 #: Ends that are found within this of each other, in seconds, came together. A gateway of nine
 #: found those of one cut within 0.4 s; calls that end replicas come 0.6 a second in the play of
-#: :mod:`~limeshelf.crashes.quarantine`. Chosen, not measured.
+#: :mod:`~limeshelf.crashes.quarantine`.
 TOGETHER_S = 0.5
 #: Connections that are tried after a break: a process that ends closes one after the other, so
-#: that its listener may still be there when the first call breaks off. Chosen, not measured.
+#: that its listener may still be there when the first call breaks off.
 TRIES = 2
-#: Between these, in seconds. Chosen, not measured.
+#: Between these, in seconds.
 TRY_AGAIN_S = 0.15
 
 
--- a/limeshelf/crashes/keeper.py
+++ b/limeshelf/crashes/keeper.py
@@ -25,13 +25,12 @@
     from limeshelf.crashes.suspects import Suspects, SuspectState
     from limeshelf.feeds.rows import Row, RowTable
 
-#: Rows that the table keeps; the one that was written longest ago goes first. Chosen, not
-#: measured.
+#: Rows that the table keeps; the one that was written longest ago goes first.
 MAX_ROWS = 500
 #: Longest pause before a write, in seconds: of gateways that learn of a second end at the same
-#: moment, one writes and the others find its row. Chosen, not measured.
+#: moment, one writes and the others find its row.
 WRITE_SPREAD_S = 0.2
-#: Pause after a failed write: bound of the first, and the largest. Chosen, not measured.
+#: Pause after a failed write: bound of the first, and the largest.
 RETRY_BASE_S = 0.2
 RETRY_LIMIT_S = 2.0
 
--- a/limeshelf/crashes/quarantine.py
+++ b/limeshelf/crashes/quarantine.py
@@ -33,11 +33,10 @@
 #: Ends from which a call is refused for good: the users' bound for one request.
 LAST_ENDS = 3
 #: How long a call rests after the second end, in seconds. Longer than any caller waits for one
-#: answer, and short enough for a periodic call that met two crashes by chance. Chosen, not
-#: measured.
+#: answer, and short enough for a periodic call that met two crashes by chance.
 PAUSE_S = 300.0
-#: When to come back that a caller is told of a call that is refused for good: a day, in seconds.
-#: Chosen, not measured.
+#: When to come back that a caller is told of a call that is refused for good: a day, in
+#: seconds.
 FOR_GOOD_S = 86_400.0
 
 
--- a/limeshelf/crashes/suspects.py
+++ b/limeshelf/crashes/suspects.py
@@ -31,7 +31,7 @@
 #: Some ten crashes of replicas with 50 calls each; 0.4 MB of memory with one end each, 0.83 MB
 #: with six (tests/crashes/test_suspects.py).
 MAX_SUSPECTS = 500
-#: Share of the suspects that stays when there are too many. Chosen, not measured.
+#: Share of the suspects that stays when there are too many.
 KEPT_SHARE = 0.9
 #: Ends that are remembered of one suspect. It is refused after three that are not cleared.
 MAX_ENDS = 6
--- a/limeshelf/demand/adapter_waits.py
+++ b/limeshelf/demand/adapter_waits.py
@@ -13,14 +13,14 @@
 if TYPE_CHECKING:
     from limeshelf.demand.keys import ModelKey
 
-#: Estimate before any adapter was seen to come. Chosen, not measured.
+#: Estimate before any adapter was seen to come.
 FIRST_GUESS_S = 0.15
-#: Weight of the newest wait in an estimate. Chosen, not measured.
+#: Weight of the newest wait in an estimate.
 NEWEST_SHARE = 0.2
 #: An adapter that was last missed longer ago than this teaches nothing when it is found, since
-#: nobody saw when it came. Waiting calls ask again each 50 ms; the rest is chosen.
+#: nobody saw when it came. Waiting calls ask again each 50 ms.
 LAST_MISSED_S = 0.3
-#: One that is overdue is awaited for this share of the estimate longer. Chosen, not measured.
+#: One that is overdue is awaited for this share of the estimate longer.
 OVERDUE_SHARE = 0.5
 
 
--- a/limeshelf/demand/counts.py
+++ b/limeshelf/demand/counts.py
@@ -14,7 +14,7 @@
     from limeshelf.demand.keys import KeyDemand, ModelKey
 
 #: Calls that a gateway counted before its first message came are new up to this many; more
-#: began long ago. Chosen, not measured.
+#: began long ago.
 FIRST_CALLS = 3
 
 
--- a/limeshelf/demand/meter.py
+++ b/limeshelf/demand/meter.py
@@ -23,10 +23,10 @@
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
 
-#: The same missing key is reported to the leader at most this often. Chosen, not measured.
+#: The same missing key is reported to the leader at most this often.
 REPORT_AGAIN_S = 0.1
-#: A digest holds the keys that were asked for within this time. Chosen, where sending all keys
-#: was the cost; the figure is not measured.
+#: A digest holds the keys that were asked for within this time; all keys
+#: would be many times as large.
 RECENT_S = 3.0
 
 
--- a/limeshelf/demand/model_demand.py
+++ b/limeshelf/demand/model_demand.py
@@ -25,18 +25,17 @@
 #: 0.858) and worse on another (0.979 to 0.938), with other changes. A figure for planning:
 #: what is granted is bounded by the dispatcher's own READING_DUTY.
 PLANNED_READING_SHARE = 0.5
-#: A further copy serves only when its load is done, so demand that rises counts as what it
-#: will be then. While it rises evenly, the two averages lag behind it by their time constants;
-#: what the shorter exceeds the longer by says how fast it rises. With this in place of 0.6 of
-#: the difference, up to half more, whatever a load takes: see tests/demand/test_rise.py. At
-#: the most it counts as this share more. Chosen.
+#: A further copy serves only when its load is done, so demand that rises counts as what it will
+#: be then. While it rises evenly, the two averages lag behind it by their time constants; what
+#: the shorter exceeds the longer by says how fast it rises. With this in place of 0.6 of the
+#: difference, up to half more, whatever a load takes: see tests/demand/test_rise.py. At the
+#: most it counts as this share more.
 RISE_LIMIT_SHARE = 1.0
-#: Share of a replica's slots that is filled before another copy is worth it. Chosen, not
-#: measured.
+#: Share of a replica's slots that is filled before another copy is worth it.
 FILLED_SLOTS_SHARE = 0.8
-#: An adapter that was asked for within this time needs a place. Chosen, not measured.
+#: An adapter that was asked for within this time needs a place.
 ACTIVE_ADAPTER_S = 1.5
-#: A call that found no copy counts as waiting for this long. Chosen, not measured.
+#: A call that found no copy counts as waiting for this long.
 WAITING_S = 3.0
 
 
--- a/limeshelf/demand/reading_speed.py
+++ b/limeshelf/demand/reading_speed.py
@@ -7,19 +7,19 @@
 
 from __future__ import annotations
 
-#: Reading time of a prompt token before anything was seen. Chosen, not measured.
+#: Reading time of a prompt token before anything was seen.
 FIRST_GUESS_MS = 0.055
-#: Bounds of what one sample may say of a token. Chosen, not measured.
+#: Bounds of what one sample may say of a token.
 LEAST_MS = 0.002
 MOST_MS = 0.4
-#: Weight of the newest sample. Chosen, not measured.
+#: Weight of the newest sample.
 NEWEST_SHARE = 0.2
-#: In shorter prompts the round trip outweighs the reading. Chosen, not measured.
+#: In shorter prompts the round trip outweighs the reading.
 LEAST_TOKENS = 250
-#: Part of the time to the first event that is not reading: the round trip, and two steps of
-#: the batch. Chosen, not measured. Not the steps that :mod:`~limeshelf.dispatch.limits` counts
-#: in an event, nor the delay after which :mod:`~limeshelf.dispatch.granted_load` takes a
-#: prompt as read: the three were chosen apart and do not add up.
+#: Part of the time to the first event that is not reading: the round trip, and two steps of the
+#: batch. Not the steps that :mod:`~limeshelf.dispatch.limits` counts in an event, nor the delay
+#: after which :mod:`~limeshelf.dispatch.granted_load` takes a prompt as read: the three were
+#: chosen apart and do not add up.
 FIRST_EVENT_OVERHEAD_MS = 22.0
 
 
--- a/limeshelf/demand/totals.py
+++ b/limeshelf/demand/totals.py
@@ -19,18 +19,16 @@
     from limeshelf.demand.counts import NewCounts
     from limeshelf.demand.keys import KeyDemand, ModelKey
 
-#: Time constant of the averaged rates. Chosen, not measured.
+#: Time constant of the averaged rates.
 RATE_MEMORY_S = 2.5
-#: How long the calls under way at a gateway that went silent still count. Chosen, not
-#: measured.
+#: How long the calls under way at a gateway that went silent still count.
 RUNNING_LIFE_S = 2.5
-#: Time constant of the longer average. Chosen, not measured.
+#: Time constant of the longer average.
 LASTING_MEMORY_S = 10.0
-#: A key that was not asked for within this time is forgotten, so that the table shrinks
-#: again. Chosen, not measured: many times the longer average.
+#: A key that was not asked for within this time is forgotten, so that the table shrinks again.
+#: Many times the longer average.
 UNSEEN_LIFE_S = 120.0
-#: Two updates count as this far apart at the least, since rates divide by it. Chosen, not
-#: measured.
+#: Two updates count as this far apart at the least, since rates divide by it.
 LEAST_STEP_S = 1e-3
 
 
--- a/limeshelf/demand/waits.py
+++ b/limeshelf/demand/waits.py
@@ -8,17 +8,14 @@
 
 import attrs
 
-#: How long a call to a plain service waits for a replica. Chosen, not measured.
+#: How long a call to a plain service waits for a replica.
 PLAIN_WAIT_S = 1.0
-#: What the load of a model that the configuration does not name counts as. Chosen, not
-#: measured.
+#: What the load of a model that the configuration does not name counts as.
 UNNAMED_LOAD_S = 1.0
 #: Least wait for a load that was announced: one that is overdue is awaited this much longer,
 #: since calls refused shortly before the model was there came back and were refused again.
-#: Chosen, not measured.
 OVERDUE_WAIT_S = 0.6
-#: From the first call to the begin of a load that nobody has announced yet. Chosen, not
-#: measured.
+#: From the first call to the begin of a load that nobody has announced yet.
 ORDER_WAIT_S = 1.0
 
 
--- a/limeshelf/dispatch/client.py
+++ b/limeshelf/dispatch/client.py
@@ -39,13 +39,13 @@
     from limeshelf.replicas.directory import ReplicaDirectory
 
 #: A queued request is sent again this often, so that a new dispatcher learns of it; four times
-#: within the dispatcher's ``UNASKED_LIFE_S``. Chosen, not measured.
+#: within the dispatcher's ``UNASKED_LIFE_S``.
 ASK_AGAIN_S = 0.25
-#: One that waits at an owner is taken to another one after this long, while there are some
-#: that were not asked: time for one try of the queue there. A request has its place in any
-#: queue by when it is late, so it loses nothing by that. Chosen, not measured.
+#: One that waits at an owner is taken to another one after this long, while there are some that
+#: were not asked: time for one try of the queue there. A request has its place in any queue by
+#: when it is late, so it loses nothing by that.
 HOP_S = 0.02
-#: Owners that are asked for one call before it is refused. Chosen, not measured.
+#: Owners that are asked for one call before it is refused.
 MAX_OWNERS_ASKED = 3
 
 
--- a/limeshelf/dispatch/dispatcher.py
+++ b/limeshelf/dispatch/dispatcher.py
@@ -38,10 +38,10 @@
     from limeshelf.replicas.replica import Replica
 
 #: Requests for a model or adapter that find no replica in one pass over the queue before the
-#: rest are skipped. Chosen, not measured.
+#: rest are skipped.
 MAX_MISSES = 3
-#: A queued request whose gateway does not ask again within this time is dropped. Chosen, not
-#: measured; four times the client's ``ASK_AGAIN_S``.
+#: A queued request whose gateway does not ask again within this time is dropped. Four times the
+#: client's ``ASK_AGAIN_S``.
 UNASKED_LIFE_S = 1.0
 
 
--- a/limeshelf/dispatch/exchange.py
+++ b/limeshelf/dispatch/exchange.py
@@ -24,8 +24,8 @@
     from limeshelf.replicas.directory import ReplicaDirectory
 
 #: The own queue is tried this often while requests wait in it, because time alone makes room
-#: too. Chosen, not measured. Trying also an empty one woke each gateway 67 times a second, half
-#: of all that an idle gateway did.
+#: too. Trying also an empty one woke each gateway 67 times a second, half of all that an idle
+#: gateway did.
 PUMP_INTERVAL_S = 0.015
 
 
--- a/limeshelf/dispatch/fallback.py
+++ b/limeshelf/dispatch/fallback.py
@@ -12,12 +12,11 @@
 
 from limeshelf.membership.member import LOCAL
 
-#: An owner that does not answer within this time counts as silent. Chosen, not measured.
+#: An owner that does not answer within this time counts as silent.
 ANSWER_TIMEOUT_S = 0.08
-#: A silent owner is not asked for this long. Chosen; trials of one second showed no loss.
+#: A silent owner is not asked for this long.
 AVOID_S = 0.4
 #: Part of a replica's reading that a gateway grants while it is not the replica's owner.
-#: Chosen, not measured.
 FALLBACK_SHARE = 0.4
 #: Part that the owner grants: all of it.
 WHOLE_SHARE = 1.0
--- a/limeshelf/dispatch/granted.py
+++ b/limeshelf/dispatch/granted.py
@@ -12,8 +12,7 @@
 if TYPE_CHECKING:
     from limeshelf.dispatch.requests import GrantedRequest
 
-#: A granted request that nobody ended is dropped this long after its caller gave up. Chosen,
-#: not measured.
+#: A granted request that nobody ended is dropped this long after its caller gave up.
 GRANT_SLACK_S = 1.0
 
 
--- a/limeshelf/dispatch/granted_load.py
+++ b/limeshelf/dispatch/granted_load.py
@@ -18,13 +18,13 @@
     from limeshelf.dispatch.requests import GrantedRequest
 
 #: A prompt counts as read after this many times the likely reading time of all that is being
-#: read there... Chosen, not measured.
+#: read there...
 READ_MARGIN = 1.2
 #: ...and this long in addition, for a step of the batch and the request's way to the replica.
-#: Chosen, not measured; see ``FIRST_EVENT_OVERHEAD_MS`` for the figures of steps that differ.
+#: See ``FIRST_EVENT_OVERHEAD_MS`` for the figures of steps that differ.
 FIRST_STEP_MS = 20.0
 #: A grant is remembered this much longer than the window that was asked for, because the next
-#: request may ask for a longer one. Chosen, not measured.
+#: request may ask for a longer one.
 RECENT_KEPT_S = 2.0
 
 
--- a/limeshelf/dispatch/limits.py
+++ b/limeshelf/dispatch/limits.py
@@ -18,10 +18,10 @@
 #: Length of the window in bearable pauses: a replica may begin to read later than granted.
 #: Measured together with the window only.
 WINDOW_PAUSES = 1.15
-#: A step of a replica's batch in which nothing is read. Chosen, not measured; see
-#: ``FIRST_EVENT_OVERHEAD_MS`` for the figures of steps that differ.
+#: A step of a replica's batch in which nothing is read. See ``FIRST_EVENT_OVERHEAD_MS`` for the
+#: figures of steps that differ.
 PLAIN_STEP_MS = 12.0
-#: Part of a replica's memory that calls may fill before others wait. Chosen, not measured.
+#: Part of a replica's memory that calls may fill before others wait.
 MEMORY_SHARE = 0.9
 
 
--- a/limeshelf/dispatch/owners.py
+++ b/limeshelf/dispatch/owners.py
@@ -30,7 +30,7 @@
     from limeshelf.replicas.replica import Replica
 
 #: Owners that are compared for a call. The reports are up to half a second old, so the best of
-#: all would be everybody's. Chosen, not measured.
+#: all would be everybody's.
 CHOICES = 2
 
 
--- a/limeshelf/dispatch/prompt_blocks.py
+++ b/limeshelf/dispatch/prompt_blocks.py
@@ -13,10 +13,9 @@
 if TYPE_CHECKING:
     from limeshelf.dispatch.messages import DispatchQuery
 
-#: A block counts as kept by the replica for this long after it was read. Chosen, not measured.
+#: A block counts as kept by the replica for this long after it was read.
 BLOCK_LIFE_S = 12.0
-#: Blocks remembered of a replica; the one read longest ago is forgotten first. Chosen, not
-#: measured.
+#: Blocks remembered of a replica; the one read longest ago is forgotten first.
 BLOCKS_KEPT = 1024
 
 
--- a/limeshelf/dispatch/requests.py
+++ b/limeshelf/dispatch/requests.py
@@ -1,7 +1,7 @@
 """Requests that the dispatcher holds, queued or granted, and in which order they are served.
 
 In time before late, since a late one earns little; then by the priority of the route;
-then the one whose first event is due earliest. Chosen, not measured.
+then the one whose first event is due earliest.
 Owns nothing; relies on the queries of :mod:`limeshelf.dispatch.messages`.
 """
 
--- a/limeshelf/feeds/store_reach.py
+++ b/limeshelf/feeds/store_reach.py
@@ -18,11 +18,10 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterator
 
-#: Pause after a failed call: bound after the first failure, and the largest. Chosen, not
-#: measured.
+#: Pause after a failed call: bound after the first failure, and the largest.
 RETRY_BASE_S = 0.15
 RETRY_LIMIT_S = 1.0
-#: How long the pause is judged anew after this time. Chosen, not measured.
+#: How long the pause is judged anew after this time.
 PAUSE_STEP_S = 0.25
 
 
--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -30,7 +30,7 @@
     """How a table is followed.
 
     The values in force stand in :mod:`limeshelf.programs.followed_tables`; the defaults are
-    for a table that no peer shares (chosen, not measured).
+    for a table that no peer shares.
 
     :ivar wait_s: how long the store holds a call for changes, in seconds.
     :ivar pace_s: pause after changes, in seconds, so that one call brings several.
--- a/limeshelf/gateway/body.py
+++ b/limeshelf/gateway/body.py
@@ -13,7 +13,7 @@
 
     from limeshelf.calls.routes import ClientLimits
 
-#: Largest body before the first configuration. Chosen, not measured.
+#: Largest body before the first configuration.
 MAX_BODY_BYTES = 8 << 20
 #: Bytes that a header field takes beside its name and value: a colon, a space, CR LF.
 FIELD_FRAME_BYTES = 4
--- a/limeshelf/gateway/connection.py
+++ b/limeshelf/gateway/connection.py
@@ -18,7 +18,7 @@
 
     from limeshelf.calls.routes import ClientLimits
 
-#: Limits before the first configuration. Chosen, not measured.
+#: Limits before the first configuration.
 IDLE_S = 60.0
 HEAD_S = 10.0
 
--- a/limeshelf/gateway/edge.py
+++ b/limeshelf/gateway/edge.py
@@ -27,13 +27,12 @@
     from limeshelf.gateway.pipeline import Pipeline
     from limeshelf.metrics.prometheus import GatewayMetrics
 
-#: Connections that may wait to be accepted. Chosen, not measured.
+#: Connections that may wait to be accepted.
 BACKLOG_CONNECTIONS = 1024
 #: Longest request line or header field, whatever the configuration allows for the whole head.
-#: Chosen, not measured.
 MAX_FIELD_BYTES = 1 << 16
 #: How long the rest of a request is read whose answer went out before its end, and how long a
-#: closing listener waits for its connections. Chosen, not measured.
+#: closing listener waits for its connections.
 LINGER_S = 1.0
 SHUTDOWN_S = 0.2
 STATUS_READY = 200
--- a/limeshelf/gateway/events.py
+++ b/limeshelf/gateway/events.py
@@ -15,8 +15,8 @@
 
 _END = re.compile(rb'\r?\n\r?\n')
 _ID = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
-#: Most bytes that are kept of an event without an end. Chosen, not measured: events of the
-#: users' streams carry a few tokens.
+#: Most bytes that are kept of an event without an end. Events of the users' streams carry a few
+#: tokens.
 MAX_EVENT_BYTES = 1 << 20
 
 
--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -28,7 +28,7 @@
     from limeshelf.gateway.answer import Answer
     from limeshelf.replicas.connections import ReplicaConnections
 
-#: Largest answer that is read whole. Chosen, not measured.
+#: Largest answer that is read whole.
 MAX_ANSWER_BYTES = 32 << 20
 STATUS_OK = 200
 EVENT_STREAM = 'text/event-stream'
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -58,9 +58,9 @@
     from limeshelf.organisations.access import AccessGranted
     from limeshelf.replicas.directory import ReplicaDirectory
 
-#: The final answer goes out this long before the caller's time is over. Chosen, not measured.
+#: The final answer goes out this long before the caller's time is over.
 ANSWER_MARGIN_S = 0.02
-#: Time of a call whose caller does not say how long it waits. Chosen, not measured.
+#: Time of a call whose caller does not say how long it waits.
 DEFAULT_BUDGET_S = 30.0
 
 
--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -46,12 +46,10 @@
 if TYPE_CHECKING:
     from limeshelf.feeds.rows import Page, Row, RowTable
 
-#: A holder renews when this share of the lease has passed since the last renewal. Chosen, not
-#: measured.
+#: A holder renews when this share of the lease has passed since the last renewal.
 RENEW_SHARE = 0.35
-#: Where replicas do not compare fences, no order leaves this shortly before the lease may
-#: be over: time for its way to the replica, and for clocks that run at unlike speeds.
-#: Chosen, not measured.
+#: Where replicas do not compare fences, no order leaves this shortly before the lease may be
+#: over: time for its way to the replica, and for clocks that run at unlike speeds.
 ORDER_MARGIN_S = 0.2
 
 
--- a/limeshelf/membership/contention.py
+++ b/limeshelf/membership/contention.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-#: A gateway that is no first relay contends only after nobody has led for this long, in seconds.
-#: Chosen, not measured.
+#: A gateway that is no first relay contends only after nobody has led for this long, in
+#: seconds.
 CONTEND_AFTER_S = 1.5
 
 
--- a/limeshelf/membership/crash_exchange.py
+++ b/limeshelf/membership/crash_exchange.py
@@ -28,9 +28,9 @@
 
 #: After the first news, in seconds, others that come with it go in the same message: a replica
 #: that ends breaks off its calls within 3 ms at all gateways, and a relay hears of them one by
-#: one. Chosen, not measured.
+#: one.
 GATHER_S = 0.05
-#: Suspects in one message, some 10 bytes each. Chosen, not measured.
+#: Suspects in one message, some 10 bytes each.
 MAX_IN_MESSAGE = 200
 
 
--- a/limeshelf/membership/digest_exchange.py
+++ b/limeshelf/membership/digest_exchange.py
@@ -36,7 +36,7 @@
     from limeshelf.peers.node import PeerNode
     from limeshelf.replicas.directory import ReplicaDirectory
 
-#: A gateway sends a digest this often. Chosen, not measured.
+#: A gateway sends a digest this often.
 DIGEST_INTERVAL_S = 0.25
 #: Stands for a number of gateways that is not known.
 UNKNOWN_COUNT = 0
--- a/limeshelf/membership/digests.py
+++ b/limeshelf/membership/digests.py
@@ -16,8 +16,7 @@
     from collections.abc import Iterable
 
 #: A digest counts for this long, in seconds; ten digests long. As long as SILENT_S, which
-#: judges messages that come directly; digests also come by way of a relay. Chosen, not
-#: measured.
+#: judges messages that come directly; digests also come by way of a relay.
 DIGEST_LIFE_S = 2.5
 
 
--- a/limeshelf/membership/gateway_count.py
+++ b/limeshelf/membership/gateway_count.py
@@ -12,7 +12,7 @@
 from limeshelf.util.clock import boottime_s
 
 #: A gateway that is not heard any more counts for this long, in seconds: it may be cut off and
-#: go on serving. One that was replaced takes its part for as long. Chosen, not measured.
+#: go on serving. One that was replaced takes its part for as long.
 COUNT_LIFE_S = 600.0
 
 
--- a/limeshelf/membership/limit_exchange.py
+++ b/limeshelf/membership/limit_exchange.py
@@ -33,8 +33,8 @@
     from limeshelf.peers.codec import Envelope
     from limeshelf.peers.node import PeerNode
 
-#: While an organisation is over its limit, calls that count as much are refused without
-#: asking for this long: refusing costs next to nothing then. Chosen, not measured.
+#: While an organisation is over its limit, calls that count as much are refused without asking
+#: for this long: refusing costs next to nothing then.
 REFUSED_KEPT_S = 0.1
 
 
--- a/limeshelf/membership/receivers.py
+++ b/limeshelf/membership/receivers.py
@@ -36,7 +36,7 @@
     from limeshelf.membership.members import Members
 
 #: Sums go to other data centres with every so many digests of the first relay: each 0.5 s. The
-#: leader gets each. Chosen, not measured.
+#: leader gets each.
 FAR_SUM_EVERY_DIGESTS = 2
 
 
--- a/limeshelf/membership/registration.py
+++ b/limeshelf/membership/registration.py
@@ -27,8 +27,7 @@
     from limeshelf.peers.codec import Envelope
     from limeshelf.peers.node import PeerNode
 
-#: Pause after a failed write of the own row: bound of the first, and the largest. Chosen, not
-#: measured.
+#: Pause after a failed write of the own row: bound of the first, and the largest.
 RETRY_BASE_S = 0.2
 RETRY_LIMIT_S = 2.0
 
--- a/limeshelf/membership/relays.py
+++ b/limeshelf/membership/relays.py
@@ -19,11 +19,9 @@
 
     from limeshelf.membership.member import Member
 
-#: Relays of a data centre: one may fail and the other has all digests. That there are
-#: relays at all is measured (docs/design/platform.rst); their number is chosen.
+#: Relays of a data centre: one may fail and the other has all digests.
 RELAYS = 2
 #: A relay without a message for this long is replaced by the next by rank; five digests long.
-#: Chosen, not measured.
 RELAY_SILENT_S = 1.2
 
 
--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -36,13 +36,12 @@
     from limeshelf.peers.codec import Envelope
     from limeshelf.peers.node import PeerNode
 
-#: Whether what others pass on is new enough is checked this often at the least. Chosen, not
-#: measured.
+#: Whether what others pass on is new enough is checked this often at the least.
 CHECK_INTERVAL_S = 0.25
-#: ...and no sooner than this after the check before. Chosen, not measured.
+#: ...and no sooner than this after the check before.
 LEAST_CHECK_S = 0.02
 #: An update counts as older than its sender says where the store's clock shows more than this
-#: beyond: it waited on its way. Below, the two clocks are not known better. Chosen, not measured.
+#: beyond: it waited on its way. Below, the two clocks are not known better.
 CLOCK_SLACK_S = 0.25
 
 
--- a/limeshelf/membership/silence.py
+++ b/limeshelf/membership/silence.py
@@ -9,10 +9,10 @@
 import enum
 
 #: A gateway without a message for this long counts no more and is not relied on; ten digests
-#: long. Chosen, not measured.
+#: long.
 SILENT_S = 2.5
 #: A silent gateway is sent a message again this often, in seconds, so that it is found when it
-#: is back. Chosen, not measured.
+#: is back.
 RETRY_SILENT_S = 2.0
 
 
--- a/limeshelf/membership/state_exchange.py
+++ b/limeshelf/membership/state_exchange.py
@@ -27,14 +27,13 @@
     from limeshelf.placement.service import PlacementService
     from limeshelf.replicas.directory import ReplicaDirectory
 
-#: Loads under way are sent at least this often. Chosen, not measured.
+#: Loads under way are sent at least this often.
 STATES_INTERVAL_S = 0.25
-#: A gateway that does not lead checks this often whether it does. Chosen, not measured.
+#: A gateway that does not lead checks this often whether it does.
 FOLLOWER_CHECK_S = 0.5
-#: States of all replicas, changed or not, are sent this often. Chosen, not measured.
+#: States of all replicas, changed or not, are sent this often.
 ALL_STATES_INTERVAL_S = 1.0
-#: Changes of replicas that come closer together than this are sent together. Chosen, not
-#: measured.
+#: Changes of replicas that come closer together than this are sent together.
 CHANGES_GAP_S = 0.05
 
 
--- a/limeshelf/membership/store_polling.py
+++ b/limeshelf/membership/store_polling.py
@@ -15,14 +15,12 @@
 
 from limeshelf.membership.relays import RELAYS
 
-#: Each gateway waits this much longer than the one before it in the order. Chosen, not
-#: measured.
+#: Each gateway waits this much longer than the one before it in the order.
 OVERDUE_STEP_S = 0.08
-#: No gateway waits longer than this. Chosen, not measured.
+#: No gateway waits longer than this.
 OVERDUE_LIMIT_S = 1.5
-#: Longest further pause after a failure of a gateway that is no relay: while the store is
-#: away, a call of each of hundreds of gateways tells no more than those of the relays. Chosen,
-#: not measured.
+#: Longest further pause after a failure of a gateway that is no relay: while the store is away,
+#: a call of each of hundreds of gateways tells no more than those of the relays.
 SPREAD_S = 8.0
 
 
--- a/limeshelf/metrics/decision_log.py
+++ b/limeshelf/metrics/decision_log.py
@@ -12,9 +12,9 @@
 
 from absl import logging
 
-#: Subjects (request ids or models) whose lines are kept. Chosen, not measured.
+#: Subjects (request ids or models) whose lines are kept.
 KEPT_SUBJECTS = 4096
-#: Lines kept for one subject; older ones are dropped. Chosen, not measured.
+#: Lines kept for one subject; older ones are dropped.
 KEPT_LINES = 20
 
 
--- a/limeshelf/metrics/event_log.py
+++ b/limeshelf/metrics/event_log.py
@@ -18,9 +18,8 @@
 from limeshelf.util.clock import boottime_s, wall_s
 
 #: Lines about single requests that are written; more are counted.
-#: Chosen, not measured.
 REQUEST_LINES_PER_S = 200
-#: What may wait for a slow reader; lines beyond are counted. Chosen, not measured.
+#: What may wait for a slow reader; lines beyond are counted.
 BUFFER_BYTES = 1 << 20
 
 _encoder = msgspec.json.Encoder()
--- a/limeshelf/metrics/prometheus.py
+++ b/limeshelf/metrics/prometheus.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Upper bounds of the latency histogram. Chosen, not measured.
+#: Upper bounds of the latency histogram.
 LATENCY_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
 
 
--- a/limeshelf/metrics/statsd.py
+++ b/limeshelf/metrics/statsd.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from limeshelf.settings.model import MetricsSettings
 
-#: Timings kept between two sendings; later ones are left out. Chosen, not measured.
+#: Timings kept between two sendings; later ones are left out.
 TIMINGS_LIMIT = 1000
 
 
--- a/limeshelf/orders/attempts.py
+++ b/limeshelf/orders/attempts.py
@@ -15,27 +15,25 @@
     from limeshelf.orders.task import OrderTask
 
 #: Orders that are sent for one task; only an answer that leaves its effect open leads to
-#: another one. Chosen, not measured.
+#: another one.
 MAX_ATTEMPTS = 4
-#: Time between polls while an adapter, or a whole model, is on its way. Chosen, not measured.
+#: Time between polls while an adapter, or a whole model, is on its way.
 ADAPTER_POLL_S = 0.03
 MODEL_POLL_S = 0.25
-#: After an order about an adapter whose effect is open, the number of orders in a report
-#: counts from this time on. Reports are some 100 ms old; the rest is chosen, not measured.
+#: After an order about an adapter whose effect is open, the number of orders in a report counts
+#: from this time on. Reports are some 100 ms old; the rest is
 ADAPTER_SETTLE_S = 0.16
-#: The same after an order about a whole model. Chosen, not measured.
+#: The same after an order about a whole model.
 MODEL_SETTLE_S = 0.25
 #: A load of an adapter that has not come after this time is given up, and the unload of one.
-#: Two seconds were too short while the weight store was overloaded; four are chosen, not
-#: measured.
+#: Two seconds were too short while the weight store was overloaded; four are
 ADAPTER_LIMIT_S = 4.0
 #: An unload of a model waits for the calls that run on it; with a shorter wait, moves failed.
-#: The figure is chosen, not measured.
+#: The figure is
 MODEL_UNLOAD_LIMIT_S = 20.0
-#: A load may take this many times what the configuration says before it is given up. Chosen,
-#: not measured.
+#: A load may take this many times what the configuration says before it is given up.
 LOAD_LIMIT_FACTOR = 4.0
-#: Before this share of the likely time of a load, polls would only cost. Chosen, not measured.
+#: Before this share of the likely time of a load, polls would only cost.
 UNPOLLED_LOAD_SHARE = 0.8
 
 _REFUSALS = (OrderOutcome.FENCED_OFF, OrderOutcome.GONE, OrderOutcome.REJECTED)
--- a/limeshelf/organisations/access.py
+++ b/limeshelf/organisations/access.py
@@ -22,7 +22,7 @@
     from limeshelf.organisations.organisation import KeyDigest, Organisation, Organisations
 
 #: Part of the time within which a key must be out of use that is kept back: for the way from
-#: the check to the replica, and for clocks that run at unlike speeds. Chosen, not measured.
+#: the check to the replica, and for clocks that run at unlike speeds.
 MARGIN_SHARE = 0.1
 
 
--- a/limeshelf/organisations/limiter.py
+++ b/limeshelf/organisations/limiter.py
@@ -31,13 +31,13 @@
 
 #: Share of a data centre's gateways that must be heard to decide for them: machines that are
 #: cut off one by one must not each take themselves for the limiter, and the rest go on while
-#: more than half of all processes are restarted. Chosen, not measured.
+#: more than half of all processes are restarted.
 QUORUM_SHARE = 0.25
-#: A gateway is heard if it reported within this time; ten digests long. Chosen, not measured.
+#: A gateway is heard if it reported within this time; ten digests long.
 HEARD_S = 2.5
 #: Share of a data centre's part that the second limiter may grant between two reports, and that
 #: the first one leaves to it: neither sees before the next report what the other grants. Calls
-#: at the usual rate take 0.02 of the part in that time. Chosen, not measured.
+#: at the usual rate take 0.02 of the part in that time.
 SECOND_SHARE = 0.05
 #: Who is heard, and what is too old to count, is looked at this often: with that at each call,
 #: a decision took 180 us with 70 gateways, and 108 us now (benchmarks/organisations.py, beside
--- a/limeshelf/organisations/limits.py
+++ b/limeshelf/organisations/limits.py
@@ -14,7 +14,7 @@
     from limeshelf.organisations.organisation import UsageLimit
 
 #: Share of what is tolerated that is used. The rest covers runs that began before a gateway
-#: learned of a lower limit or of what others granted meanwhile. Chosen, not measured.
+#: learned of a lower limit or of what others granted meanwhile.
 USED_SHARE = 0.95
 #: Share of a data centre's part that its gateways may use without the limiter, each an equal
 #: part of it. The limiter counts each for that much at least, so the rest has less: of calls of
--- a/limeshelf/organisations/pace.py
+++ b/limeshelf/organisations/pace.py
@@ -17,7 +17,7 @@
     from limeshelf.organisations.organisation import UsageLimit
 
 #: A bucket holds what may be used in this time at least, whatever burst the limit allows: calls
-#: come in clumps also at a steady rate. Chosen, not measured.
+#: come in clumps also at a steady rate.
 LEAST_BUCKET_S = 3.0
 #: ...and so many of the largest calls that came, since a bucket of a small limit's burst holds
 #: two or three. On a quiet day 0.016 of the calls were refused with it and 0.018 without (one
--- a/limeshelf/organisations/usage.py
+++ b/limeshelf/organisations/usage.py
@@ -18,7 +18,7 @@
     from collections.abc import Iterator
 
 #: A run counts here for this much longer than the window, because it is counted where it is
-#: sent and judged where it arrives. Chosen, not measured.
+#: sent and judged where it arrives.
 LATE_ARRIVAL_S = 0.2
 
 
--- a/limeshelf/peers/framing.py
+++ b/limeshelf/peers/framing.py
@@ -12,7 +12,7 @@
 
 from limeshelf.errors import LimeshelfError
 
-#: A longer frame is refused before it is kept. Chosen, not measured.
+#: A longer frame is refused before it is kept.
 MAX_FRAME_BYTES = 8 << 20
 
 _GREETING = struct.Struct('>4sHH')
--- a/limeshelf/peers/link.py
+++ b/limeshelf/peers/link.py
@@ -20,19 +20,16 @@
 from limeshelf.util.clock import boottime_s
 from limeshelf.util.sockets import keep_alive
 
-#: Frames kept for a peer that does not take them; older ones are dropped. Chosen, not
-#: measured.
+#: Frames kept for a peer that does not take them; older ones are dropped.
 MAX_QUEUED_FRAMES = 64
-#: A connection that was not used for this long is closed. Chosen, not measured.
+#: A connection that was not used for this long is closed.
 IDLE_S = 30.0
-#: Longest time for a new connection. Chosen, not measured.
+#: Longest time for a new connection.
 CONNECT_S = 1.0
-#: Bound of the pause after a failed attempt to connect: the first and the largest. Chosen, not
-#: measured.
+#: Bound of the pause after a failed attempt to connect: the first and the largest.
 RECONNECT_BASE_S = 0.1
 RECONNECT_LIMIT_S = 1.0
 #: A frame that waits for a connection for longer is dropped: what it says is out of date.
-#: Chosen, not measured.
 FRAME_LIFE_S = 2.0
 
 
--- a/limeshelf/peers/node.py
+++ b/limeshelf/peers/node.py
@@ -24,10 +24,9 @@
 
     Handler = Callable[[Envelope], None]
 
-#: Most bytes that are read from a connection at once. Chosen, not measured.
+#: Most bytes that are read from a connection at once.
 READ_BYTES = 1 << 16
-#: Frames that may wait for their handlers; then connections are read no further. Chosen, not
-#: measured.
+#: Frames that may wait for their handlers; then connections are read no further.
 MAX_ARRIVED_FRAMES = 1024
 
 
--- a/limeshelf/placement/adapters.py
+++ b/limeshelf/placement/adapters.py
@@ -21,14 +21,14 @@
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
 
-#: Adapters that may be on their way to one replica together. Chosen, not measured.
+#: Adapters that may be on their way to one replica together.
 MAX_LOADING = 4
-#: An adapter that was asked for within this time is not evicted. Chosen, not measured.
+#: An adapter that was asked for within this time is not evicted.
 KEEP_S = 0.6
 # Costs are in calls a slot: what a replica has under way, divided by its slots.
-#: Cost of each adapter on its way there already. Chosen, not measured.
+#: Cost of each adapter on its way there already.
 LOADING_COST_SHARE = 0.1
-#: Cost of an eviction. Chosen, not measured.
+#: Cost of an eviction.
 EVICTION_COST_SHARE = 0.05
 
 _NO_DEMAND = KeyTotals()
--- a/limeshelf/placement/move_runner.py
+++ b/limeshelf/placement/move_runner.py
@@ -27,7 +27,7 @@
     from limeshelf.util.tasks import TaskSet
 
 #: An unload before a load takes about this long; it moves only the time that is announced to
-#: waiting calls. Chosen, not measured.
+#: waiting calls.
 UNLOAD_S = 0.6
 
 
--- a/limeshelf/placement/pace.py
+++ b/limeshelf/placement/pace.py
@@ -11,7 +11,7 @@
 from limeshelf.util.clock import boottime_s
 
 #: Loads beyond the steady rate that a window may hold; the platform counts a fault from more
-#: than three. Chosen, not measured; held by tests/placement/test_pace.py.
+#: than three. Held by tests/placement/test_pace.py.
 BURST_LOADS = 1.5
 
 
--- a/limeshelf/placement/planner.py
+++ b/limeshelf/placement/planner.py
@@ -23,39 +23,37 @@
     from limeshelf.demand.model_demand import ModelDemand
     from limeshelf.placement.survey import ReplicaCopies
 
-# Gains, losses and costs are in calls a second. The figures were chosen with the rule (scores
-# in worth.py), none measured by itself, unless said.
+# Gains, losses and costs are in calls a second.
 
-#: A move must gain this many times what it loses. Chosen.
+#: A move must gain this many times what it loses.
 GAIN_PER_LOSS = 1.3
-#: Least gain of a further copy. Chosen.
+#: Least gain of a further copy.
 LEAST_GAIN_PER_S = 0.4
-#: Cost of a load from the weight store, whose rate is limited. Chosen.
+#: Cost of a load from the weight store, whose rate is limited.
 STORE_COST_PER_S = 0.3
-#: A load that takes longer here than at another idle replica costs, of what it gains, the
-#: share of this time by which it is longer: where weights lie on a disk it takes a fifth of
-#: a load from the store, and calls wait or are refused meanwhile. Chosen, not measured.
+#: A load that takes longer here than at another idle replica costs, of what it gains, the share
+#: of this time by which it is longer: where weights lie on a disk it takes a fifth of a load
+#: from the store, and calls wait or are refused meanwhile.
 LOAD_HORIZON_S = 10.0
-#: Cost of each copy that is evicted. Chosen.
+#: Cost of each copy that is evicted.
 EVICTION_COST_PER_S = 0.05
 #: Cost of each wanted adapter that has to wait while a whole model is loaded, since a replica
 #: carries out one order at a time. With a third of it ten adapters of one day waited for whole
 #: loads (score 0.858, 0.867 with this one, one run each).
 BLOCKED_ADAPTER_COST_PER_S = 0.3
-#: Moves that gain less leave this share of the replicas idle for urgent ones. Chosen.
+#: Moves that gain less leave this share of the replicas idle for urgent ones.
 URGENT_GAIN_PER_S = 2.0
 RESERVED_REPLICAS_SHARE = 0.34
-#: Models whose callers can wait leave this share of the replicas idle, whatever they gain:
-#: when demand moved to a model whose callers cannot, every replica that had its weights near
-#: was busy with one that was asked for once. Chosen, not measured.
+#: Models whose callers can wait leave this share of the replicas idle, whatever they gain: when
+#: demand moved to a model whose callers cannot, every replica that had its weights near was
+#: busy with one that was asked for once.
 RESERVED_FROM_PATIENT_SHARE = 0.5
 #: A model that has been asked for without a copy for this long counts like the others.
-#: Chosen, not measured.
 LONG_STARVED_S = 6.0
-#: A model whose callers can wait comes from the weight store only while no more than this
-#: share of the replicas loads something: a load from the store occupies a replica for six
-#: seconds, and when demand moved to a model in the first of them, three of six replicas were
-#: bringing models that were asked for once. Chosen, not measured.
+#: A model whose callers can wait comes from the weight store only while no more than this share
+#: of the replicas loads something: a load from the store occupies a replica for six seconds,
+#: and when demand moved to a model in the first of them, three of six replicas were bringing
+#: models that were asked for once.
 PATIENT_STORE_SHARE = 0.2
 #: Digits of gain and loss in the log line of a move.
 LOGGED_DIGITS = 2
--- a/limeshelf/placement/replica_watch.py
+++ b/limeshelf/placement/replica_watch.py
@@ -25,7 +25,7 @@
     from limeshelf.replicas.starts import ReplicaStart
     from limeshelf.util.tasks import TaskSet
 
-#: The leader polls every replica this often. Chosen, not measured.
+#: The leader polls every replica this often.
 POLL_INTERVAL_S = 0.5
 
 
--- a/limeshelf/placement/service.py
+++ b/limeshelf/placement/service.py
@@ -34,18 +34,16 @@
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.util.tasks import TaskSet
 
-#: Time between plans, unless a call that waits for a model brings one forward. Chosen, not
-#: measured.
+#: Time between plans, unless a call that waits for a model brings one forward.
 ROUND_S = 0.2
-#: The same while another process leads: only the sums of demand are brought up to date. Chosen,
-#: not measured.
+#: The same while another process leads: only the sums of demand are brought up to date.
 FOLLOWER_ROUND_S = 0.5
 #: After a process's start, records of replicas come in for this long; copies counted earlier
 #: missed those of busy models (score of a quiet day 0.69, 1.00 with this and other changes).
-#: The figure is chosen, not measured.
+#: The figure is
 START_SETTLE_S = 1.5
 #: Between a new term's claims and its first plan, for what a predecessor ordered late. Reports
-#: are some 100 ms old; the rest is chosen, not measured.
+#: are some 100 ms old; the rest is
 TERM_SETTLE_S = 0.25
 
 
--- a/limeshelf/placement/survey.py
+++ b/limeshelf/placement/survey.py
@@ -16,8 +16,7 @@
 if TYPE_CHECKING:
     from limeshelf.calls.routes import EngineSpec, ModelSpec
 
-#: Share of a replica that a copy gets there at the least, however busy others keep it. Chosen,
-#: not measured.
+#: Share of a replica that a copy gets there at the least, however busy others keep it.
 LEAST_CAPACITY_SHARE = 0.15
 
 _NO_DEMAND = ModelDemand()
--- a/limeshelf/placement/worth.py
+++ b/limeshelf/placement/worth.py
@@ -2,9 +2,7 @@
 
 Owns the rule, in three questions: what one more copy gains at a replica, what is lost
 with a copy that goes, and whether demand is still too low to judge by. Relies on a survey of
-the copies. All figures are chosen: the rule as a whole was measured when it came (score of one
-deployment 0.572 to 0.983, of a day of another 0.59 to 0.91), its figures not by
-themselves, unless the line says so.
+the copies.
 """
 
 from __future__ import annotations
@@ -14,56 +12,54 @@
 if TYPE_CHECKING:
     from limeshelf.placement.survey import CopySurvey, ReplicaCopies
 
-#: Worth of the only copy of a model in calls a second, whoever asks for it, so that every
-#: model stays reachable. Chosen.
+#: Worth of the only copy of a model in calls a second, whoever asks for it, so that every model
+#: stays reachable.
 ONLY_COPY_WORTH_PER_S = 0.6
-#: The same, this many times over, before any call is seen. Chosen.
+#: The same, this many times over, before any call is seen.
 QUIET_ONLY_COPY_FACTOR = 2
-#: The calls of a model without another copy count this much. Chosen.
+#: The calls of a model without another copy count this much.
 ONLY_COPY_FACTOR = 2.0
-#: Most that calls of the longer average add to the worth of an only copy. Chosen.
+#: Most that calls of the longer average add to the worth of an only copy.
 LASTING_LIMIT_PER_S = 0.5
-#: Added, in calls a second, while calls wait for a copy. Chosen.
+#: Added, in calls a second, while calls wait for a copy.
 WAITING_WORTH_PER_S = 1.0
 #: Added, in calls a second, for each second for which a model that is asked for has had no
 #: copy, up to the limit. Without it seven of 44 models or adapters were never served on
 #: one day (tests/placement/test_planner.py::
-#: test_starved_model_gets_its_turn_in_the_end). The figures are chosen.
+#: test_starved_model_gets_its_turn_in_the_end).
 STARVED_WORTH_PER_S_PER_S = 0.15
 STARVED_LIMIT_PER_S = 3.0
-#: An only copy is lost at this many times its worth if its callers cannot wait for a load.
-#: Chosen. A quarter of its worth where they can was tried: mean worth of five days 0.428,
-#: 0.450 without, one score each.
+#: An only copy is lost at this many times its worth if its callers cannot wait for a load. A
+#: quarter of its worth where they can was tried: mean worth of five days 0.428, 0.450 without,
+#: one score each.
 CANNOT_WAIT_FACTOR = 2.0
 #: A model whose callers cannot wait counts as asked for by this share of the mean calls a
-#: second of all such models, however few ask for it now: demand moves among them, and until
-#: a load is done all calls to the one it moves to are refused. Chosen, not measured.
+#: second of all such models, however few ask for it now: demand moves among them, and until a
+#: load is done all calls to the one it moves to are refused.
 EXPECTED_SHARE = 0.3
 #: A second copy is worth this share of a model's calls at the least, because replicas and
 #: data centres are lost: with the only copy of the busiest model behind a cut, 220 calls were
 #: refused until another one was loaded. At the most it is worth less than a model that calls
-#: wait for. Both chosen.
+#: wait for.
 SECURED_SHARE = 0.15
 SECURED_LIMIT_PER_S = 1.5
 #: Callers can wait for a load if their objective is at least this many times the load from the
-#: machine's memory. Chosen: models that rose next were unloaded for the overloaded one and
-#: absent for nine seconds of a quiet day.
+#: machine's memory. Otherwise models that rise next would be unloaded for an overloaded one.
 WARM_LOADS_PER_OBJECTIVE = 2.5
 #: Cost of each running call that an unload waits for, in calls a second. With half of it a
 #: copy served only 10 to 16 s after it was ordered.
 RUNNING_COST_PER_S = 0.2
 #: What a replica gives to a model's first copy at the least, however busy others keep it: a
-#: busy replica still serves a model that stands nowhere else. Chosen.
+#: busy replica still serves a model that stands nowhere else.
 FIRST_COPY_LEAST_SHARE = 0.5
 #: A data centre's only copy is worth this many times more: it serves on when the centre is cut
-#: off. Chosen.
+#: off.
 NEW_CENTRE_FACTOR = 1.2
-#: Calls a second, over all models, below which the copies found at the start show what is
-#: busy. Chosen.
+#: Calls a second, over all models, below which the copies found at the start show what is busy.
 QUIET_CALLS_PER_S = 3.0
 #: Worth, before any call, of the second copy found of a model; further ones are worth less by
 #: the square of their number, so that a model found six times gives up a copy before one found
-#: twice. Chosen.
+#: twice.
 FOUND_WORTH_PER_S = 0.4
 FOUND_COPIES = 2
 
--- a/limeshelf/platform/headers.py
+++ b/limeshelf/platform/headers.py
@@ -85,7 +85,7 @@
 MOST_URGENT = 0
 LEAST_URGENT = 9
 
-#: Characters of a malformed value that its error shows. Chosen, not measured.
+#: Characters of a malformed value that its error shows.
 SHOWN_CHARS = 40
 
 #: Concern one connection only (RFC 9110, section 7.6.1), or are set anew.
--- a/limeshelf/platform/orders.py
+++ b/limeshelf/platform/orders.py
@@ -26,18 +26,16 @@
 
     from limeshelf.calls.notice import ReplicaNotice
 
-#: Longest time for a new connection. Chosen, not measured.
+#: Longest time for a new connection.
 CONNECT_S = 0.4
-#: Longest wait for the whole answer to an order, the connection included. Chosen, not
-#: measured.
+#: Longest wait for the whole answer to an order, the connection included.
 ANSWER_S = 0.8
 #: The same for a report, which needs no slot and comes within milliseconds: a replica that is
-#: cut off is known sooner. Chosen, not measured.
+#: cut off is known sooner.
 REPORT_ANSWER_S = 0.5
-#: An unused connection is closed after this time. Chosen, not measured.
+#: An unused connection is closed after this time.
 IDLE_S = 3.0
 #: Connections to one replica: one for an order, one for a report beside it.
-#: Chosen, not measured.
 CONNECTIONS_PER_REPLICA = 2
 
 STATUS_OK = 200
--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -35,11 +35,10 @@
 #: Name of the store in errors and log lines.
 STORE = 'store'
 #: Longest wait for an answer, beyond what the call itself waits for.
-#: Chosen, not measured.
 ANSWER_S = 1.2
-#: Longest time for a new connection. Chosen, not measured.
+#: Longest time for a new connection.
 CONNECT_S = 0.6
-#: An unused connection is closed after this time. Chosen, not measured.
+#: An unused connection is closed after this time.
 IDLE_S = 20.0
 #: The group of all rows of the product.
 NO_PART = ''
--- a/limeshelf/programs/followed_tables.py
+++ b/limeshelf/programs/followed_tables.py
@@ -36,19 +36,19 @@
 #: deployments). Every copy counts as old after STALE_SHARE of it: the next gateway then asks
 #: the store, which leaves the rest of the time for that call and the way of its answer. Rows of
 #: replicas change all the time, so after changes the store is asked again only after a pause,
-#: in which others come together; pause and wait together stay below the age. All chosen.
+#: in which others come together; pause and wait together stay below the age.
 STALE_SHARE = 0.7
 REPLICA_WAIT_SHARE = 0.4
 REPLICA_PACE_SHARE = 0.22
 CONFIG_WAIT_SHARE = 0.5
 #: Gateways come and go seldom, and those that are silent are found out by silence. After a
 #: change the rows rest for a second: where all gateways start at once, each of their rows
-#: would bring another answer. All chosen.
+#: would bring another answer.
 MEMBER_RULE = FollowRule(wait_s=8.0, pace_s=1.0, stale_s=12.0, first_delay_s=0.7)
 #: Calls that rest change seldom, and peers tell of them at once; the rows are for gateways that
 #: start, or that a cut keeps from all others. So they are read at once at a start: with a pause
 #: as for the members, a call that all gateways had known ended a replica of the new ones in 4
-#: of 8 runs beside load, without it in none of 6 (tests/gateway/test_deadly_call.py). All chosen.
+#: of 8 runs beside load, without it in none of 6 (tests/gateway/test_deadly_call.py).
 QUARANTINE_RULE = FollowRule(wait_s=8.0, stale_s=12.0)
 
 
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -33,19 +33,17 @@
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
 #: From failed readiness to refused calls at a planned stop, in which the balancer notices.
-#: Chosen, not measured.
 NOTICE_S = 2.9
-#: Share of the grace after which running calls are given up, so that the process ends by
-#: itself before it is killed. Chosen, not measured.
+#: Share of the grace after which running calls are given up, so that the process ends by itself
+#: before it is killed.
 LAST_SHARE = 0.93
-#: Pause between two checks, during a stop, of whether calls still run. Chosen, not measured.
+#: Pause between two checks, during a stop, of whether calls still run.
 DRAIN_CHECK_S = 0.05
-#: Pause between two steps of renewing or contending for the lease. Chosen, not measured.
+#: Pause between two steps of renewing or contending for the lease.
 LEAD_STEP_S = 0.3
-#: A starting process checks at least this often for a configuration and replicas. Chosen, not
-#: measured.
+#: A starting process checks at least this often for a configuration and replicas.
 READY_CHECK_S = 0.1
-#: Threads for what would block the loop. Chosen, not measured.
+#: Threads for what would block the loop.
 THREADS = 2
 
 
--- a/limeshelf/programs/settings_watch.py
+++ b/limeshelf/programs/settings_watch.py
@@ -20,8 +20,7 @@
     from collections.abc import Callable
     from pathlib import Path
 
-#: The file is checked this often; a signal brings the next check forward. Chosen, not
-#: measured.
+#: The file is checked this often; a signal brings the next check forward.
 CHECK_INTERVAL_S = 1.0
 #: Fields that a running process takes over; the others need a start.
 TAKEN_OVER = frozenset({'store_address', 'seeds', 'retries', 'grace_s', 'weight'})
--- a/limeshelf/replicas/connections.py
+++ b/limeshelf/replicas/connections.py
@@ -33,15 +33,14 @@
     from limeshelf.calls.call import Call
     from limeshelf.calls.wire import AnswerFacts, CallWire, SendFacts
 
-#: Longest time for a new connection. Chosen, not measured.
+#: Longest time for a new connection.
 CONNECT_S = 0.35
-#: Idle connections are closed after this time, unless the replica closes earlier. Chosen, not
-#: measured.
+#: Idle connections are closed after this time, unless the replica closes earlier.
 IDLE_S = 4.0
-#: How long before the replica an idle connection is closed, so that no call is sent on one
-#: that the replica is closing. Chosen, not measured.
+#: How long before the replica an idle connection is closed, so that no call is sent on one that
+#: the replica is closing.
 IDLE_MARGIN_S = 1.0
-#: Shortest idle time, for a replica that states less than the margin. Chosen, not measured.
+#: Shortest idle time, for a replica that states less than the margin.
 LEAST_IDLE_S = 0.1
 #: Headers that the library would add; a call goes on with the caller's alone.
 SKIPPED_HEADERS = frozenset({'User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type'})
--- a/limeshelf/replicas/freshness.py
+++ b/limeshelf/replicas/freshness.py
@@ -8,9 +8,9 @@
 
 from __future__ import annotations
 
-#: A report goes before heartbeats for this long. Chosen, not measured.
+#: A report goes before heartbeats for this long.
 REPORT_LIFE_S = 2.5
-#: What a peer has under way counts for this long after it said so. Chosen, not measured.
+#: What a peer has under way counts for this long after it said so.
 PEER_LOAD_LIFE_S = 2.0
 
 
--- a/limeshelf/replicas/health.py
+++ b/limeshelf/replicas/health.py
@@ -30,16 +30,13 @@
 
 from limeshelf.util.clock import boottime_s
 
-#: First pause of a suspended replica; doubled each time that it fails again. Chosen, not
-#: measured.
+#: First pause of a suspended replica; doubled each time that it fails again.
 SUSPEND_BASE_S = 0.5
-#: Longest pause. Chosen, not measured: 4 s before a pause ended with a probe in place of a
-#: call.
+#: Longest pause. 4 s before a pause ended with a probe in place of a call.
 SUSPEND_LIMIT_S = 1.5
-#: Weight of the newest exchange in the share of failures. Chosen, not measured.
+#: Weight of the newest exchange in the share of failures.
 NEWEST_SHARE = 0.15
-#: Failures in a row after which a replica that can be reached is suspended. Chosen, not
-#: measured.
+#: Failures in a row after which a replica that can be reached is suspended.
 SUSPEND_AFTER = 2
 
 
--- a/limeshelf/replicas/penalties.py
+++ b/limeshelf/replicas/penalties.py
@@ -13,12 +13,12 @@
 if TYPE_CHECKING:
     from limeshelf.replicas.replica import Replica
 
-#: Cost of a hop to another data centre, in whole replicas. Chosen, not measured.
+#: Cost of a hop to another data centre, in whole replicas.
 OTHER_CENTRE_COST = 0.03
-#: Cost of failing always, in whole replicas. Chosen, not measured.
+#: Cost of failing always, in whole replicas.
 FAILING_COST = 2.0
 #: Share of failures that costs nothing yet: one failure moves the average to 0.15
-#: (``NEWEST_SHARE`` of the health), so it takes two close together. Chosen, not measured.
+#: (``NEWEST_SHARE`` of the health), so it takes two close together.
 TOLERATED_FAILING_SHARE = 0.2
 
 
--- a/limeshelf/replicas/pool.py
+++ b/limeshelf/replicas/pool.py
@@ -20,15 +20,14 @@
     from limeshelf.replicas.replica import Replica
     from limeshelf.replicas.starts import ReplicaStart
 
-#: Share of the connections that a replica takes which all gateways together open; it resets
-#: any beyond its number. Chosen, not measured.
+#: Share of the connections that a replica takes which all gateways together open; it resets any
+#: beyond its number.
 USED_SHARE = 0.9
-#: Connections that a gateway may open however many others there are. Chosen, not measured.
+#: Connections that a gateway may open however many others there are.
 LEAST_CONNECTIONS = 4
-#: Time between two rounds that close connections to replicas that are gone. Chosen, not
-#: measured.
+#: Time between two rounds that close connections to replicas that are gone.
 SWEEP_S = 2.0
-#: Time between two rounds that probe replicas whose pause is over. Chosen, not measured.
+#: Time between two rounds that probe replicas whose pause is over.
 PROBE_ROUND_S = 0.1
 
 
--- a/limeshelf/routing/chooser.py
+++ b/limeshelf/routing/chooser.py
@@ -23,12 +23,12 @@
     from limeshelf.replicas.replica import Replica
 
 #: Cost of a suspended replica, in whole replicas: above what any load costs, so that one is
-#: tried only where all are suspended. Chosen, not measured.
+#: tried only where all are suspended.
 SUSPENDED_COST = 50.0
-#: Cost of a request that waits at the replica, in slots. Chosen, not measured.
+#: Cost of a request that waits at the replica, in slots.
 QUEUED_COST = 1.0
-#: The queue in a report that is older than this counts as empty. Chosen, not measured; what it
-#: holds counts for longer (``REPORT_LIFE_S`` of :mod:`limeshelf.replicas.freshness`).
+#: The queue in a report that is older than this counts as empty. What it holds counts for
+#: longer (``REPORT_LIFE_S`` of :mod:`limeshelf.replicas.freshness`).
 QUEUED_LIFE_S = 1.5
 
 
--- a/limeshelf/settings/gateway.py
+++ b/limeshelf/settings/gateway.py
@@ -20,12 +20,12 @@
     from pathlib import Path
 
 
-#: Changes cannot be known sooner: the store is asked some times within that. Chosen.
+#: Changes cannot be known sooner: the store is asked some times within that.
 LEAST_FRESHNESS_MS = 500.0
-#: Leases of this length or less are a fault of the file. Chosen, not measured.
+#: Leases of this length or less are a fault of the file.
 LEAST_LEASE_S = 1.0
 #: Share of the platform's limit that a lease lasts at the most, so that a successor's first
-#: order comes within the limit. Chosen, not measured.
+#: order comes within the limit.
 LEASE_LIMIT_SHARE = 0.8
 
 
--- a/limeshelf/settings/model.py
+++ b/limeshelf/settings/model.py
@@ -1,7 +1,7 @@
 """The settings that the own wire's programs read at their start.
 
 Each carries its unit in its name and its purpose in ``doc``, from which the
-reference page is written. The defaults are chosen, not measured.
+reference page is written.
 """
 
 from __future__ import annotations
--- a/limeshelf/standalone/admin/client.py
+++ b/limeshelf/standalone/admin/client.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Limit of an operator's call. Chosen, not measured.
+#: Limit of an operator's call.
 CALL_TIMEOUT_S = 10.0
 
 
--- a/limeshelf/standalone/admin/operations.py
+++ b/limeshelf/standalone/admin/operations.py
@@ -45,8 +45,7 @@
     from limeshelf.standalone.revisions.sync import RevisionSync
     from limeshelf.standalone.services.weights import WeightStoreClient
 
-#: Deployments of one change whose size is asked of the weight store. Chosen, not
-#: measured.
+#: Deployments of one change whose size is asked of the weight store.
 CHECKED_DEPLOYMENTS = 20
 #: The registry of each kind of policy.
 REGISTRIES: Mapping[PolicyKind, Registry[Any]] = {
--- a/limeshelf/standalone/admin/queries.py
+++ b/limeshelf/standalone/admin/queries.py
@@ -22,7 +22,7 @@
     from limeshelf.peers.node import PeerNode
     from limeshelf.standalone.membership.processes import ProcessDirectory
 
-#: Time that peers have to answer a question. Chosen, not measured.
+#: Time that peers have to answer a question.
 ANSWER_TIMEOUT_S = 1.0
 
 
--- a/limeshelf/standalone/admin/server.py
+++ b/limeshelf/standalone/admin/server.py
@@ -27,7 +27,7 @@
 #: Metadata key under which operators send their token.
 TOKEN_KEY = 'authorization'
 TOKEN_PREFIX = 'Bearer '
-#: Largest message: a configuration of some thousand models. Chosen, not measured.
+#: Largest message: a configuration of some thousand models.
 MAX_MESSAGE_BYTES = 16 << 20
 
 
--- a/limeshelf/standalone/admin/service.py
+++ b/limeshelf/standalone/admin/service.py
@@ -40,11 +40,11 @@
     from limeshelf.standalone.messages import Reach
     from limeshelf.standalone.revisions.store import RevisionStore
 
-#: Revisions listed when a call names no number, and at most. Chosen, not measured.
+#: Revisions listed when a call names no number, and at most.
 DEFAULT_HISTORY = 20
 MAX_HISTORY = 500
 #: A data centre unheard of for this long is shown as such: three messages of
-#: membership/reach.py at rest. Chosen, not measured.
+#: membership/reach.py at rest.
 CENTRE_SILENT_S = 15.0
 
 
--- a/limeshelf/standalone/admission/policies.py
+++ b/limeshelf/standalone/admission/policies.py
@@ -19,18 +19,18 @@
 if TYPE_CHECKING:
     from limeshelf.standalone.config.document import Policy
 
-#: Shortest time to come back that a policy names. Chosen, not measured.
+#: Shortest time to come back that a policy names.
 MIN_RETRY_AFTER_S = 1.0
-#: Estimates allowed where the configuration names none, in first token targets: low
-#: work goes first, high work last. Chosen, not measured.
+#: Estimates allowed where the configuration names none, in first token targets: low work goes
+#: first, high work last.
 DEFAULT_LOW_SLACK_TARGETS = 0.6
 DEFAULT_NORMAL_SLACK_TARGETS = 1.0
 DEFAULT_HIGH_SLACK_TARGETS = 4.0
-#: Share of the streams that work below the high class may take after a high miss, where
-#: the configuration names none. Chosen, not measured.
+#: Share of the streams that work below the high class may take after a high miss, where the
+#: configuration names none.
 DEFAULT_LEAST_SHARE = 0.75
 #: Growth of that share, where the configuration names none: from the least to all in 10
-#: seconds. Chosen, not measured.
+#: seconds.
 DEFAULT_RAISE_SHARE_PER_S = 0.025
 
 
--- a/limeshelf/standalone/admission/priorities.py
+++ b/limeshelf/standalone/admission/priorities.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from limeshelf.standalone.config.document import Policy
 
-#: Ranks of one class: a class never overtakes a higher one, and remaining time ranks by
-#: the second up to 999 s. Chosen, not measured.
+#: Ranks of one class: a class never overtakes a higher one, and remaining time ranks by the
+#: second up to 999 s.
 RANKS_PER_CLASS = 1000
 
 
--- a/limeshelf/standalone/admission/retries.py
+++ b/limeshelf/standalone/admission/retries.py
@@ -8,17 +8,15 @@
 
 import attrs
 
-#: Attempts of one model request, the first included. Chosen, not measured.
+#: Attempts of one model request, the first included.
 MODEL_ATTEMPTS_LIMIT = 4
-#: Attempts of one plain call, the first included. Chosen, not measured.
+#: Attempts of one plain call, the first included.
 PLAIN_ATTEMPTS_LIMIT = 3
-#: Retries that may be saved up while all goes well. Chosen, not measured.
+#: Retries that may be saved up while all goes well.
 SAVED_RETRIES_LIMIT = 10.0
-#: An upstream that could not be reached gets no new work for this long. Chosen, not
-#: measured.
+#: An upstream that could not be reached gets no new work for this long.
 AVOID_S = 1.0
-#: Retry-After when no replica is ready, or none may be tried any more. Chosen, not
-#: measured.
+#: Retry-After when no replica is ready, or none may be tried any more.
 NOT_READY_RETRY_S = 2.0
 
 
--- a/limeshelf/standalone/claims/keeper.py
+++ b/limeshelf/standalone/claims/keeper.py
@@ -21,8 +21,7 @@
 if TYPE_CHECKING:
     from limeshelf.standalone.services.table import TableClient
 
-#: Larger answers are not kept for a repeat; the repeat learns only that the
-#: call ran. Chosen, not measured.
+#: Larger answers are not kept for a repeat; the repeat learns only that the call ran.
 MAX_KEPT_BYTES = 16 << 10
 
 
--- a/limeshelf/standalone/config/holder.py
+++ b/limeshelf/standalone/config/holder.py
@@ -32,8 +32,7 @@
         self._recent: dict[int, list[Change]] = {}
         self._listeners: list[Callable[[Catalog], None]] = []
 
-    #: Revisions of changes kept for peers; older peers get the whole document. Chosen,
-    #: not measured.
+    #: Revisions of changes kept for peers; older peers get the whole document.
     RECENT_LIMIT = 256
 
     @property
--- a/limeshelf/standalone/entry/body.py
+++ b/limeshelf/standalone/entry/body.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from aiohttp import web
 
-#: Largest piece of a body that is read at once, in bytes. Chosen, not measured.
+#: Largest piece of a body that is read at once, in bytes.
 CHUNK_BYTES = 64 << 10
 
 
--- a/limeshelf/standalone/entry/claimed.py
+++ b/limeshelf/standalone/entry/claimed.py
@@ -40,7 +40,7 @@
     from limeshelf.standalone.entry.context import EntryContext
     from limeshelf.standalone.entry.plain_attempts import PreparedCall
 
-#: Retry-After while keys cannot be claimed. Chosen, not measured.
+#: Retry-After while keys cannot be claimed.
 CLAIMS_RETRY_S = 5.0
 
 
--- a/limeshelf/standalone/entry/demand.py
+++ b/limeshelf/standalone/entry/demand.py
@@ -16,7 +16,7 @@
     from limeshelf.peers.node import PeerNode
     from limeshelf.standalone.membership.processes import ProcessDirectory
 
-#: Time between two messages to the placers. Chosen, not measured.
+#: Time between two messages to the placers.
 PERIOD_S = 1.0
 
 
--- a/limeshelf/standalone/entry/headers.py
+++ b/limeshelf/standalone/entry/headers.py
@@ -22,9 +22,9 @@
 REPLAYED_HEADER = 'X-Limeshelf-Replayed'
 RETRY_AFTER_HEADER = 'Retry-After'
 
-#: Longest caller name and idempotency key, in characters. Chosen, not measured.
+#: Longest caller name and idempotency key, in characters.
 MAX_VALUE_CHARS = 256
-#: Longest deadline that a caller may name: a day. Chosen, not measured.
+#: Longest deadline that a caller may name: a day.
 MAX_DEADLINE_S = 24 * 3600.0
 #: Stands for the caller of a request that names none.
 ANONYMOUS = 'anonymous'
--- a/limeshelf/standalone/entry/parse.py
+++ b/limeshelf/standalone/entry/parse.py
@@ -26,13 +26,13 @@
 if TYPE_CHECKING:
     from aiohttp import web
 
-#: Length of an answer to a request that names none, in tokens. Chosen, not measured.
+#: Length of an answer to a request that names none, in tokens.
 DEFAULT_MAX_TOKENS = 256
-#: Longest answer that may be asked for, in tokens. Chosen, not measured.
+#: Longest answer that may be asked for, in tokens.
 MAX_TOKENS_LIMIT = 1 << 20
-#: Characters of the prompt that make up its prefix key. Chosen, not measured.
+#: Characters of the prompt that make up its prefix key.
 PREFIX_CHARS = 256
-#: Length of the prefix key, in bytes: enough to tell prompts apart. Chosen, not measured.
+#: Length of the prefix key, in bytes: enough to tell prompts apart.
 PREFIX_KEY_BYTES = 8
 
 
--- a/limeshelf/standalone/entry/server.py
+++ b/limeshelf/standalone/entry/server.py
@@ -28,18 +28,17 @@
 
 HEALTH_PATHS = frozenset({'/health', '/ready'})
 #: Retry-After of a process that starts or stops: another instance serves at once.
-#: Chosen, not measured.
 STOPPING_RETRY_S = 1.0
 #: Longest header line and field, in bytes; larger ones get status 400. The default of
 #: aiohttp.
 MAX_HEADER_BYTES = 8190
-#: Largest body that the listener lets pass; the setting ``entry.max_body_bytes`` is
-#: checked where a body is read whole. Chosen, not measured.
+#: Largest body that the listener lets pass; the setting ``entry.max_body_bytes`` is checked
+#: where a body is read whole.
 LISTENER_BODY_LIMIT_BYTES = 1 << 30
-#: Connections that may wait to be accepted. Chosen, not measured.
+#: Connections that may wait to be accepted.
 ACCEPT_BACKLOG = 1024
-#: How long handlers may go on after the listener has closed. Chosen, not measured: a
-#: planned stop has waited for running requests before.
+#: How long handlers may go on after the listener has closed. A planned stop has waited for
+#: running requests before.
 SHUTDOWN_TIMEOUT_S = 1.0
 
 
--- a/limeshelf/standalone/experiment/centres.py
+++ b/limeshelf/standalone/experiment/centres.py
@@ -26,9 +26,9 @@
     from limeshelf.standalone.experiment.engine import SimulatedEngine
     from limeshelf.standalone.services.instances import Listed
 
-#: An upstream's state older than this is not trusted. Chosen, not measured.
+#: An upstream's state older than this is not trusted.
 STALE_S = 4.0
-#: Loads of one data centre that run at one time. Chosen, not measured.
+#: Loads of one data centre that run at one time.
 MAX_LOADS = 4
 
 
--- a/limeshelf/standalone/experiment/engine.py
+++ b/limeshelf/standalone/experiment/engine.py
@@ -43,7 +43,7 @@
     :param load_each_s: time to load one unit of memory.
     :param report_lag_s: age of reports.
 
-    The defaults are chosen, not measured; docs/design/experiments.rst states them.
+    docs/design/experiments.rst states the defaults.
     """
 
     slots: int = 32
--- a/limeshelf/standalone/experiment/requests.py
+++ b/limeshelf/standalone/experiment/requests.py
@@ -31,9 +31,9 @@
     from limeshelf.standalone.experiment.workload import Arrival
     from limeshelf.util.clock import VirtualClock
 
-#: Time that a caller gives each request. Chosen, not measured.
+#: Time that a caller gives each request.
 DEADLINE_S = 30.0
-#: Limit of streams of one entry instance to one engine. Chosen, not measured.
+#: Limit of streams of one entry instance to one engine.
 STREAMS_LIMIT = 1000
 
 
--- a/limeshelf/standalone/experiment/simulation.py
+++ b/limeshelf/standalone/experiment/simulation.py
@@ -28,16 +28,14 @@
     from limeshelf.standalone.experiment.systems import PolicySet
 
 #: Pause between two placement rounds; the programs' default is 0.5 s (placer.round_s).
-#: Chosen, not measured.
 ROUND_S = 1.0
-#: Pause between two sendings of the engines' states. Chosen, not measured.
+#: Pause between two sendings of the engines' states.
 STATES_S = 0.25
-#: Time in which the first placement settles before requests come. Chosen, not measured.
+#: Time in which the first placement settles before requests come.
 WARM_UP_S = 240.0
-#: An engine is lost at this share of a failing run. Chosen, not measured.
+#: An engine is lost at this share of a failing run.
 FAILURE_AT = 0.4
 #: Memory of an engine of the bound, against the profile's: room for all models at each.
-#: Chosen, not measured.
 UNLIMITED_FACTOR = 100
 
 
--- a/limeshelf/standalone/experiment/workload.py
+++ b/limeshelf/standalone/experiment/workload.py
@@ -73,7 +73,7 @@
     answer_tokens: int
 
 
-#: Uses of the models in turn. Chosen, not measured.
+#: Uses of the models in turn.
 MODEL_USES = (
     ModelUse(PriorityClass.HIGH, 300, 120),
     ModelUse(PriorityClass.NORMAL, 100, 80),
@@ -81,36 +81,33 @@
     ModelUse(PriorityClass.LOW, 500, 140),
     ModelUse(PriorityClass.NORMAL, 150, 100),
 )
-#: Size of the smallest model, in units of the smallest adapter, and how much each of the
-#: next ones adds until the sizes start again. Chosen, not measured.
+#: Size of the smallest model, in units of the smallest adapter, and how much each of the next
+#: ones adds until the sizes start again.
 SMALLEST_MODEL_UNITS = 40
 MODEL_STEP_UNITS = 12
 MODEL_SIZES = 4
-#: Spread of the lengths: sigma of a log-normal distribution. Chosen, not measured.
+#: Spread of the lengths: sigma of a log-normal distribution.
 LENGTH_SIGMA = 0.5
-#: Shortest prompt and answer, in tokens. Chosen, not measured.
+#: Shortest prompt and answer, in tokens.
 MIN_PROMPT_TOKENS = 10
 MIN_ANSWER_TOKENS = 5
-#: Prompt beginnings of each model. Chosen, not measured.
+#: Prompt beginnings of each model.
 PREFIXES_EACH = 20
-#: Part of the run, 0 to 1, at which the demand shifts to the other models. Chosen, not
-#: measured.
+#: Part of the run, 0 to 1, at which the demand shifts to the other models.
 SHIFT_AT = 0.5
-#: Begin and end of the burst, as parts of the run. Chosen, not measured.
+#: Begin and end of the burst, as parts of the run.
 BURST_FROM = 0.3
 BURST_UNTIL = 0.6
-#: Requests a second of all models together during a burst, against before. Chosen, not
-#: measured.
+#: Requests a second of all models together during a burst, against before.
 BURST_RATE_FACTOR = 1.15
-#: Demand of the model that bursts, against its demand before. Chosen, not measured.
+#: Demand of the model that bursts, against its demand before.
 BURST_FACTOR = 10.0
-#: Exponents of the demand by rank, in the skewed variant and in the others. Chosen, not
-#: measured.
+#: Exponents of the demand by rank, in the skewed variant and in the others.
 SKEW = 1.2
 MILD_SKEW = 0.6
-#: Times that the demand moves in an adversarial run. Chosen, not measured.
+#: Times that the demand moves in an adversarial run.
 PERIODS = 8
-#: Ranks by which it moves each time. Chosen, not measured.
+#: Ranks by which it moves each time.
 PERIOD_RANKS = 3
 
 
--- a/limeshelf/standalone/lease/keeper.py
+++ b/limeshelf/standalone/lease/keeper.py
@@ -22,8 +22,8 @@
     from limeshelf.standalone.services.table import TableClient
 
 #: A contender waits for this many lease lives without a renewal. Being above
-#: one, it leaves room for clocks that run at slightly different rates. Chosen, not
-#: measured (docs/design/memory.rst).
+#: one, it leaves room for clocks that run at slightly different rates. See
+#: docs/design/memory.rst.
 TAKE_OVER_LIVES = 1.5
 
 
--- a/limeshelf/standalone/membership/listing.py
+++ b/limeshelf/standalone/membership/listing.py
@@ -23,8 +23,8 @@
     from limeshelf.standalone.membership.processes import ProcessDirectory
     from limeshelf.standalone.services.instances import InstanceListClient, Listed
 
-#: An unchanged instance list is sent again after this time, for peers that
-#: missed it; a starting process reads the list by itself. Chosen, not measured.
+#: An unchanged instance list is sent again after this time, for peers that missed it; a
+#: starting process reads the list by itself.
 LISTED_REFRESH_S = 30.0
 
 
--- a/limeshelf/standalone/membership/reach.py
+++ b/limeshelf/standalone/membership/reach.py
@@ -19,9 +19,9 @@
     from limeshelf.peers.node import PeerNode
     from limeshelf.standalone.membership.processes import ProcessDirectory
 
-#: Pause between two messages when a revision changed. Chosen, not measured.
+#: Pause between two messages when a revision changed.
 CHANGED_S = 0.25
-#: Pause between two messages when none did. Chosen, not measured.
+#: Pause between two messages when none did.
 UNCHANGED_S = 5.0
 
 
--- a/limeshelf/standalone/membership/rendezvous.py
+++ b/limeshelf/standalone/membership/rendezvous.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-#: Length of a weight: enough that two members hardly ever have the same; where they do,
-#: their names decide. Chosen, not measured.
+#: Length of a weight: enough that two members hardly ever have the same; where they do, their
+#: names decide.
 WEIGHT_BYTES = 8
 
 
--- a/limeshelf/standalone/membership/states.py
+++ b/limeshelf/standalone/membership/states.py
@@ -16,13 +16,12 @@
     from limeshelf.standalone.membership.upstreams import Upstream
 
 #: Item lists are sent again after this time, for peers that missed the change
-#: (docs/design/membership.rst). Chosen, not measured.
+#: (docs/design/membership.rst).
 ITEMS_REFRESH_S = 5.0
 #: An unchanged state is sent again after this time (with the bounded probes it took the
 #: traffic at six processes from 4,852 to 3,155 B/s).
 MAX_SEND_GAP_S = 1.5
 #: Running counts are rounded down to a multiple of this before they count as a change.
-#: Chosen, not measured.
 RUNNING_STEP = 4
 
 
--- a/limeshelf/standalone/membership/upstreams.py
+++ b/limeshelf/standalone/membership/upstreams.py
@@ -21,7 +21,7 @@
     from limeshelf.standalone.messages import UpstreamState
 
 
-#: States kept for upstreams that are not listed yet. Chosen, not measured.
+#: States kept for upstreams that are not listed yet.
 EARLY_LIMIT = 10_000
 
 
--- a/limeshelf/standalone/membership/watch.py
+++ b/limeshelf/standalone/membership/watch.py
@@ -33,16 +33,13 @@
     from limeshelf.standalone.messages import Heartbeat
     from limeshelf.standalone.upstreams.pool import UpstreamPool
 
-#: Entry instances that probe each upstream (docs/design/membership.rst). Chosen, not
-#: measured.
+#: Entry instances that probe each upstream (docs/design/membership.rst).
 WATCHERS = 2
-#: Failed probes in a row after which an upstream counts as unreachable. Chosen, not
-#: measured.
+#: Failed probes in a row after which an upstream counts as unreachable.
 FAILED_PROBES = 3
-#: Pause between two sendings of own states to the other data centres. Chosen, not
-#: measured.
+#: Pause between two sendings of own states to the other data centres.
 REMOTE_PERIOD_S = 1.0
-#: Limit of one probe. Chosen, not measured.
+#: Limit of one probe.
 REPORT_TIMEOUT_S = 1.0
 #: Probes that one process makes in a second, over all upstreams: one costs about 0.9 ms
 #: (docs/CAPACITY.md).
--- a/limeshelf/standalone/placement/demand.py
+++ b/limeshelf/standalone/placement/demand.py
@@ -16,11 +16,11 @@
 if TYPE_CHECKING:
     from limeshelf.standalone.messages import Demand
 
-#: Time constant of the mean of requests in flight. Chosen, not measured.
+#: Time constant of the mean of requests in flight.
 SMOOTHING_S = 10.0
-#: An adapter counts as used for this long after a request. Chosen, not measured.
+#: An adapter counts as used for this long after a request.
 ADAPTER_USE_S = 600.0
-#: Reports of an entry instance count for this long. Chosen, not measured.
+#: Reports of an entry instance count for this long.
 REPORT_LIFE_S = 5.0
 
 
--- a/limeshelf/standalone/placement/placer.py
+++ b/limeshelf/standalone/placement/placer.py
@@ -45,7 +45,6 @@
     from limeshelf.standalone.upstreams.pool import UpstreamPool
 
 #: Anchors are read again after this time: two rounds at the default of placer.round_s.
-#: Chosen, not measured.
 ANCHOR_READ_S = 1.0
 
 
--- a/limeshelf/standalone/placement/planner.py
+++ b/limeshelf/standalone/placement/planner.py
@@ -29,8 +29,8 @@
     from limeshelf.standalone.placement.policies import PlacementPolicy
     from limeshelf.standalone.placement.view import AnchorView, EngineView, PlacementView, UnitView
 
-#: Pause for each data centre that ranks before the own one for a model that is placed
-#: nowhere. Four rounds at the default of placer.round_s; chosen, not measured.
+#: Pause for each data centre that ranks before the own one for a model that is placed nowhere.
+#: Four rounds at the default of placer.round_s.
 RANK_PAUSE_S = 2.0
 
 
--- a/limeshelf/standalone/placement/view_builder.py
+++ b/limeshelf/standalone/placement/view_builder.py
@@ -23,7 +23,7 @@
     from limeshelf.standalone.placement.worker import EngineWorker
 
 #: An anchor's engine that was not seen open for this long counts as lost
-#: (docs/design/reachable.rst). Chosen, not measured.
+#: (docs/design/reachable.rst).
 LOST_S = 15.0
 
 
--- a/limeshelf/standalone/placement/worker.py
+++ b/limeshelf/standalone/placement/worker.py
@@ -28,8 +28,7 @@
     from limeshelf.standalone.placement.ledger import Ledger
     from limeshelf.standalone.upstreams.pool import UpstreamPool
 
-#: Limit of one order or report: two rounds at the default of placer.round_s. Chosen,
-#: not measured.
+#: Limit of one order or report: two rounds at the default of placer.round_s.
 EXCHANGE_TIMEOUT_S = 1.0
 
 
--- a/limeshelf/standalone/programs/admin.py
+++ b/limeshelf/standalone/programs/admin.py
@@ -23,7 +23,7 @@
 from limeshelf.standalone.programs.runner import EXIT_OK, ProgramService, run_program
 from limeshelf.standalone.services.weights import WeightStoreClient
 
-#: Time for running calls at a planned stop. Chosen, not measured.
+#: Time for running calls at a planned stop.
 CALL_GRACE_S = 5.0
 
 
--- a/limeshelf/standalone/programs/cli_common.py
+++ b/limeshelf/standalone/programs/cli_common.py
@@ -26,7 +26,7 @@
 EXIT_UNDECIDED = 5
 EXIT_NOT_APPLIED = 6
 EXIT_NOT_FOUND = 7
-#: Changes that one line of the history names; the others are counted. Chosen, not measured.
+#: Changes that one line of the history names; the others are counted.
 SHOWN_CHANGES = 4
 
 #: Exit code by result of a change.
--- a/limeshelf/standalone/programs/entry.py
+++ b/limeshelf/standalone/programs/entry.py
@@ -35,9 +35,9 @@
 from limeshelf.standalone.upstreams.pool import UpstreamPool
 
 #: A starting process waits at most this long for the states of upstreams
-#: (docs/design/membership.rst). Chosen, not measured.
+#: (docs/design/membership.rst).
 STATES_WAIT_S = 3.0
-#: Pause between two checks whether they have arrived. Chosen, not measured.
+#: Pause between two checks whether they have arrived.
 STATES_PAUSE_S = 0.05
 
 
--- a/limeshelf/standalone/programs/runner.py
+++ b/limeshelf/standalone/programs/runner.py
@@ -39,10 +39,10 @@
 #: New objects between two collections of the youngest generation. One run of ``make bench``:
 #: added first byte time (p99) 3.41 ms, 3.62 ms without, part of it by the machine.
 COLLECT_AFTER_OBJECTS = 20_000
-#: Collections of a generation between two of the next older one. Chosen, not measured.
+#: Collections of a generation between two of the next older one.
 COLLECT_MIDDLE_AFTER = 20
 COLLECT_OLDEST_AFTER = 50
-#: The programs do no blocking work, so the thread pool stays small. Chosen, not measured.
+#: The programs do no blocking work, so the thread pool stays small.
 POOL_THREADS = 2
 
 
--- a/limeshelf/standalone/revisions/store.py
+++ b/limeshelf/standalone/revisions/store.py
@@ -27,10 +27,9 @@
 REVISION_PREFIX = 'config/revision/'
 OPERATION_PREFIX = 'config/operation/'
 SNAPSHOT_PREFIX = 'config-snapshot-'
-#: A whole snapshot is stored each time the revision is a multiple of this. Chosen, not
-#: measured.
+#: A whole snapshot is stored each time the revision is a multiple of this.
 SNAPSHOT_EVERY = 20
-#: Attempts to learn the outcome of a commit whose answer was lost. Chosen, not measured.
+#: Attempts to learn the outcome of a commit whose answer was lost.
 SETTLE_ATTEMPTS = 3
 
 
--- a/limeshelf/standalone/revisions/sync.py
+++ b/limeshelf/standalone/revisions/sync.py
@@ -40,15 +40,12 @@
     from limeshelf.standalone.membership.processes import ProcessDirectory
     from limeshelf.standalone.revisions.store import RevisionStore
 
-#: A starting process gives its peers this long to answer when the platform
-#: does not. Chosen, not measured.
+#: A starting process gives its peers this long to answer when the platform does not.
 PEERS_ANSWER_S = 2.0
 #: Pause between two tries of a starting process, and between two pulls from one peer.
-#: Chosen, not measured.
 START_PAUSE_S = 0.2
-#: One process of a data centre reads the platform for all; the others read it
-#: this many times less often, which covers the time without a reader. Chosen,
-#: not measured.
+#: One process of a data centre reads the platform for all; the others read it this many times
+#: less often, which covers the time without a reader.
 IDLE_READ_FACTOR = 20
 
 
--- a/limeshelf/standalone/routing/loads.py
+++ b/limeshelf/standalone/routing/loads.py
@@ -17,12 +17,12 @@
     from limeshelf.standalone.config.document import PriorityClass
     from limeshelf.standalone.membership.upstreams import Upstream
 
-#: Age at which the reported requests of others count for 1/e of their number: they may
-#: have ended since. Chosen, not measured.
+#: Age at which the reported requests of others count for 1/e of their number: they may have
+#: ended since.
 REPORT_DECAY_S = 2.0
-#: Share of a new measurement in the mean first token time. Chosen, not measured.
+#: Share of a new measurement in the mean first token time.
 LEARN_SHARE = 0.1
-#: First token time of an idle engine before any was measured. Chosen, not measured.
+#: First token time of an idle engine before any was measured.
 FIRST_TOKEN_GUESS_S = 0.05
 
 
--- a/limeshelf/standalone/routing/policies.py
+++ b/limeshelf/standalone/routing/policies.py
@@ -19,8 +19,8 @@
     from limeshelf.standalone.routing.candidates import Candidate
 
 
-#: Load that a replica may carry above the mean for its prefixes, where the
-#: configuration names none. Chosen, not measured.
+#: Load that a replica may carry above the mean for its prefixes, where the configuration names
+#: none.
 DEFAULT_BOUND_RATIO = 0.25
 
 
--- a/limeshelf/util/backoff.py
+++ b/limeshelf/util/backoff.py
@@ -9,7 +9,7 @@
 
 #: Doublings after which a bound grows no further; keeps the power small.
 MAX_DOUBLINGS = 16
-#: A period varies by this share to either side. Chosen, not measured.
+#: A period varies by this share to either side.
 PERIOD_JITTER_SHARE = 0.1
 
 
--- a/limeshelf/util/rate.py
+++ b/limeshelf/util/rate.py
@@ -6,7 +6,7 @@
 
 from limeshelf.util.clock import boottime_s
 
-#: Tokens of this much time are saved up while none is taken. Chosen, not measured.
+#: Tokens of this much time are saved up while none is taken.
 BURST_S = 1.0
 
 
--- a/limeshelf/util/sockets.py
+++ b/limeshelf/util/sockets.py
@@ -10,14 +10,14 @@
 import struct
 from typing import Any
 
-#: Data that is not acknowledged for this long breaks the connection. Chosen, not measured;
-#: short because of replicas behind a cut.
+#: Data that is not acknowledged for this long breaks the connection. Short because of replicas
+#: behind a cut.
 USER_TIMEOUT_MS = 800
-#: An idle connection is probed after this time. Chosen, not measured.
+#: An idle connection is probed after this time.
 PROBE_AFTER_S = 2
-#: Time between two such probes. Chosen, not measured.
+#: Time between two such probes.
 PROBE_EVERY_S = 1
-#: Unanswered probes that break the connection. Chosen, not measured.
+#: Unanswered probes that break the connection.
 PROBES = 2
 #: ``struct linger``: on, with no time to send what is left.
 _DROP_AT_CLOSE = struct.pack('ii', 1, 0)
--- a/limeshelf/util/suspension.py
+++ b/limeshelf/util/suspension.py
@@ -20,11 +20,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Between two comparisons of the clocks, in seconds: this long after waking, at the most, limits
-#: are right again. Chosen, not measured.
+#: Between two comparisons of the clocks, in seconds: this long after waking, at the most,
+#: limits are right again.
 CHECK_S = 0.1
 #: Less than this is no suspension, in seconds: the two clocks are read one after the other.
-#: Chosen, not measured.
 LEAST_SLEPT_S = 0.05
 
 #: Open time limits, with their ends on the boot clock.
--- a/limeshelf/util/tasks.py
+++ b/limeshelf/util/tasks.py
@@ -18,12 +18,10 @@
 
 
 #: Bound of the random pause before a failed loop is run again; doubled with each failure.
-#: Chosen, not measured.
 AGAIN_BASE_S = 0.1
-#: Largest bound of that pause. Chosen, not measured.
+#: Largest bound of that pause.
 AGAIN_LIMIT_S = 2.0
-#: A task that has not ended this long after its cancellation is cancelled again. Chosen, not
-#: measured.
+#: A task that has not ended this long after its cancellation is cancelled again.
 CANCEL_AGAIN_S = 0.5
 
 
--- a/tests/docs/test_comments.py
+++ b/tests/docs/test_comments.py
@@ -15,6 +15,9 @@
 ISSUE = r'\b[Ii]ssue #?[0-9]+\b'
 HISTORY = re.compile(f'{COMMIT}|{DAY}|{ISSUE}|[Ff]leetbench')
 
+#: Whether a value was measured or chosen is told by its commit, not by the code.
+TUNING = re.compile(r'\b[Cc]hosen,\s+not\s+measured|\bChosen\.|(?:Both|All|is|are) chosen\.(?!\w)')
+
 
 def texts(path: Path) -> Iterator[tuple[int, str]]:
     """Yield each comment and string of a module with its line."""
@@ -33,3 +36,12 @@
         if HISTORY.search(text)
     ]
     assert found == []
+
+
+def test_no_comment_says_whether_a_value_was_measured_or_chosen() -> None:
+    found = []
+    for path in sorted((ROOT / 'limeshelf').rglob('*.py')):
+        # A comment goes on over several lines.
+        lines = (line.strip().lstrip('#:').strip() for line in path.read_text().splitlines())
+        found += [f'{path.relative_to(ROOT)}: {text}' for text in TUNING.findall(' '.join(lines))]
+    assert found == []
