One module brings news round through relays; what a replica no longer holds has its own

Suspects of ends and what replicas ask for went round by the same code, written twice. The soak's replicas are in need for longer, since what they ask for is judged after seconds.

--- a/limeshelf/gateway/learning.py
+++ b/limeshelf/gateway/learning.py
@@ -20,6 +20,7 @@
     WholeAnswer,
 )
 from limeshelf.replicas.health import Failure
+from limeshelf.replicas.holdings import forget_holding
 
 if TYPE_CHECKING:
     from limeshelf.calls.call import ModelNeed
@@ -139,7 +140,7 @@
     elif isinstance(lesson, Failed):
         return replica.health.failed(lesson.failure)
     elif isinstance(lesson, LacksModel) and need is not None:
-        directory.forget_holding(replica, need.model, need.adapter)
+        forget_holding(replica, need.model, need.adapter)
     elif isinstance(lesson, Replaced):
         directory.mark_gone(replica, 'misdirected')
     return False
--- a/limeshelf/membership/crash_exchange.py
+++ b/limeshelf/membership/crash_exchange.py
@@ -1,22 +1,19 @@
 """Tells other gateways of calls at which replicas ended, and takes in what they tell.
 
-Each gateway tells the relays of its data centre what it saw itself; relays pass on what was new
-to them, to all gateways of their data centre and, if it comes from there, to the relays of the
-others. Messages may be lost: a gateway that hears no other learns of a call once it rests, by its
-row in the store (:mod:`limeshelf.crashes.keeper`). Owns what is still to be sent.
+They go as :mod:`~limeshelf.membership.news`. A gateway that hears no other learns of a call once
+it rests, by its row in the store (:mod:`limeshelf.crashes.keeper`).
 """
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
 from limeshelf.calls.fingerprint import Fingerprint
 from limeshelf.crashes.suspects import NewsSource, ReplicaEnd, SuspectState, ToldEnd
-from limeshelf.membership import receivers
 from limeshelf.membership.messages import CrashSuspects, EndedReplica
+from limeshelf.membership.news import News
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -41,23 +38,22 @@
     node: PeerNode
     members: Members
     suspects: Suspects
-    _near: dict[Fingerprint, SuspectState] = attrs.field(factory=dict)
-    _far: dict[Fingerprint, SuspectState] = attrs.field(factory=dict)
-    _has_news: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _news: News[SuspectState] = attrs.field(init=False)
     _teller_centre: str = ''
 
+    def __attrs_post_init__(self) -> None:
+        self._news = News(self.members, GATHER_S, self._send_to)
+
     def start(self) -> None:
         """Take messages, and note what this gateway learns itself."""
         self.suspects.add_listener(self._note_change)
         self.node.add_handler(CrashSuspects, self._take)
 
     def _note_change(self, state: SuspectState, source: NewsSource) -> None:
-        if source is NewsSource.ROW or (source is NewsSource.PEER and not self.members.is_relay):
-            return
-        self._near[state.fingerprint] = state
-        if source is NewsSource.OWN or self._teller_centre == self.members.own.data_centre:
-            self._far[state.fingerprint] = state
-        self._has_news.set()
+        if source is NewsSource.OWN:
+            self._news.note_own(state.fingerprint, state)
+        elif source is NewsSource.PEER:
+            self._news.note_told(state.fingerprint, state, self._teller_centre)
 
     def _take(self, envelope: Envelope) -> None:
         self._teller_centre = envelope.data_centre
@@ -66,21 +62,7 @@
 
     async def run(self) -> None:
         """Send news as it comes."""
-        while True:
-            await self._has_news.wait()
-            await asyncio.sleep(GATHER_S)
-            self._has_news.clear()
-            self._send()
-
-    def _send(self) -> None:
-        near, self._near = list(self._near.values()), {}
-        far, self._far = list(self._far.values()), {}
-        members = self.members
-        if not members.is_relay:
-            self._send_to(members.reachable(members.own_relays()), near)
-            return
-        self._send_to(receivers.own_centre(members), near)
-        self._send_to(sorted(receivers.relays_elsewhere(members)), far)
+        await self._news.run()
 
     def _send_to(self, addresses: list[str], states: list[SuspectState]) -> None:
         for first in range(0, len(states), MAX_IN_MESSAGE):
--- /dev/null
+++ b/limeshelf/membership/news.py
@@ -0,0 +1,80 @@
+"""Brings news from the gateway that has it to all others, through relays, and round no circle.
+
+Each gateway tells the relays of its data centre what it learned itself; relays pass on what was
+new to them, to all gateways of their data centre and, if it comes from there, to the relays of the
+others. Messages may be lost. Owns what is still to be sent; relies on
+:mod:`~limeshelf.membership.receivers` for who is sent it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+from limeshelf.membership import receivers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Hashable
+
+    from limeshelf.membership.members import Members
+
+ItemT = TypeVar('ItemT')
+
+
+class News(Generic[ItemT]):
+    """What a gateway has to tell of one kind.
+
+    :param gather_s: after the first news, in seconds, others that come with it are sent with it.
+    :param send_to: sends items to the gateways at some addresses.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        gather_s: float,
+        send_to: Callable[[list[str], list[ItemT]], None],
+    ) -> None:
+        self._members = members
+        self._gather_s = gather_s
+        self._send_to = send_to
+        self._near: dict[Hashable, ItemT] = {}
+        self._far: dict[Hashable, ItemT] = {}
+        self._has_news = asyncio.Event()
+
+    def note_own(self, key: Hashable, item: ItemT) -> None:
+        """Tell what this gateway learned itself.
+
+        :param key: a later item with the same key takes the place of one that is not sent yet.
+        """
+        self._near[key] = self._far[key] = item
+        self._has_news.set()
+
+    def note_told(self, key: Hashable, item: ItemT, centre: str) -> None:
+        """Pass on, as a relay, what was new.
+
+        :param centre: data centre of the gateway that told it.
+        """
+        if not self._members.is_relay:
+            return
+        self._near[key] = item
+        if centre == self._members.own.data_centre:
+            self._far[key] = item
+        self._has_news.set()
+
+    async def run(self) -> None:
+        """Send news as it comes."""
+        while True:
+            await self._has_news.wait()
+            await asyncio.sleep(self._gather_s)
+            self._has_news.clear()
+            self._send()
+
+    def _send(self) -> None:
+        near, self._near = list(self._near.values()), {}
+        far, self._far = list(self._far.values()), {}
+        members = self._members
+        if not members.is_relay:
+            self._send_to(members.reachable(members.own_relays()), near)
+            return
+        self._send_to(receivers.own_centre(members), near)
+        self._send_to(sorted(receivers.relays_elsewhere(members)), far)
--- a/limeshelf/membership/notice_exchange.py
+++ b/limeshelf/membership/notice_exchange.py
@@ -1,22 +1,19 @@
 """Tells other gateways what replicas ask of all of them, and takes in what they tell.
 
-Each gateway tells the relays of its data centre what changed by answers that it got itself;
-relays pass on what was new to them, to all gateways of their data centre and, if it comes from
-there, to the relays of the others. Messages may be lost, and a gateway that starts has missed
-them: who does not know learns it by its first answer from the replica, and tells who gives the
-turns there as it asks for one (:mod:`limeshelf.dispatch.turns`). Owns what is still to be sent.
+It goes as :mod:`~limeshelf.membership.news`. A gateway that starts has missed it: who does not
+know learns it by its first answer from the replica, and tells who gives the turns there as it
+asks for one (:mod:`limeshelf.dispatch.turns`).
 """
 
 from __future__ import annotations
 
-import asyncio
 import math
 from typing import TYPE_CHECKING
 
 import attrs
 
-from limeshelf.membership import receivers
 from limeshelf.membership.messages import ReplicaNotices, ToldNotice
+from limeshelf.membership.news import News
 from limeshelf.replicas.notices import NoticeWay
 from limeshelf.util.clock import MS_PER_S, boottime_s
 
@@ -27,7 +24,6 @@
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.notices import NoticeTaker
     from limeshelf.replicas.replica import Replica
-    from limeshelf.replicas.starts import ReplicaStart
 
 #: Stands for an answer that never came, in milliseconds ago.
 NEVER_MS = 1 << 40
@@ -43,23 +39,22 @@
     members: Members
     directory: ReplicaDirectory
     notices: NoticeTaker
-    _near: dict[ReplicaStart, Replica] = attrs.field(factory=dict)
-    _far: dict[ReplicaStart, Replica] = attrs.field(factory=dict)
-    _has_news: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _news: News[Replica] = attrs.field(init=False)
     _teller_centre: str = ''
 
+    def __attrs_post_init__(self) -> None:
+        self._news = News(self.members, GATHER_S, self._send_to)
+
     def start(self) -> None:
         """Take messages, and note what this gateway learns itself."""
         self.notices.on_change = self._note_change
         self.node.add_handler(ReplicaNotices, self._take)
 
     def _note_change(self, replica: Replica, way: NoticeWay) -> None:
-        if way is NoticeWay.PEER and not self.members.is_relay:
-            return
-        self._near[replica.start] = replica
-        if way is not NoticeWay.PEER or self._teller_centre == self.members.own.data_centre:
-            self._far[replica.start] = replica
-        self._has_news.set()
+        if way is NoticeWay.PEER:
+            self._news.note_told(replica.start, replica, self._teller_centre)
+        else:
+            self._news.note_own(replica.start, replica)
 
     def _take(self, envelope: Envelope) -> None:
         self._teller_centre = envelope.data_centre
@@ -74,21 +69,7 @@
 
     async def run(self) -> None:
         """Send news as it comes."""
-        while True:
-            await self._has_news.wait()
-            await asyncio.sleep(GATHER_S)
-            self._has_news.clear()
-            self._send()
-
-    def _send(self) -> None:
-        near, self._near = list(self._near.values()), {}
-        far, self._far = list(self._far.values()), {}
-        members = self.members
-        if not members.is_relay:
-            self._send_to(members.reachable(members.own_relays()), near)
-            return
-        self._send_to(receivers.own_centre(members), near)
-        self._send_to(sorted(receivers.relays_elsewhere(members)), far)
+        await self._news.run()
 
     def _send_to(self, addresses: list[str], replicas: list[Replica]) -> None:
         if replicas:
--- a/limeshelf/orders/sender.py
+++ b/limeshelf/orders/sender.py
@@ -18,6 +18,7 @@
 from limeshelf.orders.order import OrderKind, OrderOutcome, ReplicaOrder, ReplicaSilent
 from limeshelf.orders.pending import PendingOrders
 from limeshelf.orders.task import OrderTask, claim_task
+from limeshelf.replicas.holdings import drop_adapter
 from limeshelf.replicas.starts import ReplicaStart
 from limeshelf.util.clock import boottime_s
 from limeshelf.util.suspension import boot_timeout
@@ -236,7 +237,7 @@
         if outcome is OrderOutcome.TAKEN or at_once:
             replica.order_number = max(replica.order_number or 0, expected + 1)
         if at_once:
-            self._directory.drop_adapter(replica, task.model, task.adapter)
+            drop_adapter(replica, task.model, task.adapter)
         if outcome is OrderOutcome.FENCED_OFF:
             self._leadership.end('fenced_off')
 
--- a/tests/orders/test_capacity.py
+++ b/tests/orders/test_capacity.py
@@ -12,6 +12,7 @@
 from limeshelf.orders.task import Loadable
 from limeshelf.platform.replicas import read_record
 from limeshelf.replicas.directory import ReplicaDirectory
+from limeshelf.replicas.holdings import drop_adapter, forget_holding
 from limeshelf.replicas.record import Holding, ReplicaRecord, ReplicaReport
 from limeshelf.replicas.replica import Replica
 
@@ -71,13 +72,13 @@
     """A call got the answer that its model is missing; the replica's report says otherwise."""
 
     def answer_model_missing(directory: ReplicaDirectory, replica: Replica) -> None:
-        directory.forget_holding(replica, 'm2', '')
+        forget_holding(replica, 'm2', '')
 
     full = ReplicaReport((Holding('m1'), Holding('m2')), False, 1)
     assert not fits(Loadable('m3'), full, happen=answer_model_missing)
 
     def answer_adapter_missing(directory: ReplicaDirectory, replica: Replica) -> None:
-        directory.forget_holding(replica, 'm1', 'a1')
+        forget_holding(replica, 'm1', 'a1')
 
     places_full = ReplicaReport(holding('a1', 'a2'), False, 1)
     assert not fits(Loadable('m1', 'a3'), places_full, happen=answer_adapter_missing)
@@ -85,7 +86,7 @@
 
 def test_adapter_that_was_unloaded_by_an_order_frees_its_place() -> None:
     def unloaded(directory: ReplicaDirectory, replica: Replica) -> None:
-        directory.drop_adapter(replica, 'm1', 'a1')
+        drop_adapter(replica, 'm1', 'a1')
 
     places_full = ReplicaReport(holding('a1', 'a2'), False, 1)
     assert fits(Loadable('m1', 'a3'), places_full, happen=unloaded)
--- a/tests/platform_soak/faults.py
+++ b/tests/platform_soak/faults.py
@@ -58,6 +58,10 @@
         """Wait for as long as a fault lasts."""
         await asyncio.sleep(self.random.uniform(0.5, 4.0))
 
+    async def for_long(self) -> None:
+        """Wait for as long as a replica is in need: what it asks for is judged after seconds."""
+        await asyncio.sleep(self.random.uniform(4.0, 9.0))
+
     async def harm(self, links: list[Link], harm: Harm) -> None:
         """Harm links for a while."""
         for link in links:
@@ -235,7 +239,7 @@
     else:
         replica.needs.rest_s = faults.random.choice(['0.5', '3', '20'])
         replica.fault = Fault.FULL
-    await faults.for_a_while()
+    await faults.for_long()
     replica.needs.rate_per_s = replica.needs.rest_s = None
     replica.fault = Fault.NONE
 
@@ -248,5 +252,5 @@
         # A start that states no time cannot be told from the next one.
         await faults.world.restart(replica, 1000)
     replica.needs.leaving = True
-    await faults.for_a_while()
+    await faults.for_long()
     await faults.world.restart(replica, 1000)
