Owners of replicas do not lose sight of one another; who stands in for one uses a smaller part

With nine gateways of three data centres, a replica that takes 2.3 calls a second got 20 in 4 s where 18.8 are tolerated, twice its rate for as long as calls came.

Cause: the second relay of a data centre owns the replicas there, and sends nothing to other data centres. These take it for silent and send it their sums only now and then, so it forgets after 2.5 s who owns the replicas elsewhere; what its first relay passes on it threw away as a relay. Each second relay then stood in for the owners of the others, with half of the rate.

Mend: owners that the first relay passes on count for the second one too. What was passed on goes no further, so that two relays do not keep a lost owner for good. And all that may stand in use half of the rate together, however many see no owner.

--- a/limeshelf/calls/notice.py
+++ b/limeshelf/calls/notice.py
@@ -1,7 +1,7 @@
 """What a replica asks of those who send to it, as the head of any of its answers says.
 
-A value only. The adapter reads it (:mod:`limeshelf.platform.headers`), and
-:mod:`limeshelf.replicas.notices` keeps it for the start of the replica that gave it.
+A value only. The adapter reads it, and :mod:`limeshelf.replicas.notices` keeps it for the start
+of the replica that gave it.
 """
 
 from __future__ import annotations
--- a/limeshelf/dispatch/pace.py
+++ b/limeshelf/dispatch/pace.py
@@ -6,8 +6,8 @@
 for each), and would exceed it where they disagree on their number.
 
 Where a data centre has no owner, another one's stands in. Gateways that a cut keeps apart may see
-two pacers, and so may those that learn late of a new one. So a stand-in uses a part of the rate,
-and so does each pacer at first.
+several pacers, and so may those that learn late of a new one. So a stand-in uses a part of the
+rate, and so does each pacer at first.
 Owns the turns that were given; relies on the owners as the program sees them, and on
 :mod:`limeshelf.replicas.backpressure` for the rate.
 """
@@ -27,8 +27,8 @@
     from limeshelf.replicas.replica import Replica
     from limeshelf.replicas.starts import ReplicaStart
 
-#: Part of the rate that a pacer uses at first, and one that stands in always: two of them, the
-#: one before or a stand-in beside the owner, stay below one and a half times the rate together.
+#: Part of the rate that a pacer uses at first, beside the one before it; and that all who may
+#: stand in for an owner use together, beside it. Either way it is one and a half times the rate.
 CAUTIOUS_SHARE = 0.5
 #: A pacer is new for this long, in seconds.
 NEW_FOR_S = 4.0
@@ -149,10 +149,17 @@
         rate_per_s = replica.backpressure.rate_per_s
         if rate_per_s is None or self.pacer_of(replica) != LOCAL:
             return None
-        stands_in = self._owner_of(replica.record.data_centre) != LOCAL
+        return max(LEAST_PER_S, self._share(replica, now_s) * rate_per_s)
+
+    def _share(self, replica: Replica, now_s: float) -> float:
+        """Return the part of the rate that this process uses as a pacer."""
+        centre = replica.record.data_centre
+        if self._owner_of(centre) != LOCAL:
+            # Each of the others may take itself for the one that stands in.
+            others = len(set(self._centres()) - {centre})
+            return CAUTIOUS_SHARE / max(1, others)
         is_new = now_s < self._pace(replica, now_s).begun_s + NEW_FOR_S
-        share = CAUTIOUS_SHARE if stands_in or is_new else 1.0
-        return max(LEAST_PER_S, share * rate_per_s)
+        return CAUTIOUS_SHARE if is_new else 1.0
 
     def _pace(self, replica: Replica, now_s: float) -> Pace:
         pace = self._paces.get(replica.start)
--- a/limeshelf/membership/digest_exchange.py
+++ b/limeshelf/membership/digest_exchange.py
@@ -235,10 +235,12 @@
     def _take_summary(self, envelope: Envelope) -> None:
         summary: FleetSummary = envelope.message
         self.members.note_message(envelope.sender, envelope.data_centre)
+        # Also as a relay: the second one sends nothing to other data centres, so that these take
+        # it for silent and send it their sums only now and then.
+        for data_centre, address in summary.dispatchers.items():
+            self.dispatchers.note_passed_on(data_centre, address)
         if self.members.is_relay or self.leader.is_self:
             # These have the digests themselves.
             return
         self._summary_gateways = summary.gateways
-        for data_centre, address in summary.dispatchers.items():
-            self.dispatchers.note(data_centre, address)
         self.directory.take_total_loads(summary.loads)
--- a/limeshelf/membership/dispatchers.py
+++ b/limeshelf/membership/dispatchers.py
@@ -25,12 +25,20 @@
     heard_s: float
 
 
+def _active(announced: _Announced | None) -> str | None:
+    """Return an address that was announced lately."""
+    if announced is None or not is_active(boottime_s() - announced.heard_s):
+        return None
+    return announced.address
+
+
 @attrs.define
 class Dispatchers:
     """The dispatcher of each data centre."""
 
     members: Members
     _announced: dict[str, _Announced] = attrs.field(factory=dict)
+    _passed_on: dict[str, _Announced] = attrs.field(factory=dict)
 
     def of_centre(self, data_centre: str) -> str | None:
         """Return the peer address of a data centre's dispatcher.
@@ -39,10 +47,8 @@
         """
         if data_centre == self.members.own.data_centre:
             return self._local()
-        announced = self._announced.get(data_centre)
-        if announced is None or not is_active(boottime_s() - announced.heard_s):
-            return None
-        return announced.address
+        announced = _active(self._announced.get(data_centre))
+        return announced or _active(self._passed_on.get(data_centre))
 
     def _local(self) -> str | None:
         relays = self.members.own_relays()
@@ -56,13 +62,22 @@
         return relays[-1].address if relays else ''
 
     def announced(self) -> dict[str, str]:
-        """Return the dispatchers that are known, by data centre."""
+        """Return the dispatchers that are known, by data centre.
+
+        Those that other relays passed on are left out: two relays that pass on what each has of
+        the other would keep a lost one for good.
+        """
         known = {self.members.own.data_centre: self.own_address()}
-        for data_centre in self._announced:
-            known[data_centre] = self.of_centre(data_centre) or ''
+        for data_centre, announced in self._announced.items():
+            known[data_centre] = _active(announced) or ''
         return {data_centre: address for data_centre, address in known.items() if address}
 
     def note(self, data_centre: str, address: str) -> None:
-        """Note whom a relay announced for another data centre; empty for nobody."""
+        """Note whom a relay of another data centre announced for it; empty for nobody."""
         if address and data_centre != self.members.own.data_centre:
             self._announced[data_centre] = _Announced(address, boottime_s())
+
+    def note_passed_on(self, data_centre: str, address: str) -> None:
+        """Note whom a relay of the own data centre has heard announced for another one."""
+        if address and data_centre != self.members.own.data_centre:
+            self._passed_on[data_centre] = _Announced(address, boottime_s())
--- a/tests/dispatch/test_pace.py
+++ b/tests/dispatch/test_pace.py
@@ -53,19 +53,22 @@
 
 
 @pytest.mark.parametrize('rate_per_s', [0.3, 2.3, 20.0])
-@pytest.mark.parametrize('others', [0, 1])
-def test_second_pacer_that_begins_or_stands_in_stays_within_what_is_tolerated(
+@pytest.mark.parametrize('others', [0, 1, 2, 4])
+def test_further_pacers_that_begin_or_stand_in_stay_within_what_is_tolerated(
     rate_per_s: float, others: int
 ) -> None:
     replica = replica_with(rate_per_s)
     first = owner()
     times = taken([first], replica, 0.0, 20.0)
-    stand_in = ReplicaPaces(
-        lambda data_centre: LOCAL if data_centre == 'z2' else None, lambda: ['z2']
-    )
+    centres = ['z1', *(f'y{number}' for number in range(others))]
+    # Each of the others sees no owner but its own.
+    stand_ins = [
+        ReplicaPaces({centre: LOCAL}.get, lambda: centres) for centre in centres if centre != 'z1'
+    ]
     begins_anew = owner()
-    second = stand_in if others else begins_anew
-    times += taken([first, second], replica, 20.0, NEW_FOR_S)
+    times += taken([first, *(stand_ins or [begins_anew])], replica, 20.0, 3 * NEW_FOR_S)
+    if not others:
+        times = [one for one in times if one < 20.0 + NEW_FOR_S]
     assert most_in_window(times) <= tolerated(rate_per_s)
 
 
--- a/tests/gateway/test_rate_limited_replica.py
+++ b/tests/gateway/test_rate_limited_replica.py
@@ -20,7 +20,7 @@
 import asyncio
 
 from limeshelf.dispatch.pace import NEW_FOR_S
-from tests.support.fleet import FleetWorld, load, run_fleet
+from tests.support.fleet import CENTRES, FleetWorld, load, run_fleet
 from tests.support.needs import most_in_window, tolerated
 
 RATE_PER_S = 2.0
@@ -73,3 +73,23 @@
         assert 0.2 <= float(answered.headers['Retry-After']) <= 4.0
 
     run_fleet(scenario)
+
+
+def test_nine_gateways_of_three_data_centres_keep_to_one_rate() -> None:
+    """Second relays, which own the replicas of their data centres, lost sight of one another.
+
+    Each then gave turns at the replicas of the others: 20 calls in 4 s at each, where 18.8 are
+    tolerated, twice the rate for as long as the calls came.
+    """
+
+    async def scenario(world: FleetWorld) -> None:
+        replicas = [*world.plain, *world.engines]
+        for replica in replicas:
+            replica.needs.rate_per_s = '2.3'
+        await asyncio.gather(load(world, '/safe/x', 12.0), load(world, '/stream/x', 12.0))
+        for replica in replicas:
+            assert most_in_window(world, replica) <= tolerated(2.3)
+            owners = [world.components(n).dispatchers for n in range(len(world.centres))]
+            assert all(one.of_centre(centre) is not None for one in owners for centre in CENTRES)
+
+    run_fleet(scenario, centres=('z1', 'z2', 'z3') * 3)
--- a/tests/membership/test_dispatchers.py
+++ b/tests/membership/test_dispatchers.py
@@ -58,3 +58,15 @@
         one = dispatchers('g1', 'g2')
         one.note('c1', 'g9')
         assert one.of_centre('c1') == 'g2'
+
+
+def test_what_a_relay_passes_on_counts_for_a_while_and_goes_no_further() -> None:
+    with virtual_clock() as clock:
+        one = dispatchers('g1')
+        one.note_passed_on('c2', 'h2')
+        assert one.of_centre('c2') == 'h2'
+        assert one.announced() == {'c1': 'g1'}
+        one.note('c2', 'h3')
+        assert one.of_centre('c2') == 'h3'
+        clock.advance(SILENT_S)
+        assert one.of_centre('c2') is None
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -32,6 +32,7 @@
     :param engines: replicas that hold model ``m1``.
     :param deadly_text: what ends a replica that begins to run a call with it.
     :param deadly_model: what ends a replica that begins to load it.
+    :param centres: data centres of the gateways, in turn.
     :param back_after_s: from the end of a replica to its return under another id, in seconds.
     :ivar ends: when replicas ended, on the clock of the loop.
     :ivar gateway_of: number of the gateway at which each call was made, by the call's id.
@@ -43,12 +44,14 @@
         deadly_text: bytes | None = None,
         deadly_model: str = '',
         back_after_s: float = 0.6,
+        centres: tuple[str, ...] = CENTRES,
     ) -> None:
         super().__init__()
         self.engines = [ReplicaStandIn(f'e-{number}', ['m1']) for number in range(engines)]
         self.ends: list[float] = []
         self._deadly_text = deadly_text
         self._deadly_model = deadly_model
+        self.centres = centres
         self._back_after_s = back_after_s
         self._gateways: dict[int, Gateway] = {}
         self._settings: dict[int, GatewaySettings] = {}
@@ -62,7 +65,7 @@
             await self._start_replica(replica)
         self.configure(configuration(1))
         self.caller = aiohttp.ClientSession(auto_decompress=False)
-        for number in range(len(CENTRES)):
+        for number in range(len(self.centres)):
             await self.start_gateway(number)
         await self.until(self.all_know_all, limit_s=15.0)
         return self
@@ -82,7 +85,7 @@
         """Return the settings of a gateway, the same for each of its starts."""
         if number not in self._settings:
             self._settings[number] = attrs.evolve(
-                self.settings(), instance_id=f'g-{number}', data_centre=CENTRES[number]
+                self.settings(), instance_id=f'g-{number}', data_centre=self.centres[number]
             )
         return self._settings[number]
 
@@ -105,7 +108,7 @@
         return all(
             one.in_force.config is not None
             and len(one.directory.all()) >= len(self.plain + self.engines)
-            and len(one.members.others()) >= len(CENTRES) - 1
+            and len(one.members.others()) >= len(self.centres) - 1
             for one in parts
         )
 
@@ -163,7 +166,7 @@
     """
     tasks = []
     for number in range(int(for_s * CALLS_PER_S)):
-        at = number % len(CENTRES)
+        at = number % len(world.centres)
         if path.startswith('/stream'):
             call = world.generate_at(at, b'x')
         else:
