A replica that takes more again gets its next call at the new rate

One that took a call in ten seconds, and said with its answer that it takes 20 a second, got the next one ten seconds later: the turn had been put at the old rate, and gateways remembered it. The wait that is left passes at the new rate now, and what a pacer said of the next turn counts only for the rate of then (tests/dispatch/test_pace.py, tests/dispatch/test_turns.py).

--- a/limeshelf/dispatch/pace.py
+++ b/limeshelf/dispatch/pace.py
@@ -59,6 +59,7 @@
     """
 
     begun_s: float
+    _per_s: float = 1.0
     _due_s: float = -math.inf
 
     def wait_s(self, per_s: float, now_s: float) -> float:
@@ -66,15 +67,28 @@
 
         :param per_s: turns a second, above zero.
         """
+        self._change_rate(per_s, now_s)
         return max(0.0, self._due_s - SAVED_S - now_s)
 
     def take(self, per_s: float, at_s: float) -> None:
         """Give the next turn.
 
+        :param per_s: turns a second, above zero.
         :param at_s: when it is taken, on the boot clock.
         """
         self._due_s = max(at_s, self._due_s) + 1 / per_s
 
+    def _change_rate(self, per_s: float, now_s: float) -> None:
+        """Let the wait that is left pass at another rate.
+
+        A replica that took a call in ten seconds, and says with its answer that it takes more,
+        would otherwise get the next one ten seconds later.
+        """
+        left_s = self._due_s - now_s
+        if left_s > 0:
+            self._due_s = now_s + left_s * self._per_s / per_s
+        self._per_s = per_s
+
 
 class ReplicaPaces:
     """The turns of the replicas for which this process is the pacer.
--- a/limeshelf/dispatch/turns.py
+++ b/limeshelf/dispatch/turns.py
@@ -12,6 +12,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
+
 from limeshelf.dispatch.messages import TurnQuery, TurnVerdict
 from limeshelf.dispatch.pace import Turn
 from limeshelf.membership.member import LOCAL
@@ -33,6 +35,18 @@
 _NO_PACER = Turn(False, AVOID_S)
 
 
+@attrs.frozen
+class _NextTurn:
+    """When the next turn at a replica is, as its pacer said.
+
+    :ivar rate_per_s: of the replica then; at another rate it comes at another time.
+    :ivar at_s: on the boot clock.
+    """
+
+    rate_per_s: float | None
+    at_s: float
+
+
 class TurnExchange:
     """Asks for turns, and gives them."""
 
@@ -48,7 +62,7 @@
         self._notices = notices
         self._paces = paces
         self._questions: Questions[Turn] = Questions(node, _log_silent)
-        self._next_turn_s: dict[ReplicaStart, float] = {}
+        self._next_turns: dict[ReplicaStart, _NextTurn] = {}
 
     def start(self) -> None:
         """Take messages."""
@@ -60,13 +74,15 @@
 
         :param patience_s: how long the call can wait for it, in seconds.
         """
-        now_s = boottime_s()
-        known_s = self._next_turn_s.get(replica.start, now_s) - now_s
-        if known_s > patience_s:
-            return Turn(False, known_s)
+        rate_per_s = replica.backpressure.rate_per_s
+        known = self._next_turns.get(replica.start)
+        if known is not None and known.rate_per_s == rate_per_s:
+            wait_s = known.at_s - boottime_s()
+            if wait_s > patience_s:
+                return Turn(False, wait_s)
         turn = await self._ask(replica, patience_s)
         if not turn.is_granted:
-            self._next_turn_s[replica.start] = boottime_s() + turn.wait_s
+            self._next_turns[replica.start] = _NextTurn(rate_per_s, boottime_s() + turn.wait_s)
         elif turn.wait_s:
             await asyncio.sleep(turn.wait_s)
         return turn
--- a/tests/dispatch/test_pace.py
+++ b/tests/dispatch/test_pace.py
@@ -92,6 +92,19 @@
     assert len(times) == pytest.approx(30.0 * LEAST_PER_S, abs=1)
 
 
+def test_other_rate_counts_for_the_wait_that_is_left() -> None:
+    paces = owner()
+    replica = replica_with(0.1)
+    paces.try_take(replica, 0.0, 10.0)
+    assert paces.wait_s(replica, 15.0) > 4.0
+    replica.backpressure.note_rate(20.0, 15.0)
+    assert paces.wait_s(replica, 15.0) == 0.0
+    paces.try_take(replica, 0.0, 15.0)
+    replica.backpressure.note_rate(0.1, 16.0)
+    paces.try_take(replica, 0.0, 16.0)
+    assert paces.wait_s(replica, 16.0) > 9.0
+
+
 def test_queue_waits_for_its_turns_only_where_no_replica_takes_any_number() -> None:
     paces = owner()
     slow, free = replica_with(2.0 / CAUTIOUS_SHARE), replica_with(None)
--- a/tests/dispatch/test_turns.py
+++ b/tests/dispatch/test_turns.py
@@ -93,6 +93,10 @@
         asked = world.nodes[ASKER].sent
         assert not (await world.asker.get(world.at_asker, 0.0)).is_granted
         assert world.nodes[ASKER].sent == asked
+        # Another rate brings it at another time.
+        world.at_asker.backpressure.note_rate(20.0, boottime_s())
+        await world.asker.get(world.at_asker, 0.0)
+        assert world.nodes[ASKER].sent == asked + 1
 
     asyncio.run(play())
 
