That a replica leaves counts for its start, whichever of its rows was there when it was heard

A call that was sent before the row of its replica lapsed and came back, and whose answer said that the replica leaves, told only the entry that was gone; the one that came back took calls until its own next answer. Both go by the start now (tests/replicas/test_notices.py, red before).

--- a/limeshelf/membership/states.py
+++ b/limeshelf/membership/states.py
@@ -34,7 +34,7 @@
         report.queued if report else 0,
         report.running if report else 0,
         report.memory_used if report else 0,
-        replica.leaving,
+        replica.leaving or replica.backpressure.leaving,
         replica.known_start.born_ms,
     )
 
--- a/limeshelf/replicas/replica.py
+++ b/limeshelf/replicas/replica.py
@@ -82,8 +82,12 @@
 
     @property
     def takes_calls(self) -> bool:
-        """Return whether it is there and does not leave."""
-        return not self.gone and not self.leaving
+        """Return whether it is there and does not leave.
+
+        That its start leaves may have been heard by a call that was sent before its row lapsed and
+        came back.
+        """
+        return not (self.gone or self.leaving or self.backpressure.leaving)
 
     def holds(self, model: str, adapter: str = '') -> bool:
         """Return whether a model, or an adapter of it, is ready there."""
--- a/tests/replicas/test_notices.py
+++ b/tests/replicas/test_notices.py
@@ -85,6 +85,18 @@
     assert world.changes == [NoticeWay.CALL]
 
 
+def test_what_a_call_from_before_the_row_lapsed_hears_counts_for_the_row_that_came_back() -> None:
+    world = World()
+    before = world.replica
+    world.directory.mark_gone(before, 'record_dropped')
+    world.directory.take_record(attrs.evolve(RECORD, beat_number=9))
+    facts = attrs.evolve(RAN, notice=attrs.evolve(RATE, leaving=True))
+    world.taker.take_of_call(before, facts, 0.0)
+    assert world.replica is not before
+    assert not world.replica.takes_calls
+    assert world.replica.backpressure.rate_per_s == 2.3
+
+
 def test_later_start_has_asked_for_nothing() -> None:
     world = World()
     world.directory.take_record(attrs.evolve(RECORD, beat_number=2, born_ms=5))
