What a model replica asks for counts in its refusals for want of the model, too

A replica that had started again empty refused calls with 421, each saying that it leaves; an order that came late loaded a model there, and calls of gateways that it had told went to it seconds later. Of a 421 nothing was believed, since another replica may have the address: then the one that was meant is gone, and believing it does no harm.

The test fails without it (one call, where none may come); reports must not state it for that, since the leader's poll tells all gateways within half a second.

--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -118,9 +118,10 @@
 
     :param splitter: keeps the place in a stream across attempts.
     :param on_first: called when the first event of a stream is there.
-    :param on_head: called as soon as the head of an answer is there that is surely the
-        replica's: it bears the call's id, and the replica's signature or its word that it did
-        not run the call. Another replica may have given a misdirected one.
+    :param on_head: called as soon as the head of an answer is there that bears the call's id, and
+        the replica's signature or its word that it did not run the call. Another replica may have
+        given a misdirected one; then the one that was meant is no longer there, and what it is
+        taken to ask for does no harm.
     :param may_send: see :class:`~limeshelf.replicas.connections.SendProgress`.
     """
 
@@ -190,7 +191,7 @@
         if facts.call_id != self._call.call_id and not facts.misdirected:
             return Broken(BrokenBy.FOREIGN_ANSWER)
         if facts.not_run:
-            if not facts.misdirected:
+            if facts.call_id == self._call.call_id:
                 self._on_head(facts)
             await self._finish(response, facts)
             return NeverRan(True, facts.misdirected, facts.status)
--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -80,11 +80,13 @@
     :ivar rate_per_s: calls a second that it takes from all gateways, as text.
     :ivar leaving: it is to get no more calls.
     :ivar rest_s: for which a gateway that it turns away is to send nothing, as text.
+    :ivar to_callers_alone: whether reports and answers to orders state nothing of it.
     """
 
     rate_per_s: str | None = None
     leaving: bool = False
     rest_s: str | None = None
+    to_callers_alone: bool = False
 
     def headers(self, status: int) -> dict[str, str]:
         """Return the headers that state it in an answer with a status."""
@@ -270,9 +272,12 @@
                 'SeqNo': self.order_number,
                 **self._stated_start(),
             },
-            headers=self.needs.headers(200),
+            headers=self._order_headers(200),
         )
 
+    def _order_headers(self, status: int) -> dict[str, str]:
+        return {} if self.needs.to_callers_alone else self.needs.headers(status)
+
     async def _order(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.json()
         if self.order_fault is Fault.SILENT:
@@ -280,7 +285,7 @@
             loop.call_later(self.order_late_s, self._carry_out, body)
             await asyncio.sleep(3600)
         status = self._carry_out(body)
-        return web.Response(status=status, headers=self.needs.headers(status))
+        return web.Response(status=status, headers=self._order_headers(status))
 
     def _carry_out(self, body: dict[str, Any]) -> int:
         status = self._take_order(body)
--- a/tests/gateway/test_leaving_replica.py
+++ b/tests/gateway/test_leaving_replica.py
@@ -18,8 +18,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from standins.users_platform.replica import Needs
 from tests.support.fleet import FleetWorld, load, run_fleet
-from tests.support.needs import arrivals_after_leaving
+from tests.support.needs import LEAVING_AFTER_S, arrivals_after_leaving
 
 if TYPE_CHECKING:
     from standins.users_platform.replica import ReplicaStandIn
@@ -58,6 +59,24 @@
     run_fleet(scenario)
 
 
+def test_replica_that_says_it_leaves_as_it_lacks_the_model_gets_no_calls_once_it_has_it() -> None:
+    """Orders that arrive late load a model there, after its refusals have said that it leaves."""
+
+    async def scenario(world: FleetWorld) -> None:
+        replica = world.engines[0]
+        replica.models.clear()
+        replica.needs = Needs(leaving=True, to_callers_alone=True)
+        await load(world, '/stream/x', 0.5)
+        assert {stated.status for stated in replica.stated} == {421}
+        replica.models['m1'] = []
+        world.announce(replica, beat=9)
+        await asyncio.sleep(LEAVING_AFTER_S)
+        await load(world, '/stream/x', 1.5)
+        assert arrivals_after_leaving(world, replica) == 0
+
+    run_fleet(scenario)
+
+
 def test_later_start_of_the_replica_gets_calls() -> None:
     async def scenario(world: FleetWorld) -> None:
         (replica, _) = leaving(world)
