--- a/limeshelf/demand/reading_speed.py
+++ b/limeshelf/demand/reading_speed.py
@@ -18,8 +18,8 @@
 LEAST_TOKENS = 250
 #: Part of the time to the first event that is not reading: the round trip, and two steps of the
 #: batch. Not the steps that :mod:`~limeshelf.dispatch.limits` counts in an event, nor the delay
-#: after which :mod:`~limeshelf.dispatch.granted_load` takes a prompt as read: the three were
-#: chosen apart and do not add up.
+#: after which :mod:`~limeshelf.dispatch.granted_load` takes a prompt as read: the three
+#: do not add up.
 FIRST_EVENT_OVERHEAD_MS = 22.0
 
 
