--- a/limeshelf/demand/model_demand.py
+++ b/limeshelf/demand/model_demand.py
@@ -21,9 +21,8 @@
     from limeshelf.calls.routes import EngineSpec, ModelSpec
 
 #: Share of a replica's time that may go to reading prompts before it counts as full; the rest
-#: goes to the steps of running calls. A lower one measured better on one deployment (0.832 to
-#: 0.858) and worse on another (0.979 to 0.938), with other changes. A figure for planning:
-#: what is granted is bounded by the dispatcher's own READING_DUTY.
+#: goes to the steps of running calls. For planning only: what is granted is bounded by
+#: READING_DUTY of :mod:`limeshelf.dispatch.refusal`.
 PLANNED_READING_SHARE = 0.5
 #: A further copy serves only when its load is done, so demand that rises counts as what it will
 #: be then. While it rises evenly, the two averages lag behind it by their time constants; what
--- a/limeshelf/dispatch/limits.py
+++ b/limeshelf/dispatch/limits.py
@@ -15,7 +15,6 @@
 #: Part of the bearable pause, less the steps of an event, that reading may take.
 READING_SHARE = 0.84
 #: Length of the window in bearable pauses: a replica may begin to read later than granted.
-#:
 WINDOW_PAUSES = 1.15
 #: A step of a replica's batch in which nothing is read. See ``FIRST_EVENT_OVERHEAD_MS`` for the
 #: figures of steps that differ.
--- a/limeshelf/replicas/backpressure.py
+++ b/limeshelf/replicas/backpressure.py
@@ -1,6 +1,6 @@
 """What one start of a replica has asked the gateways for, merged from all that was heard of it.
 
-Values and their merging alone; :mod:`limeshelf.replicas.notices` takes what comes. The result
+Relies on the boot clock alone; :mod:`limeshelf.replicas.notices` takes what comes. The result
 is the same in whatever order statements arrive: answers on two connections may pass each other,
 and what peers pass on comes late.
 """
