--- a/limeshelf/platform/store_era.py
+++ b/limeshelf/platform/store_era.py
@@ -42,9 +42,10 @@
         era = read_era(header)
         if era is None:
             self._note_unusable(header)
-            return self._latest or 0
+            era = self._latest or 0
         if self._latest is None or era > self._latest:
-            log_change('store_era', era=era, era_before=self._latest)
+            if header is not None:
+                log_change('store_era', era=era, era_before=self._latest)
             self._latest = era
             self._on_later(era)
         return era
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -37,9 +37,13 @@
 
 @attrs.frozen
 class _Copy:
-    """The rows as of one version."""
+    """The rows as of one version.
+
+    :ivar taken_s: on the steady clock.
+    """
 
     version: int
+    taken_s: float
     tables: dict[str, dict[str, _Row]]
 
 
@@ -104,7 +108,7 @@
 
     def _keep_copy(self) -> None:
         tables = {table: dict(rows) for table, rows in self._tables.items()}
-        self._copies.append(_Copy(self._version, tables))
+        self._copies.append(_Copy(self._version, time.monotonic(), tables))
 
     def return_to(self, version: int) -> None:
         """Come back from the copy of a version; what was written since is lost.
@@ -122,6 +126,12 @@
         self.era += 1
         self._wake()
 
+    def return_from(self, age_s: float) -> None:
+        """Come back from a copy that was taken some seconds ago."""
+        taken_s = time.monotonic() - age_s
+        older = [copy.version for copy in self._copies if copy.taken_s <= taken_s]
+        self.return_to(max(older, default=0))
+
     def forget_history(self) -> None:
         """Keep the rows but none of their changes."""
         self._oldest = self._version
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -35,6 +35,11 @@
 
 
 def test_store_that_states_no_era_is_in_the_first_one() -> None:
-    era = StoreEra(lambda later: None)
+    told: list[int] = []
+    era = StoreEra(told.append)
     assert era.note(None) == 0
     assert not era.is_over(0)
+    # One that states its era only once it has come back has come back.
+    assert era.note('1') == 1
+    assert told == [0, 1]
+    assert era.is_over(0)
--- a/tests/platform_soak/faults.py
+++ b/tests/platform_soak/faults.py
@@ -152,6 +152,21 @@
     switches.status, switches.silent, switches.lose_answers, switches.late_s = 0, False, False, 0.0
 
 
+@strike
+async def store_returns(faults: Faults) -> None:
+    """Let the store come back from older copies; what was written since is written again."""
+    store = faults.world.store
+    for _ in range(faults.random.randint(1, 3)):
+        away = faults.random.choice([0, 503, 503])
+        store.faults.status = away
+        if away:
+            await asyncio.sleep(faults.random.uniform(0.1, 2.0))
+        store.return_from(age_s=faults.random.uniform(0.0, 10.0))
+        store.faults.status = 0
+        await asyncio.sleep(faults.random.uniform(0.0, 1.5))
+        faults.world.configure_again()
+
+
 @strike
 async def harm_replica_link(faults: Faults) -> None:
     """Delay, cut or refuse the connections to a replica."""
--- a/tests/platform_soak/run.py
+++ b/tests/platform_soak/run.py
@@ -11,8 +11,10 @@
 from tests.platform_soak.checks import broken_promises
 from tests.platform_soak.faults import Faults
 from tests.platform_soak.needs import Watch, broken_needs
-from tests.platform_soak.world import World
+from tests.platform_soak.world import ROOT, World
 
+#: Where the logs of a seed stay under which a promise broke.
+KEPT_LOGS = ROOT / 'target' / 'soak'
 START_LIMIT_S = 30.0
 RECOVERY_LIMIT_S = 25.0
 #: Calls of each kind that must succeed in a row once all faults have ended.
@@ -53,6 +55,8 @@
         broken += [f'a log holds {key}' for key in world.logged_keys()]
         if recovered:
             broken += [recovered, world.log_tail()]
+        if broken:
+            world.keep_logs(KEPT_LOGS / str(seed))
         return Outcome(callers.history, faults.struck, broken)
     finally:
         if callers is not None:
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -76,7 +77,7 @@
     """
 
     def __init__(self, gateways: int) -> None:
-        self.store = StoreStandIn()
+        self.store = StoreStandIn(era=1)
         self.plain = [ReplicaStandIn(f'p-{n}') for n in range(3)]
         held = [['m1', 'm2'], ['m1'], ['m2', 'm3'], ['m1', 'm3']]
         self.engines = [ReplicaStandIn(f'e-{n}', models) for n, models in enumerate(held)]
@@ -84,6 +85,7 @@
         self.gateways: list[GatewayProcess] = []
         self.version = 1
         self.keys = Keys()
+        self._document: dict[str, Any] = {}
         #: When each gateway, by its address, and the link of each replica, by its id, were struck
         #: or came back, on the clock of the loop.
         self.struck_s: dict[str, list[float]] = {}
@@ -128,7 +130,12 @@
             route(f'only{self.version}', 'safe', PLAIN),
         )
         document['Tenants'] = self.keys.change()
-        self.store.put('op', 'config', encoded(document))
+        self._document = document
+        self.configure_again()
+
+    def configure_again(self) -> None:
+        """Put the newest configuration into the store, which may have lost it."""
+        self.store.put('op', 'config', encoded(self._document))
 
     async def restart(self, replica: ReplicaStandIn, step_ms: int) -> None:
         """Let a replica crash and start again, its clock that much further on."""
@@ -182,6 +189,13 @@
         log_path = folder / f'{name}.log'
         return GatewayProcess(name, ip, settings['data_centre'], link, path, log_path)
 
+    def keep_logs(self, folder: Path) -> None:
+        """Copy the logs of all gateways into a folder."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for one in self.gateways:
+            if one.log_path.exists():
+                shutil.copy(one.log_path, folder)
+
     def log_tail(self, lines: int = 5) -> str:
         """Return the last lines of each gateway's log."""
         return '\n'.join(
