Figures of a return: the era of the store, and copies that went over to it

limeshelf_store_era and limeshelf_table_returns_total by table, beside the lines store_era and table_returned of each process; a question of the runbook.

--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -70,7 +70,7 @@
     :ivar confirmed_by: who brought the confirmation of ``confirmed_s``, as in ``source``.
     :ivar needs_full_read: whether changes may be missing that the store no longer keeps,
         so that only a read of the whole table shows which rows are there.
-    :ivar on_return: called once the rows of a later era have been taken.
+    :ivar return_listeners: called with the copy once the rows of a later era have been taken.
     """
 
     def __init__(
@@ -89,7 +89,7 @@
         self.source = ''
         self.confirmed_by = ''
         self.needs_full_read = True
-        self.on_return: Callable[[TableCopy], None] = lambda copy: None
+        self.return_listeners: list[Callable[[TableCopy], None]] = []
         self._rows: dict[str, Row] = {}
         self._listener = listener
         self._return_rule = return_rule or ReturnRule()
@@ -196,7 +196,7 @@
             self.note_confirmed(confirmed_s, confirmed_ms, peer)
             self.peer_confirmed_s = max(self.peer_confirmed_s, confirmed_s)
             if has_returned:
-                self.on_return(self)
+                self._tell_return()
         else:
             self.take(rows)
         return continuity
@@ -231,7 +231,7 @@
         self.take(page.rows)
         self.needs_full_read = False
         if has_returned:
-            self.on_return(self)
+            self._tell_return()
         return True
 
     def _take_absences(self, page: Page) -> None:
@@ -272,6 +272,10 @@
         )
         return True
 
+    def _tell_return(self) -> None:
+        for listener in self.return_listeners:
+            listener(self)
+
     @property
     def _forgets_earlier_rows(self) -> bool:
         return boottime_s() - self._era_began_s > self._return_rule.kept_s
--- a/limeshelf/metrics/prometheus.py
+++ b/limeshelf/metrics/prometheus.py
@@ -64,6 +64,17 @@
             ['statement'],
             registry=self._registry,
         )
+        self._returns = Counter(
+            'limeshelf_table_returns',
+            'Times that a copy of a table went over to a later era of the store, by table.',
+            ['table'],
+            registry=self._registry,
+        )
+        self._era = Gauge(
+            'limeshelf_store_era',
+            'Latest era of the store that a copy of a table has gone over to.',
+            registry=self._registry,
+        )
         self._suspensions = Counter(
             'limeshelf_suspensions',
             'Times that the machine was suspended while the gateway ran.',
@@ -107,6 +118,11 @@
         """
         self._notices.labels(statement).inc()
 
+    def observe_return(self, table: str, era: int) -> None:
+        """Count that the copy of *table* went over to a later era of the store."""
+        self._returns.labels(table).inc()
+        self._era.set(era)
+
     def observe_suspension(self) -> None:
         """Count a suspension of the machine."""
         self._suspensions.inc()
--- a/limeshelf/programs/followed_tables.py
+++ b/limeshelf/programs/followed_tables.py
@@ -174,9 +174,13 @@
             OWN_RETURN,
         ),
     )
+    for copy in copies:
+        copy.return_listeners.append(
+            lambda copy: metrics.observe_return(copy.table, copy.position.era)
+        )
     (_, _, members, quarantine) = copies
-    members.on_return = registration.note_return
-    quarantine.on_return = keeper.note_return
+    members.return_listeners.append(registration.note_return)
+    quarantine.return_listeners.append(keeper.note_return)
     rows.copies.update({copy.table: copy for copy in copies})
     reach = StoreReach()
     return [TableFollower(copy, store, rows, reach, rows.announce_page) for copy in copies]
--- a/tests/forms/test_metrics.py
+++ b/tests/forms/test_metrics.py
@@ -131,6 +131,7 @@
         figures.observe_unreadable_row('servers')
         figures.observe_restart('row')
         figures.observe_notice('rate')
+        figures.observe_return('servers', 2)
         figures.watch('some_gauge', 'Meaning.', lambda: 4.0)
         server = MetricsServer(figures)
         with socket.socket() as probe:
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -83,7 +83,7 @@
         await asyncio.sleep(0.01)
         copy = TableCopy(MEMBER_TABLE, lambda row: None)
         copy.take_full(Page((Row('g-1', b'', at(50, 1)),), at(60, 1)))
-        copy.on_return = made.note_return
+        copy.return_listeners.append(made.note_return)
         copy.take_full(Page((), at(40, 2)))
         await asyncio.sleep(0.01)
         task.cancel()
