--- a/limeshelf/account/spans.py
+++ b/limeshelf/account/spans.py
@@ -1,7 +1,7 @@
 """Events of a deployment that last, and within which calls were lost.
 
 Owns the spans: loads of models, times without a leader that may order, instances that start,
-suspended replicas, times without the store. Relies on the events of gateways.
+suspended replicas, times without the store and after its returns. Relies on the events of gateways.
 """
 
 from __future__ import annotations
@@ -21,6 +21,9 @@
 START_S = 3.0
 #: A replica that was suspended counts so for this long, in seconds.
 SUSPENDED_S = 1.0
+#: After the store has come back from an older copy, what was lost is written again within this
+#: time, in seconds.
+RETURNED_S = 5.0
 #: A term whose end no line tells is over this long after its last sign, in seconds.
 TERM_LIFE_S = 3.0
 
@@ -34,6 +37,7 @@
     STARTING = 'instance started'
     SUSPENDED = 'replica suspended'
     STORE_AWAY = 'store away'
+    STORE_RETURNED = 'store back from an older copy'
     REPLICA_GONE = 'replica gone'
 
 
@@ -75,6 +79,8 @@
             self._add(SpanKind.REPLICA_GONE, event.at_s, START_S, fields.get('replica'))
         elif event.name == 'attempt' and fields.get('suspended'):
             self._add(SpanKind.SUSPENDED, event.at_s, SUSPENDED_S, fields.get('replica'))
+        elif event.name == 'table_returned':
+            self._add(SpanKind.STORE_RETURNED, event.at_s, RETURNED_S, event.instance)
         elif event.name == 'lease_store_lost':
             self._store_lost_s[event.instance] = event.at_s
         elif event.name == 'lease_store_reached':
@@ -116,7 +122,7 @@
 def _concerns(span: Span, call: CallRecord) -> bool:
     if span.kind in (SpanKind.STORE_LOAD, SpanKind.NEAR_LOAD):
         return span.subject == call.model
-    if span.kind in (SpanKind.STARTING, SpanKind.STORE_AWAY):
+    if span.kind in (SpanKind.STARTING, SpanKind.STORE_AWAY, SpanKind.STORE_RETURNED):
         return span.subject == call.instance
     if span.kind is SpanKind.SUSPENDED:
         return span.subject == call.replica
--- a/tests/account/test_spans.py
+++ b/tests/account/test_spans.py
@@ -45,6 +45,12 @@
     assert spans.around(call(5.0, instance='g-2')) == []
 
 
+def test_store_that_came_back_from_a_copy_concerns_who_went_over_to_it() -> None:
+    spans = spans_of(event('table_returned', 3.0, table='servers', era=2))
+    assert spans.around(call(4.0, instance='g-1')) == [SpanKind.STORE_RETURNED]
+    assert spans.around(call(4.0, instance='g-2')) == []
+
+
 def test_instance_that_starts_and_replica_that_is_suspended() -> None:
     spans = spans_of(
         event('started', 3.0),
