--- a/limeshelf/account/spans.py
+++ b/limeshelf/account/spans.py
@@ -1,7 +1,8 @@
 """Events of a deployment that last, and within which calls were lost.
 
 Owns the spans: loads of models, times without a leader that may order, instances that start,
-suspended replicas, times without the store and after its returns. Relies on the events of gateways.
+suspended replicas, times without the store and after its returns. Relies on the events of
+gateways.
 """
 
 from __future__ import annotations
