The lease's row has a reader; rows of the store in messages, and how tables are followed, modules of their own

One thing changes: a row that cannot be read is outlasted also by a holder that takes the lease again after a return.

--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -13,6 +13,7 @@
 import attrs
 
 from limeshelf.feeds.continuity import Continuity, continuity_of
+from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.return_rule import ReturnRule
 from limeshelf.feeds.rows import Row
@@ -29,28 +30,6 @@
 STORE = 'store'
 
 
-@attrs.frozen
-class FollowRule:
-    """How a table is followed.
-
-    The values in force stand in :mod:`limeshelf.programs.followed_tables`; the defaults are
-    for a table that no peer shares.
-
-    :ivar wait_s: how long the store holds a call for changes, in seconds.
-    :ivar pace_s: pause after changes, in seconds, so that one call brings several.
-    :ivar stale_s: a copy that was not confirmed for longer, in seconds, is too old to go
-        by, and the store is asked.
-    :ivar first_delay_s: longest pause before the first call, in seconds. Where all processes
-        start together, the rows of the others are not there yet; peers may bring the table
-        meanwhile.
-    """
-
-    wait_s: float = 8.0
-    pace_s: float = 0.0
-    stale_s: float = 1.0
-    first_delay_s: float = 0.0
-
-
 class TableCopy:
     """The rows of one table, as new as they were ever seen.
 
--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -33,25 +33,18 @@
 
 import attrs
 
-from limeshelf.errors import InvalidDocument, PlatformUnavailable, PlatformUnknown
-from limeshelf.feeds.position import BEGINNING, Position
+from limeshelf.errors import PlatformUnavailable, PlatformUnknown
+from limeshelf.feeds.position import Position
 from limeshelf.feeds.rows import ConditionFailed
 from limeshelf.feeds.store_clock import StoreClock
-from limeshelf.lease.row import (
-    LEASE_KEY,
-    LEASE_TABLE,
-    LeaseValue,
-    find_row,
-    is_free,
-    next_fence,
-    read_value,
-    was_taken_in,
-)
+from limeshelf.lease.row import LEASE_KEY, LEASE_TABLE, LeaseValue, next_fence
+from limeshelf.lease.row_reader import LeaseReader
 from limeshelf.metrics.event_log import log_change
 from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
-    from limeshelf.feeds.rows import Page, Row, RowTable
+    from limeshelf.feeds.rows import RowTable
+    from limeshelf.lease.row_reader import LeaseView
 
 #: A holder renews when this share of the lease has passed since the last renewal.
 RENEW_SHARE = 0.35
@@ -112,11 +105,7 @@
         self._lease_s = lease_s
         self._highest_fence = 0
         self._store_lost = False
-        self._clock = clock or StoreClock()
-        self._era: int | None = None
-        self._era_seen_s = 0.0
-        self._unreadable_position = BEGINNING
-        self._unreadable_since_s = 0.0
+        self._reader = LeaseReader(store, holder, lease_s, clock or StoreClock())
 
     @property
     def fence(self) -> int:
@@ -181,78 +170,31 @@
             log_change('lease_store_reached', fence=self.fence)
 
     async def _contend(self) -> None:
-        began_s = boottime_s()
-        page = await self._read_table()
-        row = find_row(page)
-        value = self._read(row)
-        if value is None and row is not None:
-            if not self._outlasted(row):
-                return
+        view = await self._read()
+        if view.is_unreadable:
             # The fence of the row before is not known; each rose with a write to the store.
-            self._highest_fence = max(self._highest_fence, row.position.version)
-        if self._may_take(page, value):
-            await self._take(page, value, began_s)
-
-    async def _read_table(self) -> Page:
-        page = await self._store.read(LEASE_TABLE)
-        if page.position.era != self._era:
-            self._era = page.position.era
-            self._era_seen_s = boottime_s()
-        return page
-
-    def _may_take(self, page: Page, value: LeaseValue | None) -> bool:
-        """Return whether the lease is free, as far as the row and the era of the store say."""
-        if not is_free(value, page.now_ms, self._holder):
-            return False
-        if was_taken_in(page.position.era, value):
-            return True
-        # The row may be older than a renewal that the store has lost.
-        since_s = self._clock.returned_s
-        if math.isinf(since_s) and value is not None:
-            # This process has started since, or goes by what peers say.
-            since_s = self._era_seen_s
-        return boottime_s() - since_s > self._lease_s
-
-    async def _take(self, page: Page, value: LeaseValue | None, began_s: float) -> None:
+            self._highest_fence = max(self._highest_fence, view.position.version)
+        if self._reader.may_be_taken(view):
+            await self._take(view)
+
+    async def _read(self) -> LeaseView:
+        view = await self._reader.read()
+        if view.value is not None:
+            self._highest_fence = max(self._highest_fence, view.value.fence)
+        return view
+
+    async def _take(self, view: LeaseView) -> None:
         """Begin a term, if nobody else writes the row first."""
-        row = find_row(page)
-        fence = next_fence(self._highest_fence, value, page.position)
-        expected = row.position if row else BEGINNING
-        written = await self._write(fence, expected, page.now_ms)
-        if written is None or written.era != page.position.era or self._released:
+        fence = next_fence(self._highest_fence, view.value, view.page.position)
+        written = await self._write(fence, view.position, view.page.now_ms)
+        if written is None or written.era != view.era or self._released:
             # Another contender wrote first, the store came back from a copy meanwhile, or this
             # process stops: no term, so no event.
             return
-        self.term = Term(fence, began_s, written, _store_ahead_s(page, began_s))
+        self.term = Term(fence, view.asked_s, written, view.store_ahead_s)
         self._highest_fence = max(self._highest_fence, fence)
         log_change('term_begun', fence=fence, era=written.era, row_version=written.version)
 
-    def _read(self, row: Row | None) -> LeaseValue | None:
-        """Return what the row says; ``None`` without a row, and where it cannot be read."""
-        try:
-            value = read_value(row)
-        except InvalidDocument as error:
-            if row is not None:
-                self._note_unreadable(row, error)
-            return None
-        if value is not None:
-            self._highest_fence = max(self._highest_fence, value.fence)
-        return value
-
-    def _outlasted(self, row: Row) -> bool:
-        """Return whether a row that cannot be read has stood for a whole lease.
-
-        It may have replaced that of a holder, who finds it when its renewal is due.
-        """
-        stands_s = boottime_s() - self._unreadable_since_s
-        return self._unreadable_position == row.position and stands_s > self._lease_s
-
-    def _note_unreadable(self, row: Row, error: InvalidDocument) -> None:
-        if self._unreadable_position != row.position:
-            self._unreadable_position = row.position
-            self._unreadable_since_s = boottime_s()
-            log_change('lease_row_invalid', row_version=row.position.version, problem=str(error))
-
     async def _renew(self, term: Term) -> None:
         """Write the row anew; it is read before only if it is not as this process left it."""
         began_s = boottime_s()
@@ -273,41 +215,36 @@
 
         The change may be a write of this process whose answer was lost.
         """
-        began_s = boottime_s()
-        page = await self._read_table()
-        row = find_row(page)
-        value = self._read(row)
-        if page.position.era > term.row_position.era:
-            await self._take_again(term, page, value, began_s)
+        view = await self._read()
+        if view.era > term.row_position.era:
+            await self._take_again(term, view)
             return
-        if row is None or value is None or value.fence != term.fence:
+        if view.value is None or view.value.fence != term.fence:
             self._end_term(term, 'row_taken')
             return
         if self.term is not term:
             # It ended while the store was asked; a fence is never taken up again.
             return
-        written = await self._write(term.fence, row.position, page.now_ms)
+        written = await self._write(term.fence, view.position, view.page.now_ms)
         if written is None:
             self._end_term(term, 'condition_failed')
             return
-        term.renewed_s = began_s
+        term.renewed_s = view.asked_s
         term.row_position = written
-        term.store_ahead_s = _store_ahead_s(page, began_s)
+        term.store_ahead_s = view.store_ahead_s
 
-    async def _take_again(
-        self, term: Term, page: Page, value: LeaseValue | None, began_s: float
-    ) -> None:
+    async def _take_again(self, term: Term, view: LeaseView) -> None:
         """Begin another term in a later era of the store, in which the row of *term* is lost.
 
         While its lease lasts nobody else can hold one. Later than that somebody may have, as of
         a write that is lost as well; *term* goes on meanwhile as while the store is away.
         """
-        if was_taken_in(page.position.era, value):
+        if view.was_taken_in_this_era:
             self._end_term(term, 'row_taken')
             return
-        lasts = began_s < term.renewed_s + self._lease_s
-        if self.term is term and (lasts or self._may_take(page, value)):
-            await self._take(page, value, began_s)
+        lasts = view.asked_s < term.renewed_s + self._lease_s
+        if self.term is term and (lasts or self._reader.may_be_taken(view)):
+            await self._take(view)
 
     def _end_term(self, term: Term, cause: str) -> None:
         """End *term*, unless it has ended already and another one has begun."""
@@ -338,11 +275,3 @@
         except (ConditionFailed, PlatformUnavailable, PlatformUnknown) as error:
             # Nothing is lost but time: the row's end lets a successor in.
             log_change('lease_not_released', fence=term.fence, cause=type(error).__name__)
-
-
-def _store_ahead_s(page: Page, asked_s: float) -> float:
-    """Return by how much the store's clock is ahead, at the most.
-
-    :param asked_s: when the page was asked for, on the boot clock: before it was answered.
-    """
-    return page.now_ms / MS_PER_S - asked_s
--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -19,7 +19,6 @@
 from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.membership import receivers
 from limeshelf.membership.copy_watch import CopyWatch
-from limeshelf.membership.messages import NO_ERA, RowsQuery, TableUpdate, TableUpdates
 from limeshelf.membership.relays import RELAYS
 from limeshelf.membership.row_forms import (
     asked_after,
@@ -28,6 +27,7 @@
     rows_from,
     update_of,
 )
+from limeshelf.membership.row_messages import NO_ERA, RowsQuery, TableUpdate, TableUpdates
 from limeshelf.membership.store_polling import (
     overdue_limit_s,
     polls_store,
--- a/limeshelf/membership/row_forms.py
+++ b/limeshelf/membership/row_forms.py
@@ -11,7 +11,7 @@
 
 from limeshelf.feeds.position import Position
 from limeshelf.feeds.rows import Row
-from limeshelf.membership.messages import NO_ERA, RowsQuery, TableRow, TableUpdate
+from limeshelf.membership.row_messages import NO_ERA, RowsQuery, TableRow, TableUpdate
 from limeshelf.util.clock import MS_PER_S
 
 if TYPE_CHECKING:
--- a/limeshelf/programs/followed_tables.py
+++ b/limeshelf/programs/followed_tables.py
@@ -12,10 +12,11 @@
 
 from limeshelf.crashes.rows import QUARANTINE_TABLE
 from limeshelf.errors import InvalidDocument
+from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.follower import TableFollower
 from limeshelf.feeds.return_rule import ReturnRule
 from limeshelf.feeds.store_reach import StoreReach
-from limeshelf.feeds.table_copy import FollowRule, TableCopy
+from limeshelf.feeds.table_copy import TableCopy
 from limeshelf.membership.member import MEMBER_TABLE
 from limeshelf.metrics.event_log import log_change
 from limeshelf.platform.configuration import (
--- a/tests/feeds/test_late_configuration.py
+++ b/tests/feeds/test_late_configuration.py
@@ -26,11 +26,12 @@
 
 from limeshelf.errors import PlatformUnknown
 from limeshelf.feeds import store_reach
+from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.follower import TableFollower
 from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.rows import Page, Row
 from limeshelf.feeds.store_reach import StoreReach
-from limeshelf.feeds.table_copy import FollowRule, TableCopy
+from limeshelf.feeds.table_copy import TableCopy
 from limeshelf.util.clock import boottime_s
 from tests.support.positions import at
 
--- a/tests/feeds/test_returned_store.py
+++ b/tests/feeds/test_returned_store.py
@@ -14,10 +14,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from limeshelf.feeds.continuity import Continuity
+from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.return_rule import ReturnRule
 from limeshelf.feeds.rows import HistoryGone, Page, Row
-from limeshelf.feeds.table_copy import FollowRule, TableCopy
+from limeshelf.feeds.table_copy import TableCopy
 
 GATEWAYS = 3
 KEYS = ('a', 'b')
--- a/tests/feeds/test_table_copy.py
+++ b/tests/feeds/test_table_copy.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from limeshelf.feeds.continuity import Continuity
+from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.return_rule import ReturnRule
 from limeshelf.feeds.rows import Page, Row
-from limeshelf.feeds.table_copy import FollowRule, TableCopy
+from limeshelf.feeds.table_copy import TableCopy
 from limeshelf.util.clock import boottime_s, virtual_clock
 from tests.support.positions import at
 
--- a/tests/forms/test_messages.py
+++ b/tests/forms/test_messages.py
@@ -22,9 +22,10 @@
 # Importing a module registers its kinds; this is the one place that names the modules.
 import limeshelf.dispatch.messages
 import limeshelf.membership.messages
+import limeshelf.membership.row_messages
 import limeshelf.standalone.messages  # noqa: F401
-from limeshelf.membership.messages import NO_ERA
 from limeshelf.membership.row_forms import asked_after, position_from, rows_from
+from limeshelf.membership.row_messages import NO_ERA
 from limeshelf.peers.codec import Envelope, decode, encode
 from limeshelf.peers.messages import message_kinds
 from tests.support.positions import at
--- a/tests/membership/test_row_exchange.py
+++ b/tests/membership/test_row_exchange.py
@@ -5,15 +5,16 @@
 import asyncio
 from typing import Any
 
+from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.follower import TableFollower
 from limeshelf.feeds.position import Position
 from limeshelf.feeds.rows import Page, Row
-from limeshelf.feeds.table_copy import FollowRule, TableCopy
+from limeshelf.feeds.table_copy import TableCopy
 from limeshelf.membership.member import Member
 from limeshelf.membership.members import Members
-from limeshelf.membership.messages import RowsQuery, TableRow, TableUpdate, TableUpdates
 from limeshelf.membership.relays import RELAY_SILENT_S
 from limeshelf.membership.row_exchange import CLOCK_SLACK_S, RowExchange
+from limeshelf.membership.row_messages import RowsQuery, TableRow, TableUpdate, TableUpdates
 from limeshelf.membership.store_polling import OVERDUE_STEP_S
 from limeshelf.peers.codec import Envelope
 from limeshelf.util.clock import boottime_s, virtual_clock
