--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -28,8 +28,8 @@
 from limeshelf.platform.store_forms import (
     NO_PART,
     STORE,
-    Condition,
     Put,
+    RowCondition,
     RowKey,
     StoreAnswer,
     Transaction,
@@ -152,13 +152,13 @@
         answer = await self._transact(Transaction(conditions, put=[put], drop=[]))
         return answer.position
 
-    def _conditions(self, table: str, key: str, expected: Position | None) -> list[Condition]:
+    def _conditions(self, table: str, key: str, expected: Position | None) -> list[RowCondition]:
         if expected is None:
             return []
         if expected != BEGINNING and self._era.is_over(expected.era):
             # The version that the row had may be another row's, or another content's, by now.
             raise ConditionFailed
-        return [Condition(table, NO_PART, key, expected.version)]
+        return [RowCondition(table, NO_PART, key, expected.version)]
 
     async def delete(self, table: str, key: str, expected: Position | None) -> None:
         """Delete a row; arguments and errors as for :meth:`write`."""
--- a/limeshelf/platform/store_forms.py
+++ b/limeshelf/platform/store_forms.py
@@ -70,7 +70,7 @@
     key: str
 
 
-class Condition(RowKey):
+class RowCondition(RowKey):
     """What must hold of a row for a transaction to be done."""
 
     #: Version that the row must have; 0 for none.
@@ -88,7 +88,7 @@
     """All of it is done, or nothing; the fields are encoded in this sequence."""
 
     #: Not one revision: the rows of the condition with their versions.
-    conditions: list[Condition]
+    conditions: list[RowCondition]
     put: list[Put]
     drop: list[RowKey]
 
