A gateway writes its row again also where an older one of its own is back

What others saw: a gateway that had started again at another address shortly before a return of the store stood in it with the address of before, and one that starts then looked for it there until a relay told. Cause: that some row of it stood in the later era was enough. The row is compared with what it has to say; the case "older" of the test failed before. Found by reading.

--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -110,6 +110,13 @@
             row is not None and not row.gone and row.position.era == self.position.era
         )
 
+    def value_of_this_era(self, key: str) -> bytes | None:
+        """Return what a row says in the era that is known; ``None`` without one, or if outdone."""
+        row = self._rows.get(key)
+        if row is None or row.gone or row.position.era != self.position.era:
+            return None
+        return row.value
+
     def take(self, rows: Iterable[Row]) -> None:
         """Keep each row that is newer than the known one."""
         for row in rows:
--- a/limeshelf/membership/registration.py
+++ b/limeshelf/membership/registration.py
@@ -76,8 +76,7 @@
 
     async def write_row(self, store: RowTable) -> None:
         """Write this gateway's row; repeat until it is there."""
-        own = self.members.own
-        value = msgspec.json.encode(MemberValue(own.address, own.data_centre, own.weight))
+        value = self._own_value()
         attempt = 0
         while True:
             try:
@@ -90,11 +89,15 @@
                     log_change('member_row_not_written', reason=repr(error))
                 await asyncio.sleep(full_jitter_s(attempt, RETRY_BASE_S, RETRY_LIMIT_S))
 
+    def _own_value(self) -> bytes:
+        own = self.members.own
+        return msgspec.json.encode(MemberValue(own.address, own.data_centre, own.weight))
+
     def note_return(self, copy: TableCopy) -> None:
-        """Have the own row written again if it is not in the store's later era."""
+        """Have the own row written again if the store has lost it, or an older one is back."""
         era = copy.position.era
         is_written = self._written is not None and self._written.era >= era
-        if not is_written and not copy.has_of_this_era(self.instance_id):
+        if not is_written and copy.value_of_this_era(self.instance_id) != self._own_value():
             self._is_lost.set()
 
     def take_row(self, row: Row) -> bool:
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -20,6 +20,9 @@
 from limeshelf.peers.codec import Envelope
 from tests.support.positions import at
 
+#: The row of :func:`one`.
+OWN_ROW = b'{"address":"own","data_centre":"c1","weight":0.0}'
+
 
 class Store:
     """Fails with each of its errors once."""
@@ -69,9 +72,13 @@
     assert not made.leader.is_active
 
 
-@pytest.mark.parametrize('era_of_write', [1, 2])
+@pytest.mark.parametrize(
+    ('era_of_write', 'left', 'writes'),
+    [(1, None, 2), (2, None, 1), (1, b'{"address":"another"}', 2), (1, OWN_ROW, 1)],
+    ids=['lost', 'written since', 'older', 'as it is'],
+)
 def test_row_that_the_store_has_lost_is_written_again(
-    era_of_write: int, monkeypatch: pytest.MonkeyPatch
+    era_of_write: int, left: bytes | None, writes: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(registration, 'RETURN_SPREAD_S', 0.0)
     made, store = one(), Store()
@@ -84,9 +91,10 @@
         copy = TableCopy(MEMBER_TABLE, lambda row: None)
         copy.take_full(Page((Row('g-1', b'', at(50, 1)),), at(60, 1)))
         copy.return_listeners.append(made.note_return)
-        copy.take_full(Page((), at(40, 2)))
+        rows = () if left is None else (Row('g-1', left, at(30, 2)),)
+        copy.take_full(Page(rows, at(40, 2)))
         await asyncio.sleep(0.01)
         task.cancel()
 
     asyncio.run(play())
-    assert len(store.keys) == (2 if era_of_write == 1 else 1)
+    assert len(store.keys) == writes
