--- a/tests/gateway/test_returned_store.py
+++ b/tests/gateway/test_returned_store.py
@@ -36,6 +36,15 @@
     world.configure(configuration(version, route(f'only{version}', 'safe', PLAIN)))
 
 
+async def copy_before_beats(world: FleetWorld) -> int:
+    """Return the version of a copy that 8 heartbeats of all replicas are not in."""
+    beat(world, 3, first=2)
+    await asyncio.sleep(0.5)
+    copied = world.store.version
+    beat(world, 8, first=10)
+    return copied
+
+
 async def come_back(world: FleetWorld, version: int, away_s: float = 0.5) -> None:
     world.store.faults.status = 503
     await asyncio.sleep(away_s)
@@ -95,10 +104,7 @@
 
 def test_changes_after_two_returns_and_a_restart_are_known_in_time() -> None:
     async def scenario(world: FleetWorld) -> None:
-        beat(world, 3, first=2)
-        await asyncio.sleep(0.5)
-        copied = world.store.version
-        beat(world, 8, first=10)
+        copied = await copy_before_beats(world)
         await asyncio.sleep(0.5)
         await come_back(world, copied)
         await world.stop_gateway(1)
@@ -114,10 +120,7 @@
 
 def test_gateway_that_reaches_no_store_knows_changes_after_a_return_by_its_peers() -> None:
     async def scenario(world: FleetWorld) -> None:
-        beat(world, 3, first=2)
-        await asyncio.sleep(0.5)
-        copied = world.store.version
-        beat(world, 8, first=10)
+        copied = await copy_before_beats(world)
         await asyncio.sleep(0.5)
         world.components(2).store.change_address('127.0.0.1:1')
         await come_back(world, copied)
@@ -129,10 +132,7 @@
 
 def test_feed_that_is_held_through_a_return_brings_changes_in_time() -> None:
     async def scenario(world: FleetWorld) -> None:
-        beat(world, 3, first=2)
-        await asyncio.sleep(0.5)
-        copied = world.store.version
-        beat(world, 8, first=10)
+        copied = await copy_before_beats(world)
         await asyncio.sleep(0.9)
         world.store.return_to(copied)
         beat(world, 1, first=200)
