A store that stays away is asked twice a second by a process at most

Callers saw nothing; the platform prices each call.

Cause, traced by counting the calls by path and table: the rule's bound was the mean of the product. Retries paused a random time from zero to the bound, so a row of short pauses had no limit: 35 to 49 calls in 4 s over six windows, 12 of them the lease's. Load is ruled out as the cause: six windows on an idle machine gave 48 and 42 too.

Mend: the pause is drawn from half of the bound to all of it (equal jitter). The longest pause, which decides how late a returned store is found, is as before.

--- a/limeshelf/feeds/store_reach.py
+++ b/limeshelf/feeds/store_reach.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from limeshelf.errors import PlatformUnavailable, PlatformUnknown
-from limeshelf.util.backoff import full_jitter_s
+from limeshelf.util.backoff import equal_jitter_s
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
@@ -77,7 +77,7 @@
         pause of a failure of long ago made gateways that were cut off from their peers up to
         9 s late.
         """
-        end_s = self._failed_s + full_jitter_s(self._failures, RETRY_BASE_S, RETRY_LIMIT_S)
+        end_s = self._failed_s + equal_jitter_s(self._failures, RETRY_BASE_S, RETRY_LIMIT_S)
         share = random.random()
         while True:
             left_s = end_s + share * spread_s() - boottime_s()
--- a/tests/feeds/test_late_configuration.py
+++ b/tests/feeds/test_late_configuration.py
@@ -117,7 +117,7 @@
 
 
 def test_table_that_is_held_back_keeps_no_other_from_asking(monkeypatch: Any) -> None:
-    monkeypatch.setattr(store_reach, 'full_jitter_s', lambda attempt, base_s, limit_s: 0.01)
+    monkeypatch.setattr(store_reach, 'equal_jitter_s', lambda attempt, base_s, limit_s: 0.01)
 
     async def play() -> float:
         store, polling, reach = Store(), CutOff(), StoreReach()
--- a/tests/feeds/test_store_reach.py
+++ b/tests/feeds/test_store_reach.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 from typing import Any
 
 import pytest
@@ -39,7 +40,7 @@
 
 def test_tables_of_a_process_share_one_attempt(monkeypatch: Any) -> None:
     """Before: each of three tables asked by itself, three times as often."""
-    monkeypatch.setattr(store_reach, 'full_jitter_s', lambda attempt, base_s, limit_s: 0.05)
+    monkeypatch.setattr(store_reach, 'equal_jitter_s', lambda attempt, base_s, limit_s: 0.05)
 
     async def play() -> None:
         store, reach = Away(), StoreReach()
@@ -62,8 +63,25 @@
     asyncio.run(play())
 
 
+def test_store_that_stays_away_is_asked_twice_a_second_at_most(monkeypatch: Any) -> None:
+    """Before: with pauses from zero on, three gateways sent 35 to 49 calls in 4 s."""
+    monkeypatch.setattr(random, 'uniform', lambda low, high: low)
+
+    async def play() -> None:
+        store, reach = Away(), StoreReach()
+        tasks = [asyncio.create_task(store.follow(reach)) for _ in range(3)]
+        await asyncio.sleep(1.0)
+        calls = store.calls
+        await asyncio.sleep(2.0)
+        assert store.calls - calls <= 5
+        for task in tasks:
+            task.cancel()
+
+    asyncio.run(play())
+
+
 def test_failure_of_long_ago_owes_no_pause(monkeypatch: Any) -> None:
-    monkeypatch.setattr(store_reach, 'full_jitter_s', lambda attempt, base_s, limit_s: 5.0)
+    monkeypatch.setattr(store_reach, 'equal_jitter_s', lambda attempt, base_s, limit_s: 5.0)
 
     async def play() -> None:
         store, reach = Away(), StoreReach()
@@ -79,7 +97,7 @@
 
 
 def test_call_is_a_try_only_while_the_store_is_out_of_reach(monkeypatch: Any) -> None:
-    monkeypatch.setattr(store_reach, 'full_jitter_s', lambda attempt, base_s, limit_s: 0.0)
+    monkeypatch.setattr(store_reach, 'equal_jitter_s', lambda attempt, base_s, limit_s: 0.0)
 
     async def play() -> None:
         reach = StoreReach()
@@ -97,7 +115,7 @@
 
 def test_pause_ends_when_its_reason_does(monkeypatch: Any) -> None:
     """A gateway that relays would have told, and that loses them, waits no longer for them."""
-    monkeypatch.setattr(store_reach, 'full_jitter_s', lambda attempt, base_s, limit_s: 0.0)
+    monkeypatch.setattr(store_reach, 'equal_jitter_s', lambda attempt, base_s, limit_s: 0.0)
     monkeypatch.setattr(store_reach.random, 'random', lambda: 1.0)
     spread_s = 30.0
 
