News of peers: a late loop gathers on instead of sending in parts

Callers saw nothing; it costs control bytes.

Cause: the wait ended by the clock alone. Now it ends with a pause in which nothing came and that was not late, after eight times its length at the latest (a leaving replica's news: 80 ms). Where nothing is late it lasts as long as before.

--- a/limeshelf/membership/news.py
+++ b/limeshelf/membership/news.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 from limeshelf.membership import receivers
+from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Hashable
@@ -20,6 +21,12 @@
 
 ItemT = TypeVar('ItemT')
 
+#: Gathering ends with a pause of this share of it in which nothing came, and that was not late:
+#: while the processor is short, news that came is not read yet.
+PAUSE_SHARE = 0.2
+#: Gathering lasts no longer than so many times its usual length.
+MAX_LENGTHS = 8
+
 
 class News(Generic[ItemT]):
     """What a gateway has to tell of one kind.
@@ -40,6 +47,8 @@
         self._near: dict[Hashable, ItemT] = {}
         self._far: dict[Hashable, ItemT] = {}
         self._has_news = asyncio.Event()
+        # Whether nothing came since the last pause began.
+        self._is_quiet = True
 
     def note_own(self, key: Hashable, item: ItemT) -> None:
         """Tell what this gateway learned itself.
@@ -47,7 +56,7 @@
         :param key: a later item with the same key takes the place of one that is not sent yet.
         """
         self._near[key] = self._far[key] = item
-        self._has_news.set()
+        self._note_news()
 
     def note_told(self, key: Hashable, item: ItemT, centre: str) -> None:
         """Pass on, as a relay, what was new.
@@ -59,16 +68,32 @@
         self._near[key] = item
         if centre == self._members.own.data_centre:
             self._far[key] = item
+        self._note_news()
+
+    def _note_news(self) -> None:
+        self._is_quiet = False
         self._has_news.set()
 
     async def run(self) -> None:
         """Send news as it comes."""
         while True:
             await self._has_news.wait()
-            await asyncio.sleep(self._gather_s)
+            await self._gather()
             self._has_news.clear()
             self._send()
 
+    async def _gather(self) -> None:
+        """Wait for news that comes with the first, also while the processor is short."""
+        pause_s = PAUSE_SHARE * self._gather_s
+        limit_s = boottime_s() + MAX_LENGTHS * self._gather_s
+        await asyncio.sleep(self._gather_s - pause_s)
+        while boottime_s() < limit_s:
+            self._is_quiet = True
+            due_s = boottime_s() + pause_s
+            await asyncio.sleep(pause_s)
+            if self._is_quiet and boottime_s() - due_s < pause_s:
+                return
+
     def _send(self) -> None:
         near, self._near = list(self._near.values()), {}
         far, self._far = list(self._far.values()), {}
