Replicas: the first row that states a start is obeyed, whatever its count

Cause, by the gateways' logs: no replica_leaving was ever written. The count of heartbeats begins anew with a start; the row had a lower count than the last one of before, which stated no start, and was left out as late.

Mend: a row that states a start after one that states none is not compared by its count. The order of the store's rows is kept as before by their positions; two rows that both state a start, or neither, are compared as before.

--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -113,7 +113,7 @@
                 backpressure=replica.backpressure,
             )
             self._add(same)
-        elif not is_late_heartbeat(record.beat_number, replica.record.beat_number):
+        elif not is_late_heartbeat(record, replica.record):
             self._update(replica, record)
 
     def _update(self, replica: Replica, record: ReplicaRecord) -> None:
--- a/limeshelf/replicas/freshness.py
+++ b/limeshelf/replicas/freshness.py
@@ -8,15 +8,24 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from limeshelf.replicas.record import ReplicaRecord
+
 #: A report goes before heartbeats for this long.
 REPORT_LIFE_S = 2.5
 #: What a peer has under way counts for this long after it said so.
 PEER_LOAD_LIFE_S = 2.0
 
 
-def is_late_heartbeat(beat_number: int, newest_beat_number: int) -> bool:
-    """Return whether a heartbeat was sent before one that has arrived."""
-    return beat_number < newest_beat_number
+def is_late_heartbeat(record: ReplicaRecord, newest: ReplicaRecord) -> bool:
+    """Return whether a row was written before one that has arrived, at the same start.
+
+    The first row that states a start may count its heartbeats from the beginning.
+    """
+    states_start_first = newest.born_ms is None and record.born_ms is not None
+    return not states_start_first and record.beat_number < newest.beat_number
 
 
 def is_late_report(order_number: int, known_order_number: int | None, settled: bool) -> bool:
--- a/tests/replicas/test_directory.py
+++ b/tests/replicas/test_directory.py
@@ -35,6 +35,7 @@
     beat: int = 1,
     state: str = 'ready',
     models: tuple[str, ...] = (),
+    **others: int,
 ) -> Row:
     entry = {
         'Service': 's',
@@ -44,6 +45,7 @@
         'SeqNo': beat,
         'State': state,
         'Models': [{'Name': name} for name in models],
+        **others,
     }
     return Row(replica_id, json.dumps(entry).encode(), at(beat))
 
@@ -60,6 +62,14 @@
     assert directory.all() == []
 
 
+def test_first_row_that_states_a_start_is_obeyed_though_its_heartbeats_begin_anew(
+    directory: ReplicaDirectory,
+) -> None:
+    directory.take_row(row(beat=40))
+    directory.take_row(row(beat=1, state='draining', born=1_796_297_996_685))
+    assert taking_calls(directory) == []
+
+
 def test_leaving_is_never_taken_back(directory: ReplicaDirectory) -> None:
     directory.take_row(row(beat=1))
     directory.take_row(row(beat=2, state='draining'))
--- a/tests/replicas/test_freshness.py
+++ b/tests/replicas/test_freshness.py
@@ -12,11 +12,17 @@
     is_late_report,
     peer_load_counts,
 )
+from limeshelf.replicas.record import ReplicaRecord
+
+
+def record(beat_number: int, born_ms: int | None = None) -> ReplicaRecord:
+    return ReplicaRecord('r', 's', '10.0.0.1:1', 'z1', 4, False, None, (), beat_number, born_ms)
 
 
 def test_heartbeat_sent_before_the_newest_is_late() -> None:
-    assert is_late_heartbeat(beat_number=4, newest_beat_number=5)
-    assert not is_late_heartbeat(beat_number=5, newest_beat_number=5)
+    assert is_late_heartbeat(record(4), record(5))
+    assert not is_late_heartbeat(record(5), record(5))
+    assert is_late_heartbeat(record(4, born_ms=1), record(5, born_ms=1))
 
 
 @pytest.mark.parametrize(
