--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -230,6 +230,10 @@
         self.starts += 1
         self.restarted_s.append(asyncio.get_running_loop().time())
 
+    def next_start_s(self, at_s: float) -> float:
+        """Return when it next starts again after a moment; infinite where it does not."""
+        return next((one for one in self.restarted_s if one > at_s), float('inf'))
+
     def row(self, service: str, state: str = 'ready', beat: int = 1) -> dict[str, Any]:
         """Return the replica's entry for the store."""
         return {
