--- a/limeshelf/membership/news.py
+++ b/limeshelf/membership/news.py
@@ -25,7 +25,7 @@
 #: while the processor is short, news that came is not read yet.
 PAUSE_SHARE = 0.2
 #: Gathering lasts no longer than so many times its usual length.
-MAX_LENGTHS = 8
+MAX_LENGTHS = 3
 
 
 class News(Generic[ItemT]):
