Soak: a key counts as taken away from the store's confirmation on

Nobody had confirmed to the operator what the store lost before any gateway could read it, and the operator's writing again is what the time counts from.

So a key counts as taken away once the store answers and holds the change, and counts anew where the store loses it within the 2 s in which all come to know it.

--- a/tests/platform_soak/changes.py
+++ b/tests/platform_soak/changes.py
@@ -8,14 +8,12 @@
 import aiohttp
 
 from standins.users_platform.store import StoreFaults
-from tests.platform_soak.world import STORE
+from tests.platform_soak.world import KNOWN_S, STORE
 
 if TYPE_CHECKING:
     from tests.platform_soak.callers import Callers
     from tests.platform_soak.world import World
 
-#: Within which a change must be known by all gateways, in seconds.
-KNOWN_S = 2.0
 #: A gateway is judged if nothing struck it from this long before the change on, in seconds, and
 #: the store does not fail from the change on: one that answers nobody has confirmed nothing.
 CALM_S = 3.0
--- a/tests/platform_soak/drains.py
+++ b/tests/platform_soak/drains.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from tests.platform_soak.world import STORE
+from tests.platform_soak.world import KNOWN_S, STORE
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -13,9 +13,6 @@
     from tests.platform_soak.needs import Watch
     from tests.platform_soak.world import Drain
 
-#: Within which all gateways must know that a replica leaves, in seconds.
-KNOWN_S = 2.0
-
 
 def broken_drains(
     drains: list[Drain], replicas: list[ReplicaStandIn], watch: Watch
--- a/tests/platform_soak/keys.py
+++ b/tests/platform_soak/keys.py
@@ -25,11 +25,17 @@
     """A key and who held it.
 
     :ivar taken_s: when it was taken away, on the clock of the loop; ``None`` if it was not.
+    :ivar taken_for_sure: whether the store has confirmed that, and not lost it before all knew.
     """
 
     text: str
     organisation: str
     taken_s: float | None = None
+    taken_for_sure: bool = False
+
+    def is_revoked(self, at_s: float) -> bool:
+        """Return whether no gateway may take it any more."""
+        return self.taken_s is not None and self.taken_for_sure and at_s > self.taken_s + REVOKE_S
 
 
 class Keys:
@@ -59,6 +65,20 @@
             entries.append(entry)
         return entries
 
+    def confirm(self) -> None:
+        """Count the keys that were taken away without a confirmation from now on."""
+        for key in self._by_text.values():
+            if key.taken_s is not None and not key.taken_for_sure:
+                key.taken_s = asyncio.get_running_loop().time()
+                key.taken_for_sure = True
+
+    def doubt(self, known_s: float) -> None:
+        """Note that the store may have lost what it confirmed within *known_s*, in seconds."""
+        now_s = asyncio.get_running_loop().time()
+        for key in self._by_text.values():
+            if key.taken_s is not None and key.taken_s > now_s - known_s:
+                key.taken_for_sure = False
+
     def _held(self, name: str) -> list[Key]:
         return [
             key
--- a/tests/platform_soak/test_changes.py
+++ b/tests/platform_soak/test_changes.py
@@ -10,8 +10,8 @@
 
 from standins.users_platform.store import StoreStandIn
 from tests.platform_soak.callers import Asked
-from tests.platform_soak.changes import CALM_S, KNOWN_S, ROUTE_UNKNOWN, ChangeWatch
-from tests.platform_soak.world import STORE
+from tests.platform_soak.changes import CALM_S, ROUTE_UNKNOWN, ChangeWatch
+from tests.platform_soak.world import KNOWN_S, STORE
 from tests.support.clock import run_virtual
 
 IPS = ('127.0.1.1', '127.0.1.2')
--- a/tests/platform_soak/test_drains.py
+++ b/tests/platform_soak/test_drains.py
@@ -6,9 +6,9 @@
 
 from standins.users_platform.replica import ReplicaStandIn, Seen
 from tests.platform_soak.callers import Asked
-from tests.platform_soak.drains import KNOWN_S, broken_drains
+from tests.platform_soak.drains import broken_drains
 from tests.platform_soak.needs import Watch
-from tests.platform_soak.world import STORE, Drain
+from tests.platform_soak.world import KNOWN_S, STORE, Drain
 
 SAID_S = 10.0
 
--- a/tests/platform_soak/test_returns.py
+++ b/tests/platform_soak/test_returns.py
@@ -9,9 +9,9 @@
 import aiohttp
 
 from tests.platform_soak.callers import Callers
-from tests.platform_soak.changes import KNOWN_S, ROUTE_UNKNOWN
+from tests.platform_soak.changes import ROUTE_UNKNOWN
 from tests.platform_soak.link import Harm
-from tests.platform_soak.world import GatewayProcess, World
+from tests.platform_soak.world import KNOWN_S, GatewayProcess, World
 
 Scenario = Callable[['Play'], Awaitable[None]]
 GATEWAYS = 4
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -26,6 +26,8 @@
 STORE = 'store'
 ROOT = Path(__file__).parent.parent.parent
 HEARTBEAT_S = 0.5
+#: Within which a change must be known by all gateways, in seconds.
+KNOWN_S = 2.0
 #: Models that fit into a replica's memory, and its places for adapters.
 MOST_MODELS = 2
 MOST_ADAPTERS = 2
@@ -160,6 +162,17 @@
     def configure_again(self) -> None:
         """Put the newest configuration into the store, which may have lost it."""
         self.store.put('op', 'config', encoded(self._document))
+        self._confirm_keys()
+
+    def return_store(self, age_s: float) -> None:
+        """Let the store come back from a copy that was taken some seconds ago."""
+        self.store.return_from(age_s)
+        self.keys.doubt(KNOWN_S)
+
+    def _confirm_keys(self) -> None:
+        values = [row['Value'] for row in self.store.rows('op') if row['Key'] == 'config']
+        if self.store.faults == StoreFaults() and values == [encoded(self._document)]:
+            self.keys.confirm()
 
     async def restart(self, replica: ReplicaStandIn, step_ms: int) -> None:
         """Let a replica crash and start again, its clock that much further on."""
@@ -177,6 +190,7 @@
 
     def _announce(self) -> None:
         self._beat += 1
+        self._confirm_keys()
         for replica in self.replicas:
             service = PLAIN if replica in self.plain else ENGINE
             leaves = replica.replica_id in self._draining
