--- a/tests/membership/test_news.py
+++ b/tests/membership/test_news.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
+from collections.abc import Callable
 
 from limeshelf.membership.member import Member
 from limeshelf.membership.members import Members
 from limeshelf.membership.news import MAX_LENGTHS, News
+from tests.support.clock import VirtualLoop, run_virtual
 
 GATHER_S = 0.05
 
@@ -19,43 +20,39 @@
     return News(members, GATHER_S, lambda addresses, items: sent.append(items) if items else None)
 
 
-async def run_beside(news: News[str], for_s: float) -> None:
-    task = asyncio.create_task(news.run())
-    await asyncio.sleep(for_s)
-    task.cancel()
-
-
-def test_news_that_a_late_loop_has_not_read_yet_goes_in_the_same_message() -> None:
+def sent_by_a_late_loop(late: Callable[[VirtualLoop, News[str]], None]) -> list[list[str]]:
+    """Return what is sent of one item that is noted at once, and of what *late* notes."""
     sent: list[list[str]] = []
 
     async def play() -> None:
-        news, loop = news_that_is_sent(sent), asyncio.get_running_loop()
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        news = news_that_is_sent(sent)
+        task = asyncio.create_task(news.run())
+        news.note_own('first', 'first')
+        late(loop, news)
+        await asyncio.sleep(4 * MAX_LENGTHS * GATHER_S)
+        task.cancel()
 
+    run_virtual(play())
+    return sent
+
+
+def test_news_that_a_late_loop_has_not_read_yet_goes_in_the_same_message() -> None:
+    def late(loop: VirtualLoop, news: News[str]) -> None:
         def hold_up() -> None:
-            time.sleep(1.5 * GATHER_S)
+            loop.hold_up(1.5 * GATHER_S)
             loop.call_later(0.2 * GATHER_S, news.note_own, 'second', 'second')
 
-        news.note_own('first', 'first')
         loop.call_later(0.5 * GATHER_S, hold_up)
-        await run_beside(news, 8 * GATHER_S)
 
-    asyncio.run(play())
+    sent = sent_by_a_late_loop(late)
     assert sent and all(items == ['first', 'second'] for items in sent)
 
 
 def test_news_is_sent_at_last_by_a_loop_that_is_always_late() -> None:
-    sent: list[list[str]] = []
-
-    async def play() -> None:
-        news, loop = news_that_is_sent(sent), asyncio.get_running_loop()
-
-        def hold_up() -> None:
-            time.sleep(2 * GATHER_S)
-            loop.call_later(0.1 * GATHER_S, hold_up)
-
-        news.note_own('first', 'first')
-        loop.call_soon(hold_up)
-        await run_beside(news, (MAX_LENGTHS + 6) * GATHER_S)
+    def late(loop: VirtualLoop, news: News[str]) -> None:
+        loop.hold_up(2 * GATHER_S)
+        loop.call_later(0.1 * GATHER_S, late, loop, news)
 
-    asyncio.run(play())
-    assert ['first'] in sent
+    assert ['first'] in sent_by_a_late_loop(late)
--- a/tests/support/clock.py
+++ b/tests/support/clock.py
@@ -42,6 +42,10 @@
     def time(self) -> float:
         return self._clock.now_s
 
+    def hold_up(self, seconds: float) -> None:
+        """Let what runs take some time."""
+        self._clock.advance(seconds)
+
 
 def run_virtual(play: Coroutine[Any, Any, None]) -> None:
     """Run *play* on a loop and clocks of its own; its pauses take no real time."""
