Placement and admission: lines that tell a promised time from an assumed one, and where weights lie

Of a refused call the lines did not tell whether a load stood behind the time that it was told, of a load not whether the weights lay nearer elsewhere, and of a model that waits not why it is not loaded. Told now: announced_in_ms in refused_no_replica; tier and nearer in move; the events weights and passed_over at the leader, on changes, at most one line a second for each replica and model.

--- a/limeshelf/gateway/lines.py
+++ b/limeshelf/gateway/lines.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from limeshelf.calls.call import Call
+    from limeshelf.demand.waits import CallOutlook
     from limeshelf.gateway.exchange import Result
     from limeshelf.gateway.settling import Refuse
     from limeshelf.gateway.state import CallState
@@ -101,11 +102,13 @@
     )
 
 
-def log_no_replica(state: CallState, expected_wait_s: float, model_held: bool) -> None:
+def log_no_replica(state: CallState, expected_wait_s: float, outlook: CallOutlook) -> None:
     """Log that no replica holds what the call needs, nor will in time.
 
-    :param model_held: whether one holds the model, so that just the adapter is missing.
+    :param outlook: what this gateway sees of the model; whether a load is on its way tells a time
+        that somebody keeps from one that is assumed.
     """
+    announced_in_s = outlook.announced_in_s
     need = state.call.model_need
     log_request(
         'refused_no_replica',
@@ -117,7 +120,8 @@
         left_ms=int(state.left_s * 1000),
         waited_ms=int(state.since_arrival_s * 1000),
         objective_ms=int(state.route.objective_s * 1000),
-        model_held=model_held,
+        announced_in_ms=None if announced_in_s is None else int(announced_in_s * 1000),
+        model_held=outlook.model_held,
         returned=state.returned,
     )
 
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -210,7 +210,7 @@
             outlook = self._demand.outlook(state.call, state.service)
             decided = decide_absent(_absent(state, outlook))
             if isinstance(decided, RefuseUntilReady):
-                return _refuse_no_replica(state, decided, outlook.model_held)
+                return _refuse_no_replica(state, decided, outlook)
             await self._hold(state, decided)
 
     def _refuse_overloaded(self, state: CallState, queue_wait_s: float) -> Ending:
@@ -246,6 +246,8 @@
     return Refuse(STATUS_UNAVAILABLE, NotRun(reason, come_back.NOT_READY_COME_BACK_S))
 
 
-def _refuse_no_replica(state: CallState, refusal: RefuseUntilReady, model_held: bool) -> Ending:
-    log_no_replica(state, refusal.expected_wait_s, model_held)
+def _refuse_no_replica(
+    state: CallState, refusal: RefuseUntilReady, outlook: CallOutlook
+) -> Ending:
+    log_no_replica(state, refusal.expected_wait_s, outlook)
     return give_up(state.progress(), RefusalReason.NO_READY_REPLICA, refusal.retry_after_s)
--- a/limeshelf/placement/move_runner.py
+++ b/limeshelf/placement/move_runner.py
@@ -67,6 +67,8 @@
             evicted=move.evicted,
             reason=move.reason,
             from_store=move.from_store,
+            tier=move.tier,
+            nearer=move.nearer,
             load_s=move.load_s,
             gain=move.gain,
             loss=move.loss,
--- a/limeshelf/placement/planner.py
+++ b/limeshelf/placement/planner.py
@@ -14,7 +14,7 @@
 
 from limeshelf.placement.model_worth import ModelWorth
 from limeshelf.placement.options import LoadOption, load_options
-from limeshelf.placement.survey import CopySurvey
+from limeshelf.placement.survey import CopySurvey, WeightsTier
 from limeshelf.placement.turns import bearable_loss_per_s, due_models
 from limeshelf.placement.worth import NEW_CENTRE_FACTOR, CopyWorth
 
@@ -63,6 +63,18 @@
 LOGGED_DIGITS = 2
 
 
+class PassedOver(enum.StrEnum):
+    """Why a model that calls wait for is not loaded now; the values stand in log lines."""
+
+    #: Replicas stay idle for models that are worth more, or whose callers cannot wait.
+    WITHHELD = 'withheld'
+    #: Every idle replica holds what is worth more, or is awaited.
+    OUTBID = 'outbid'
+    #: No idle replica has the weights near, and no load from the weight store may begin.
+    STORE_LIMITED = 'store_limited'
+    NO_IDLE_REPLICA = 'no_idle_replica'
+
+
 class MoveReason(enum.StrEnum):
     """Why a model is loaded; the values stand in the log line of the move."""
 
@@ -83,6 +95,8 @@
     :ivar gain: what it is worth, in calls a second.
     :ivar loss: what the copies that go were worth.
     :ivar unserved_s: for how long the model has been asked for and served to nobody.
+    :ivar tier: where the load finds the weights.
+    :ivar nearer: replicas that have the weights in memory or on disk while this one has not.
     """
 
     replica_id: str
@@ -94,6 +108,8 @@
     gain: float = 0.0
     loss: float = 0.0
     unserved_s: float = 0.0
+    tier: WeightsTier = WeightsTier.STORE
+    nearer: tuple[str, ...] = ()
 
 
 class CopyPlanner:
@@ -157,6 +173,31 @@
                 return move
         return None
 
+    def passed_over(
+        self, replicas: list[ReplicaCopies], store_allowed: bool = True
+    ) -> dict[str, PassedOver]:
+        """Return why models that calls wait for, and that have no copy, are not loaded now."""
+        survey = CopySurvey.take(self._engine, self._demands, replicas)
+        worth = CopyWorth(survey, self._first_copies, self._starved_s, self._models)
+        return {
+            name: _why_not_loaded(name, survey, worth, store_allowed)
+            for name in self._engine.models
+            if survey.demand(name).is_waiting and not survey.copies(name).total
+        }
+
+
+def _why_not_loaded(
+    model: str, survey: CopySurvey, worth: CopyWorth, store_allowed: bool
+) -> PassedOver:
+    if not survey.idle:
+        return PassedOver.NO_IDLE_REPLICA
+    if _is_withheld(model, worth.idle_gain(model), survey, worth):
+        return PassedOver.WITHHELD
+    store_allowed = store_allowed and _may_occupy_for_long(model, survey, worth)
+    if not store_allowed and all(replica.needs_store(model) for replica in survey.idle):
+        return PassedOver.STORE_LIMITED
+    return PassedOver.OUTBID
+
 
 def _is_withheld(model: str, idle_gain: float, survey: CopySurvey, worth: CopyWorth) -> bool:
     """Return whether a move waits, so that replicas stay idle for urgent ones.
@@ -210,7 +251,7 @@
     best = max(weighed, key=lambda one: one.net, default=None)
     if best is None or best.net < -bearable_loss_per_s(unserved_s):
         return None
-    return best.as_move(model, MoveReason.OVERDUE, unserved_s)
+    return best.as_move(model, MoveReason.OVERDUE, unserved_s, _nearer(model, best, survey))
 
 
 def _best_move(
@@ -224,7 +265,16 @@
     if not worthwhile:
         return None
     best = max(worthwhile, key=lambda one: one.net)
-    return best.as_move(model, reason, survey.demand(model).unserved_s)
+    unserved_s = survey.demand(model).unserved_s
+    return best.as_move(model, reason, unserved_s, _nearer(model, best, survey))
+
+
+def _nearer(model: str, chosen: _WeighedOption, survey: CopySurvey) -> tuple[str, ...]:
+    """Return the replicas that have the weights near where the chosen one has not."""
+    if not chosen.option.from_store:
+        return ()
+    replicas = (one for one in survey.replicas if not one.has(model))
+    return tuple(one.replica_id for one in replicas if not one.needs_store(model))
 
 
 @attrs.frozen
@@ -235,7 +285,9 @@
     gain: float
     net: float
 
-    def as_move(self, model: str, reason: MoveReason, unserved_s: float) -> CopyMove:
+    def as_move(
+        self, model: str, reason: MoveReason, unserved_s: float, nearer: tuple[str, ...]
+    ) -> CopyMove:
         option = self.option
         return CopyMove(
             option.replica.replica_id,
@@ -247,6 +299,8 @@
             round(self.gain, LOGGED_DIGITS),
             round(option.eviction.loss, LOGGED_DIGITS),
             unserved_s,
+            option.replica.tier(model),
+            nearer,
         )
 
 
--- a/limeshelf/placement/service.py
+++ b/limeshelf/placement/service.py
@@ -20,6 +20,7 @@
 from limeshelf.placement.planner import CopyPlanner, MoveReason
 from limeshelf.placement.replica_watch import ReplicaWatch
 from limeshelf.placement.starvation import Starvation
+from limeshelf.placement.survey_log import SurveyLog
 from limeshelf.placement.turns import TurnBook
 from limeshelf.util.clock import boottime_s
 
@@ -85,6 +86,7 @@
         self._pace = LoadPace(window_s)
         self._starvation = Starvation()
         self._turns = TurnBook()
+        self._survey_log = SurveyLog()
         self._term_fence = 0
         self._started_s = boottime_s()
         self._wanted = asyncio.Event()
@@ -142,10 +144,11 @@
         first_copies = self._replicas.first_copies(service)
         barred = {name for name in engine.models if self._lost_loads.is_barred(service, name)}
         planner = CopyPlanner(engine, demands, first_copies, starved_s, barred, self._turns)
-        await self._begin_moves(engine, planner, copies)
+        self._survey_log.note_replicas(service, copies)
+        await self._begin_moves(service, engine, planner, copies)
 
     async def _begin_moves(
-        self, engine: EngineSpec, planner: CopyPlanner, copies: list[ReplicaCopies]
+        self, service: str, engine: EngineSpec, planner: CopyPlanner, copies: list[ReplicaCopies]
     ) -> None:
         while True:
             # Calls and peers go first: with 161 models at 59 replicas a plan takes tens of
@@ -153,8 +156,11 @@
             await asyncio.sleep(0)
             if not self.may_order():
                 return
-            move = planner.next_move(copies, self._pace.allows(engine.loads_per_s))
+            store_allowed = self._pace.allows(engine.loads_per_s)
+            move = planner.next_move(copies, store_allowed)
             if move is None:
+                passed_over = planner.passed_over(copies, store_allowed)
+                self._survey_log.note_passed_over(service, passed_over)
                 return
             if move.from_store:
                 self._pace.note()
--- a/limeshelf/placement/survey.py
+++ b/limeshelf/placement/survey.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -21,6 +22,14 @@
 LEAST_CAPACITY_SHARE = 0.15
 
 
+class WeightsTier(enum.StrEnum):
+    """Where a load finds the weights; the values stand in log lines."""
+
+    MEMORY = 'memory'
+    DISK = 'disk'
+    STORE = 'store'
+
+
 @attrs.define
 class ReplicaCopies:
     """A replica as the planner of copies sees it.
@@ -44,15 +53,25 @@
         """Return whether a copy is there or on its way."""
         return model in self.ready or model in self.loading
 
+    def tier(self, model: str) -> WeightsTier:
+        """Return where a load here finds the weights of a model."""
+        if model in self.in_memory:
+            return WeightsTier.MEMORY
+        return WeightsTier.DISK if model in self.on_disk else WeightsTier.STORE
+
     def needs_store(self, model: str) -> bool:
         """Return whether a load has to fetch the weights from the weight store."""
-        return model not in self.in_memory and model not in self.on_disk
+        return self.tier(model) is WeightsTier.STORE
 
     def load_s(self, spec: ModelSpec) -> float:
         """Return the time that a load of a model takes here, in seconds."""
-        if spec.name in self.in_memory:
-            return spec.warm_load_s
-        return spec.disk_load_s if spec.name in self.on_disk else spec.load_s
+        match self.tier(spec.name):
+            case WeightsTier.MEMORY:
+                return spec.warm_load_s
+            case WeightsTier.DISK:
+                return spec.disk_load_s
+            case WeightsTier.STORE:
+                return spec.load_s
 
     def begin_move(self, model: str, evicted: tuple[str, ...]) -> None:
         """Count a move that was ordered here."""
--- /dev/null
+++ b/tests/placement/test_survey_log.py
@@ -0,0 +1,68 @@
+"""The lines that tell where weights lie and why what waits is not loaded."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import pytest
+
+from limeshelf.placement import survey_log
+from limeshelf.placement.planner import CopyPlanner, PassedOver
+from limeshelf.placement.survey_log import LEAST_PAUSE_S, SurveyLog
+from tests.placement.builders import busy, engine, replica, seldom
+
+
+@pytest.fixture
+def written(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, Any]]:
+    """Return the lines that were written, and let a second pass before each call."""
+    lines: list[dict[str, Any]] = []
+    now_s = [100.0]
+
+    def tick() -> float:
+        now_s[0] += LEAST_PAUSE_S
+        return now_s[0]
+
+    monkeypatch.setattr(survey_log, 'boottime_s', tick)
+    monkeypatch.setattr(
+        survey_log, 'log_change', lambda event, **fields: lines.append({'event': event, **fields})
+    )
+    return lines
+
+
+def test_contents_of_a_replica_are_written_when_they_change(written: list[dict[str, Any]]) -> None:
+    log = SurveyLog()
+    one = replica('r1', 'hot')
+    log.note_replicas('lm', [one])
+    log.note_replicas('lm', [one])
+    assert len(written) == 1
+    log.note_replicas('lm', [attrs.evolve(one, on_disk=frozenset({'rare'}))])
+    assert written[-1]['on_disk'] == ['rare']
+
+
+def test_replica_that_came_back_is_written_again(written: list[dict[str, Any]]) -> None:
+    log = SurveyLog()
+    for replicas in ([replica('r1', 'hot')], [], [replica('r1', 'hot')]):
+        log.note_replicas('lm', replicas)
+    assert len(written) == 2
+
+
+def test_reason_is_written_once_until_it_changes(written: list[dict[str, Any]]) -> None:
+    log = SurveyLog()
+    for reason in (PassedOver.OUTBID, PassedOver.OUTBID, PassedOver.WITHHELD):
+        log.note_passed_over('lm', {'rare': reason})
+    assert [line['reason'] for line in written] == ['outbid', 'withheld']
+
+
+def test_model_that_waits_again_is_written_again(written: list[dict[str, Any]]) -> None:
+    log = SurveyLog()
+    for passed_over in ({'rare': PassedOver.OUTBID}, {}, {'rare': PassedOver.OUTBID}):
+        log.note_passed_over('lm', passed_over)
+    assert len(written) == 2
+
+
+def test_planner_names_why_a_waiting_model_is_not_loaded() -> None:
+    planner = CopyPlanner(engine(), {'hot': busy(50.0), 'rare': seldom(waits=True)}, {'hot': 1})
+    assert planner.passed_over([replica('r1', 'hot', is_idle=False)]) == {
+        'rare': PassedOver.NO_IDLE_REPLICA
+    }
