Admission: a load that the leader announced is waited for until the answer would be late

What callers saw: refused for an absent model, with a time to come back, though the load that was under way would have served them in their objective: with 5 s a call waited for 3 s at the most, and an unload that waits for runs (2 s) and a load from a disk (1.3 s) take longer.

Cause: a share of the objective (0.4) was left for the answer, whatever the objective is. Where the leader has announced the load, 0.5 s are left now, or that share where it is less; urgent objectives are as before. Where nothing is announced the bound is the old one.

Test failed before (refused at 3.4 s of 4).

--- a/limeshelf/admission/absent_model.py
+++ b/limeshelf/admission/absent_model.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from limeshelf.admission import come_back
-from limeshelf.admission.patience import hold_left_s, patience_left_s
+from limeshelf.admission.patience import announced_left_s, hold_left_s, patience_left_s
 
 if TYPE_CHECKING:
     from limeshelf.calls.routes import Route
@@ -79,16 +79,20 @@
     retry_excluded = absent.excluded and absent.expected_wait_s <= 0
     # All that could run it refused; they may take it a little later.
     wait_s = RECHECK_S if retry_excluded else absent.expected_wait_s
-    bearable = patience_left_s if absent.returned else hold_left_s
-    if (
-        absent.answer_started
-        or _announcement_due(absent)
-        or wait_s <= bearable(absent.route, absent.waited_s)
-    ):
+    if absent.answer_started or _announcement_due(absent) or wait_s <= _bearable_s(absent):
         return Hold(min(RECHECK_S, absent.left_s), retry_excluded)
     return RefuseUntilReady(wait_s, come_back.when_ready_s(wait_s, absent.left_s))
 
 
+def _bearable_s(absent: AbsentModel) -> float:
+    """Return how much longer the call may be held, in seconds."""
+    if absent.returned:
+        return patience_left_s(absent.route, absent.waited_s)
+    if absent.announced and not absent.excluded:
+        return announced_left_s(absent.route, absent.waited_s)
+    return hold_left_s(absent.route, absent.waited_s)
+
+
 def _announcement_due(absent: AbsentModel) -> bool:
     """Return whether the leader has yet to say how long the model takes.
 
--- a/limeshelf/admission/patience.py
+++ b/limeshelf/admission/patience.py
@@ -14,6 +14,9 @@
 #: Share of the objective that a call may wait for a model which no replica holds; the rest is
 #: left for the answer itself.
 HOLD_SHARE = 0.6
+#: Where the time of a load is known, no more than this is left for the answer, however long the
+#: objective is.
+ANSWER_LIMIT_S = 0.5
 #: Share of the caller's patience after which a waiting call is refused, so that the refusal
 #: still finds it.
 PATIENCE_SHARE = 0.85
@@ -27,6 +30,12 @@
     return route.objective_s * HOLD_SHARE - waited_s
 
 
+def announced_left_s(route: Route, waited_s: float) -> float:
+    """Return how much longer a call may wait for a load that the leader announced, in seconds."""
+    answer_s = min(ANSWER_LIMIT_S, (1.0 - HOLD_SHARE) * route.objective_s)
+    return route.objective_s - answer_s - waited_s
+
+
 def patience_left_s(route: Route, waited_s: float) -> float:
     """Return how much longer the caller waits for the first byte, in seconds."""
     return route.patience_s * PATIENCE_SHARE - waited_s
--- a/tests/admission/test_absent_model.py
+++ b/tests/admission/test_absent_model.py
@@ -55,6 +55,15 @@
     assert isinstance(decide(route=patient, waited_s=0.51, **late), RefuseUntilReady)
 
 
+def test_announced_load_is_waited_for_until_the_answer_would_be_late() -> None:
+    patient = attrs.evolve(make_route(), objective_s=5.0)
+    ordered = {'route': patient, 'waited_s': 1.0, 'announced': True}
+    assert isinstance(decide(expected_wait_s=3.4, **ordered), Hold)
+    assert isinstance(decide(expected_wait_s=3.6, **ordered), RefuseUntilReady)
+    assumed = {**ordered, 'announced': False}
+    assert isinstance(decide(expected_wait_s=2.1, **assumed), RefuseUntilReady)
+
+
 def test_tries_replicas_again_that_refused_all_together() -> None:
     assert decide(expected_wait_s=0.0, excluded=True) == Hold(RECHECK_S, retry_excluded=True)
     assert decide(expected_wait_s=0.0, excluded=True, waited_s=0.6) == RefuseUntilReady(
