Placement: what lies near is brought at once, and told; loads from the store leave replicas to it

Now: a waiting model that an idle replica has near isn't withheld; a load from the store doesn't begin where a busy replica would bring it from near sooner, and that time is announced as those of ordered loads are (state, made anew each round); once a sixth of the replicas brings models from the store no other load from there begins, but for a model without a copy whose callers can't wait; once a fifth of the replicas brings a model no further copy of it is ordered.

--- a/limeshelf/placement/options.py
+++ b/limeshelf/placement/options.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -67,3 +68,42 @@
     """Return how long the unloads before a load likely wait for runs, in seconds."""
     is_busy = any(survey.running_calls(name) >= RUNNING_CALLS for name in eviction.models)
     return BUSY_UNLOAD_S if is_busy else 0.0
+
+
+def near_in_s(model: str, survey: CopySurvey) -> float:
+    """Return how soon a replica that is busy now could bring a model whose weights it has near.
+
+    :return: in seconds; infinite where no such replica has them.
+    """
+    spec = survey.engine.models[model]
+    return min(
+        (one.free_in_s + one.load_s(spec) for one in _busy_near(model, survey)), default=math.inf
+    )
+
+
+def upcoming_loads_s(models: list[str], survey: CopySurvey, worth: CopyWorth) -> dict[str, float]:
+    """Return when models are likely there that busy replicas have near, the first one first.
+
+    :return: seconds from now, by model; one that no such replica has room for is left out.
+    """
+    free_in_s = {one.replica_id: one.free_in_s for one in survey.replicas}
+    upcoming_s = {}
+    for model in models:
+        spec = survey.engine.models[model]
+        places = [
+            (free_in_s[one.replica_id] + one.load_s(spec), one.replica_id)
+            for one in _busy_near(model, survey)
+            if eviction_for(model, one, survey, worth) is not None
+        ]
+        if places:
+            ready_in_s, replica_id = min(places)
+            upcoming_s[model] = free_in_s[replica_id] = ready_in_s
+    return upcoming_s
+
+
+def _busy_near(model: str, survey: CopySurvey) -> list[ReplicaCopies]:
+    return [
+        one
+        for one in survey.replicas
+        if not one.is_idle and one.loading and not one.has(model) and not one.needs_store(model)
+    ]
--- a/limeshelf/placement/planner.py
+++ b/limeshelf/placement/planner.py
@@ -13,7 +13,7 @@
 import attrs
 
 from limeshelf.placement.model_worth import ModelWorth
-from limeshelf.placement.options import LoadOption, load_options
+from limeshelf.placement.options import LoadOption, load_options, near_in_s, upcoming_loads_s
 from limeshelf.placement.survey import CopySurvey, WeightsTier
 from limeshelf.placement.turns import bearable_loss_per_s, due_models
 from limeshelf.placement.worth import NEW_CENTRE_FACTOR, CopyWorth
@@ -37,7 +37,7 @@
 #: A load that takes longer here than at another idle replica costs, of what it gains, the share
 #: of this time by which it is longer: where weights lie on a disk it takes a fifth of a load
 #: from the store, and calls wait or are refused meanwhile.
-LOAD_HORIZON_S = 10.0
+LOAD_HORIZON_S = 5.0
 #: Cost of each copy that is evicted.
 EVICTION_COST_PER_S = 0.05
 #: Cost of each wanted adapter that has to wait while a whole model is loaded, since a replica
@@ -57,6 +57,12 @@
 #: and when demand moved to a model in the first of them, three of six replicas were bringing
 #: models that were asked for once.
 PATIENT_STORE_SHARE = 0.2
+#: Once this share of the replicas brings models from the weight store, no other begins, so that
+#: these can bring what they have near. A model without a copy whose callers cannot wait comes all
+#: the same.
+LONG_LOADS_SHARE = 0.17
+#: Once a model is on its way to this share of the replicas, no further copy of it is ordered.
+COMING_SHARE = 0.2
 #: What sums of gains and losses differ by when they are added up in another order.
 ROUNDING_PER_S = 1e-6
 #: Digits of gain and loss in the log line of a move.
@@ -142,7 +148,9 @@
         self._models = ModelWorth(engine, demands, first_copies, self._starved_s)
 
     def next_move(
-        self, replicas: list[ReplicaCopies], store_allowed: bool = True
+        self,
+        replicas: list[ReplicaCopies],
+        store_allowed: bool = True,
     ) -> CopyMove | None:
         """Return the move that is worth most now, if any is worth making.
 
@@ -164,15 +172,34 @@
         for idle_gain, model in candidates:
             if idle_gain < LEAST_GAIN_PER_S:
                 return None
-            if _is_withheld(model, idle_gain, survey, worth) or not _may_gain(
-                model, idle_gain, survey, worth
-            ):
+            if _has_enough_coming(model, survey) or not _may_gain(model, idle_gain, survey, worth):
                 continue
-            move = _best_move(model, survey, worth, store_allowed)
+            from_store = store_allowed and not _is_withheld(model, idle_gain, survey, worth)
+            move = _best_move(model, survey, worth, from_store)
             if move is not None:
                 return move
         return None
 
+    def upcoming_s(self, replicas: list[ReplicaCopies]) -> dict[str, float]:
+        """Return when models that calls wait for are likely there, though no order went out yet.
+
+        Each comes from the memory or disk of a replica that carries out another order now, one
+        after the other there.
+
+        :return: seconds from now, by model.
+        """
+        survey = CopySurvey.take(self._engine, self._demands, replicas)
+        worth = CopyWorth(survey, self._first_copies, self._starved_s, self._models)
+        waiting = [
+            name
+            for name in self._engine.models
+            if survey.demand(name).is_waiting
+            and not survey.copies(name).total
+            and name not in self._barred
+        ]
+        waiting.sort(key=lambda name: (-worth.idle_gain(name), name))
+        return upcoming_loads_s(waiting, survey, worth)
+
     def passed_over(
         self, replicas: list[ReplicaCopies], store_allowed: bool = True
     ) -> dict[str, PassedOver]:
@@ -191,12 +218,12 @@
 ) -> PassedOver:
     if not survey.idle:
         return PassedOver.NO_IDLE_REPLICA
+    if not all(replica.needs_store(model) for replica in survey.idle):
+        return PassedOver.OUTBID
     if _is_withheld(model, worth.idle_gain(model), survey, worth):
         return PassedOver.WITHHELD
-    store_allowed = store_allowed and _may_occupy_for_long(model, survey, worth)
-    if not store_allowed and all(replica.needs_store(model) for replica in survey.idle):
-        return PassedOver.STORE_LIMITED
-    return PassedOver.OUTBID
+    may_begin = store_allowed and _may_occupy_for_long(model, survey, worth)
+    return PassedOver.OUTBID if may_begin else PassedOver.STORE_LIMITED
 
 
 def _is_withheld(model: str, idle_gain: float, survey: CopySurvey, worth: CopyWorth) -> bool:
@@ -231,11 +258,23 @@
 
 def _may_occupy_for_long(model: str, survey: CopySurvey, worth: CopyWorth) -> bool:
     """Return whether a replica may bring a model from the weight store now."""
-    if worth.is_quiet or not worth.can_wait_for_a_load(model):
+    if worth.is_quiet:
+        return True
+    can_wait = worth.can_wait_for_a_load(model)
+    if not can_wait and not survey.copies(model).total:
         return True
-    if worth.starved_s(model) >= LONG_STARVED_S:
+    replicas = len(survey.replicas)
+    if survey.long_loads() >= max(1.0, LONG_LOADS_SHARE * replicas):
+        return False
+    if not can_wait or worth.starved_s(model) >= LONG_STARVED_S:
         return True
-    return survey.loading < max(1.0, PATIENT_STORE_SHARE * len(survey.replicas))
+    return survey.loading < max(1.0, PATIENT_STORE_SHARE * replicas)
+
+
+def _has_enough_coming(model: str, survey: CopySurvey) -> bool:
+    """Return whether so many copies are on their way that what they serve is to be seen first."""
+    coming = survey.copies(model).total - survey.copies(model).ready
+    return coming >= max(1.0, COMING_SHARE * len(survey.replicas))
 
 
 def _turn(
@@ -265,6 +304,8 @@
     if not worthwhile:
         return None
     best = max(worthwhile, key=lambda one: one.net)
+    if best.option.from_store and best.option.ready_in_s > near_in_s(model, survey):
+        return None
     unserved_s = survey.demand(model).unserved_s
     return best.as_move(model, reason, unserved_s, _nearer(model, best, survey))
 
--- a/limeshelf/placement/replica_watch.py
+++ b/limeshelf/placement/replica_watch.py
@@ -101,6 +101,7 @@
             data_centre=replica.record.data_centre,
             in_memory=report.in_memory if report else frozenset(),
             on_disk=report.on_disk if report else frozenset(),
+            free_in_s=_free_in_s(pending),
         )
 
     def _may_take_orders(self, replica: Replica, pending: PendingOrders) -> bool:
@@ -132,6 +133,12 @@
         return awaited
 
 
+def _free_in_s(pending: PendingOrders) -> float:
+    """Return how long the loads of whole models under way at a replica likely take yet."""
+    ready_s = [at_s for item, at_s in pending.ready_times_s().items() if not item.adapter]
+    return max(0.0, max(ready_s, default=0.0) - boottime_s())
+
+
 def _is_lost(replica: Replica, pending: PendingOrders) -> bool:
     """Return whether what stands at a replica counts as lost.
 
--- a/limeshelf/placement/service.py
+++ b/limeshelf/placement/service.py
@@ -82,11 +82,13 @@
         self._read_ms = read_ms
         self._replicas = ReplicaWatch(directory, leadership, sender, tasks)
         self._lost_loads = lost_loads
+        self._on_load = on_load
         self._moves = MoveRunner(directory, sender, tasks, on_load, lost_loads)
         self._pace = LoadPace(window_s)
         self._starvation = Starvation()
         self._turns = TurnBook()
         self._survey_log = SurveyLog()
+        self._upcoming_s: dict[ModelKey, float] = {}
         self._term_fence = 0
         self._started_s = boottime_s()
         self._wanted = asyncio.Event()
@@ -123,6 +125,7 @@
 
     async def _begin_term(self, config: ServingConfig) -> None:
         self._term_fence = self._leadership.fence
+        self._upcoming_s.clear()
         for name, engine in _placeable(config):
             self._pace.reset(engine.loads_per_s)
             await self._replicas.claim_all(name, engine)
@@ -159,6 +162,7 @@
             store_allowed = self._pace.allows(engine.loads_per_s)
             move = planner.next_move(copies, store_allowed)
             if move is None:
+                self._note_upcoming(service, planner.upcoming_s(copies))
                 passed_over = planner.passed_over(copies, store_allowed)
                 self._survey_log.note_passed_over(service, passed_over)
                 return
@@ -169,7 +173,7 @@
                 self._turns.note_begun(move.replica_id, move.model)
             for replica in copies:
                 if replica.replica_id == move.replica_id:
-                    replica.begin_move(move.model, move.evicted)
+                    replica.begin_move(move.model, move.evicted, move.load_s)
 
     def want(self, key: ModelKey) -> None:
         """A call waits for *key*; bring an adapter at once, a model with the next plan.
@@ -214,8 +218,20 @@
         return unserved(kind, self.totals.latest(), boottime_s())
 
     def awaited(self) -> dict[ModelKey, float]:
-        """Return the models on their way, with the time when each is likely there."""
-        return self._replicas.awaited()
+        """Return the models on their way or to be ordered next, with the time of each.
+
+        A time is when the model is likely there, on the boot clock.
+        """
+        return self._upcoming_s | self._replicas.awaited()
+
+    def _note_upcoming(self, service: str, upcoming_s: dict[str, float]) -> None:
+        now_s = boottime_s()
+        others = {key: at_s for key, at_s in self._upcoming_s.items() if key.service != service}
+        planned = {ModelKey(service, name): now_s + in_s for name, in_s in upcoming_s.items()}
+        is_new = not planned.keys() <= self._upcoming_s.keys()
+        self._upcoming_s = others | planned
+        if is_new:
+            self._on_load()
 
 
 def _placeable(config: ServingConfig) -> Iterator[tuple[str, EngineSpec]]:
--- a/limeshelf/placement/survey.py
+++ b/limeshelf/placement/survey.py
@@ -18,6 +18,8 @@
     from limeshelf.calls.routes import EngineSpec, ModelSpec
     from limeshelf.demand.model_demand import ModelDemand
 
+#: A load that takes longer yet keeps its replica from bringing what lies near there in time.
+LONG_LOAD_S = 2.0
 #: Share of a replica that a copy gets there at the least, however busy others keep it.
 LEAST_CAPACITY_SHARE = 0.15
 
@@ -39,6 +41,7 @@
     :ivar is_idle: whether it can take an order for a whole model now.
     :ivar in_memory: models whose weights lie in the memory of the machine.
     :ivar on_disk: models whose weights lie on its disk.
+    :ivar free_in_s: until the load under way there is likely done, in seconds.
     """
 
     replica_id: str
@@ -48,6 +51,7 @@
     data_centre: str = ''
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+    free_in_s: float = 0.0
 
     def has(self, model: str) -> bool:
         """Return whether a copy is there or on its way."""
@@ -73,11 +77,15 @@
             case WeightsTier.STORE:
                 return spec.load_s
 
-    def begin_move(self, model: str, evicted: tuple[str, ...]) -> None:
-        """Count a move that was ordered here."""
+    def begin_move(self, model: str, evicted: tuple[str, ...], load_s: float = 0.0) -> None:
+        """Count a move that was ordered here.
+
+        :param load_s: time that its load likely takes, in seconds.
+        """
         self.is_idle = False
         self.ready -= set(evicted)
         self.loading.add(model)
+        self.free_in_s = load_s
 
 
 @attrs.define
@@ -190,6 +198,10 @@
             busy_share -= self.copy_share(model)
         return min(1.0, max(LEAST_CAPACITY_SHARE, 1.0 - busy_share))
 
+    def long_loads(self) -> int:
+        """Return how many replicas a load occupies for long yet."""
+        return sum(1 for one in self.replicas if one.free_in_s > LONG_LOAD_S)
+
     def size_mb(self, model: str) -> float:
         """Return the size of a model's weights; 0 if the configuration lacks it."""
         spec = self.engine.models.get(model)
--- a/tests/placement/test_options.py
+++ b/tests/placement/test_options.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+import math
+
 from limeshelf.demand.model_demand import ModelDemand
-from limeshelf.placement.options import BUSY_UNLOAD_S, LoadOption, load_options
+from limeshelf.placement.options import (
+    BUSY_UNLOAD_S,
+    LoadOption,
+    load_options,
+    near_in_s,
+    upcoming_loads_s,
+)
 from limeshelf.placement.survey import CopySurvey, ReplicaCopies
 from limeshelf.placement.worth import CopyWorth
 from tests.placement.builders import busy, engine, replica
@@ -42,3 +50,33 @@
     holder = replica('holder', 'rare')
     assert options([occupied, holder]) == {}
     assert options([replica('store')], store_allowed=False) == {}
+
+
+def occupied(name: str, free_in_s: float, *on_disk: str) -> ReplicaCopies:
+    """Return a replica that loads something for so long yet, with weights on its disk."""
+    one = replica(name, 'hot', is_idle=False)
+    one.loading = {'big'}
+    one.free_in_s = free_in_s
+    one.on_disk = frozenset(on_disk)
+    return one
+
+
+def survey_of(*replicas: ReplicaCopies) -> CopySurvey:
+    return CopySurvey.take(engine(), {}, list(replicas))
+
+
+def test_busy_replica_brings_what_it_has_near_after_its_load() -> None:
+    disk_load_s = engine().models['rare'].disk_load_s
+    survey = survey_of(occupied('r1', 3.0, 'rare'), occupied('r2', 1.0, 'rare'), replica('r3'))
+    assert near_in_s('rare', survey) == 1.0 + disk_load_s
+    assert near_in_s('other', survey) == math.inf
+
+
+def test_models_that_wait_for_one_replica_come_one_after_the_other() -> None:
+    survey = survey_of(occupied('r1', 2.0, 'rare', 'other'))
+    worth = CopyWorth(survey, {}, {})
+    disk_load_s = engine().models['rare'].disk_load_s
+    assert upcoming_loads_s(['rare', 'other', 'small'], survey, worth) == {
+        'rare': 2.0 + disk_load_s,
+        'other': 2.0 + 2 * disk_load_s,
+    }
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -283,3 +283,75 @@
     move = planner(**demands).next_move(replicas)
     assert move is not None
     assert (move.replica_id, move.from_store) == ('r0', False)
+
+
+def occupied(name: str, free_in_s: float, loading: str, *on_disk: str) -> ReplicaCopies:
+    """Return a replica that loads a model for so long yet, with weights on its disk."""
+    one = replica(name, 'hot', 'big', is_idle=False)
+    one.loading = {loading}
+    one.free_in_s = free_in_s
+    one.on_disk = frozenset(on_disk)
+    return one
+
+
+def test_weights_that_a_busy_replica_has_near_are_waited_for() -> None:
+    """A load from the store takes longer, and occupies a replica for all of that time."""
+    replicas = [replica('r1', 'hot', 'big'), replica('r2', 'hot', 'small')]
+    demands = {'hot': busy(5), 'big': busy(5), 'rare': seldom(2.0, waits=True)}
+    replicas += [replica(f'r{n}', 'hot', 'big') for n in range(4, 8)]
+    soon, late = occupied('r3', 1.0, 'other', 'rare'), occupied('r3', 9.0, 'other', 'rare')
+    assert planner(**demands).next_move([*replicas, soon]) is None
+    assert planner(**demands).upcoming_s([*replicas, soon]) == {
+        'rare': 1.0 + engine().models['rare'].disk_load_s
+    }
+    move = planner(**demands).next_move([*replicas, late])
+    assert move is not None
+    assert (move.model, move.from_store) == ('rare', True)
+
+
+def test_model_that_waits_is_loaded_from_near_however_few_replicas_are_idle() -> None:
+    """Loads of a second were withheld as those of six were."""
+    replicas = [replica('r1', 'hot', 'big')]
+    replicas += [occupied(f'r{n}', 1.0, 'other') for n in range(2, 7)]
+    demands = {'hot': busy(5), 'big': busy(5), 'rare': seldom(2.0, waits=True)}
+    assert planner(**demands).next_move(replicas) is None
+    replicas[0].on_disk = frozenset({'rare'})
+    move = planner(**demands).next_move(replicas)
+    assert move is not None
+    assert (move.model, move.replica_id, move.from_store) == ('rare', 'r1', False)
+
+
+def test_few_replicas_bring_models_from_the_store_at_the_same_time() -> None:
+    """The others can bring what they have near meanwhile, whoever asks for the far ones."""
+    replicas = [replica(f'r{n}', 'big') for n in range(4)]
+    replicas += [occupied(f'r{n}', 5.0, 'other') for n in (4, 5)]
+    demands = {'big': busy(5), 'hot': busy(30, replicas=5.0)}
+    plan = planner(**demands)
+    assert plan.next_move(replicas) is None
+    replicas[5].free_in_s = 1.0
+    move = plan.next_move(replicas)
+    assert move is not None
+    assert (move.model, move.from_store) == ('hot', True)
+
+
+def test_model_without_a_copy_whose_callers_cannot_wait_comes_from_the_store_at_once() -> None:
+    replicas = [replica(f'r{n}', 'big') for n in range(4)]
+    replicas += [occupied(f'r{n}', 5.0, 'other') for n in (4, 5)]
+    move = planner(big=busy(5), rare=busy(9)).next_move(replicas)
+    assert move is not None
+    assert (move.model, move.from_store) == ('rare', True)
+
+
+def test_one_model_is_on_its_way_to_few_replicas_at_the_same_time() -> None:
+    """Four of six replicas brought one model; when they were done, few asked for it."""
+    replicas = [replica(f'r{n}', 'big') for n in range(5)]
+    for one in replicas:
+        one.on_disk = frozenset({'hot'})
+    replicas.append(occupied('r5', 1.0, 'hot'))
+    replicas[5].ready = {'big'}
+    demands = {'big': busy(5), 'hot': busy(60, replicas=6.0)}
+    move = planner(**demands).next_move(replicas)
+    assert move is not None
+    at = next(one for one in replicas if one.replica_id == move.replica_id)
+    at.begin_move('hot', move.evicted, move.load_s)
+    assert planner(**demands).next_move(replicas) is None
--- a/tests/placement/test_replica_watch.py
+++ b/tests/placement/test_replica_watch.py
@@ -101,6 +101,15 @@
     assert [copies.loading for copies in world.watch.copies('lm')] == [{'m2'}, set()]
 
 
+def test_replica_is_free_when_its_load_is_done(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World()
+    monkeypatch.setattr('limeshelf.placement.replica_watch.boottime_s', lambda: 100.0)
+    world.pending('r1').expect(Loadable('m3'), 104.0)
+    world.pending('r1').expect(Loadable('m1', 'a1'), 109.0)
+    world.pending('r2').expect(Loadable('m3'), 99.0)
+    assert [copies.free_in_s for copies in world.watch.copies('lm')] == [4.0, 0.0]
+
+
 def test_lost_replica_is_not_planned_for() -> None:
     world = World()
     for _ in range(LOST_AFTER_POLLS):
