--- a/limeshelf/orders/attempts.py
+++ b/limeshelf/orders/attempts.py
@@ -21,15 +21,14 @@
 ADAPTER_POLL_S = 0.03
 MODEL_POLL_S = 0.25
 #: After an order about an adapter whose effect is open, the number of orders in a report counts
-#: from this time on. Reports are some 100 ms old; the rest is
+#: from this time on; reports are some 100 ms old.
 ADAPTER_SETTLE_S = 0.16
 #: The same after an order about a whole model.
 MODEL_SETTLE_S = 0.25
 #: A load of an adapter that has not come after this time is given up, and the unload of one.
-#: Two seconds were too short while the weight store was overloaded; four are
+#: It comes late while the weight store is overloaded.
 ADAPTER_LIMIT_S = 4.0
 #: An unload of a model waits for the calls that run on it; with a shorter wait, moves failed.
-#: The figure is
 MODEL_UNLOAD_LIMIT_S = 20.0
 #: A load may take this many times what the configuration says before it is given up.
 LOAD_LIMIT_FACTOR = 4.0
--- a/limeshelf/orders/pending.py
+++ b/limeshelf/orders/pending.py
@@ -20,17 +20,16 @@
     from limeshelf.replicas.record import ReplicaReport
 
 #: A poll answered this long after the replica was claimed shows what came before the claim.
-#: Reports are 100 to 200 ms old; the rest is
+#: Reports are 100 to 200 ms old.
 REPORT_SETTLE_S = 0.35
 #: Reports count whatever number of orders they name once this process has sent none there for
-#: this long: an order that was counted here did not arrive. Reports are 100 to 200 ms old; the
-#: rest is
+#: this long: an order that was counted here did not arrive. Reports are 100 to 200 ms old.
 ORDERS_SETTLE_S = 0.8
 #: For this long a poll of our own counts as fresh. Orders by what a predecessor sent
-#: overcommitted memory; the figure is
+#: overcommitted memory.
 FRESH_S = 1.5
 #: An order that got no answer is carried out at most this much later, in seconds: 2 to 12 s are
-#: seen on the users' platform; the rest is
+#: seen on the users' platform.
 LATE_ORDER_S = 15.0
 #: A replica that left this many polls in a row unanswered counts as lost.
 LOST_AFTER_POLLS = 2
