Placement: weights that lie at no replica are brought near before traffic

What callers saw: the first calls to a model whose weights lay at no replica waited for a load from the store, 6 s, or were refused.

While too little is asked for to judge by, and once no replica was found for 2 s, a model that lies nowhere is loaded once in place of a spare copy, where it pushes the only weights of no other model off the disk; the spare copy comes back from memory. A model that was found without a copy is worth half of one that was found with some, so that the latter come back.

--- a/limeshelf/placement/model_worth.py
+++ b/limeshelf/placement/model_worth.py
@@ -17,7 +17,7 @@
 #: Worth of the only copy of a model in calls a second, whoever asks for it, so that every model
 #: stays reachable.
 ONLY_COPY_WORTH_PER_S = 0.6
-#: The same, this many times over, before any call is seen.
+#: The same, this many times over, before any call is seen, of a model that was found with a copy.
 QUIET_ONLY_COPY_FACTOR = 2
 #: The calls of a model without another copy count this much.
 ONLY_COPY_FACTOR = 2.0
@@ -111,7 +111,8 @@
 
     def _judge_only_copy(self, model: str) -> float:
         if self.is_quiet:
-            return QUIET_ONLY_COPY_FACTOR * ONLY_COPY_WORTH_PER_S
+            factor = QUIET_ONLY_COPY_FACTOR if self._first_copies.get(model) else 1
+            return factor * ONLY_COPY_WORTH_PER_S
         demand = self._demand(model)
         calls_per_s = max(
             demand.calls_per_s / max(1.0, demand.busy_replicas),
--- a/limeshelf/placement/options.py
+++ b/limeshelf/placement/options.py
@@ -19,7 +19,7 @@
 
 #: An unload waits for the runs of its model, which takes about this long where there are any: a
 #: hot model's load from a disk began 3 s after it was decided, since the copy that went first
-#: was answering one call. The figure is
+#: was answering one call.
 BUSY_UNLOAD_S = 2.0
 #: Calls under way at a copy from which on its unload counts as one that waits.
 RUNNING_CALLS = 0.5
--- a/limeshelf/placement/planner.py
+++ b/limeshelf/placement/planner.py
@@ -14,6 +14,7 @@
 
 from limeshelf.placement.model_worth import ModelWorth
 from limeshelf.placement.options import LoadOption, load_options, near_in_s, upcoming_loads_s
+from limeshelf.placement.spread import spread_option
 from limeshelf.placement.survey import CopySurvey, WeightsTier
 from limeshelf.placement.turns import bearable_loss_per_s, due_models
 from limeshelf.placement.worth import NEW_CENTRE_FACTOR, CopyWorth
@@ -37,7 +38,7 @@
 #: A load that takes longer here than at another idle replica costs, of what it gains, the share
 #: of this time by which it is longer: where weights lie on a disk it takes a fifth of a load
 #: from the store, and calls wait or are refused meanwhile.
-LOAD_HORIZON_S = 5.0
+LOAD_HORIZON_S = 10.0
 #: Cost of each copy that is evicted.
 EVICTION_COST_PER_S = 0.05
 #: Cost of each wanted adapter that has to wait while a whole model is loaded, since a replica
@@ -60,7 +61,7 @@
 #: Once this share of the replicas brings models from the weight store, no other begins, so that
 #: these can bring what they have near. A model without a copy whose callers cannot wait comes all
 #: the same.
-LONG_LOADS_SHARE = 0.17
+LONG_LOADS_SHARE = 0.34
 #: Once a model is on its way to this share of the replicas, no further copy of it is ordered.
 COMING_SHARE = 0.2
 #: What sums of gains and losses differ by when they are added up in another order.
@@ -89,6 +90,8 @@
     OVERLOADED = 'crowded'
     #: It has waited so long that it is its turn.
     OVERDUE = 'overdue'
+    #: Its weights lie at no replica.
+    FAR = 'far'
 
 
 @attrs.frozen
@@ -151,6 +154,8 @@
         self,
         replicas: list[ReplicaCopies],
         store_allowed: bool = True,
+        *,
+        may_spread: bool = False,
     ) -> CopyMove | None:
         """Return the move that is worth most now, if any is worth making.
 
@@ -159,6 +164,7 @@
 
         :param store_allowed: whether a load from the weight store may begin now; without,
             models come from the disks and memories of the machines alone.
+        :param may_spread: whether all replicas are known, so that what lies at none is.
         """
         survey = CopySurvey.take(self._engine, self._demands, replicas)
         worth = CopyWorth(survey, self._first_copies, self._starved_s, self._models)
@@ -171,14 +177,22 @@
         candidates.sort(reverse=True)
         for idle_gain, model in candidates:
             if idle_gain < LEAST_GAIN_PER_S:
-                return None
+                break
             if _has_enough_coming(model, survey) or not _may_gain(model, idle_gain, survey, worth):
                 continue
             from_store = store_allowed and not _is_withheld(model, idle_gain, survey, worth)
             move = _best_move(model, survey, worth, from_store)
             if move is not None:
                 return move
-        return None
+        return self._spread(survey, worth) if store_allowed and may_spread else None
+
+    def _spread(self, survey: CopySurvey, worth: CopyWorth) -> CopyMove | None:
+        found = spread_option(survey, worth, self._barred)
+        if found is None:
+            return None
+        model, option = found
+        weighed = _WeighedOption(option, worth.gain(model, option.replica), 0.0)
+        return weighed.as_move(model, MoveReason.FAR, 0.0, ())
 
     def upcoming_s(self, replicas: list[ReplicaCopies]) -> dict[str, float]:
         """Return when models that calls wait for are likely there, though no order went out yet.
--- a/limeshelf/placement/replica_watch.py
+++ b/limeshelf/placement/replica_watch.py
@@ -27,6 +27,8 @@
 
 #: The leader polls every replica this often.
 POLL_INTERVAL_S = 0.5
+#: Replicas of a service that start together are found within this time.
+SETTLED_S = 2.0
 
 
 class ReplicaWatch:
@@ -46,6 +48,7 @@
         self._polled_s: dict[ReplicaStart, float] = {}
         self._first_copies: dict[str, dict[str, int]] = {}
         self._first_seen: set[ReplicaStart] = set()
+        self._found_s: dict[str, float] = {}
 
     async def claim_all(self, service: str, engine: EngineSpec) -> None:
         """Make every replica of a service note the fence of the term."""
@@ -60,6 +63,7 @@
             if replica.start in self._first_seen:
                 continue
             self._first_seen.add(replica.start)
+            self._found_s[service] = boottime_s()
             for model in replica.holdings:
                 copies[model] = copies.get(model, 0) + 1
 
@@ -67,6 +71,10 @@
         """Return the copies of each model that were found at the start."""
         return self._first_copies.get(service, {})
 
+    def is_settled(self, service: str) -> bool:
+        """Return whether no replica of a service was found lately."""
+        return boottime_s() - self._found_s.get(service, 0.0) >= SETTLED_S
+
     def poll_due(self, service: str, engine: EngineSpec) -> None:
         """Start the polls whose time has come."""
         now_s = boottime_s()
--- a/limeshelf/placement/service.py
+++ b/limeshelf/placement/service.py
@@ -48,7 +48,7 @@
 #: would miss those of busy models.
 START_SETTLE_S = 1.5
 #: Between a new term's claims and its first plan, for what a predecessor ordered late. Reports
-#: are some 100 ms old; the rest is
+#: are some 100 ms old.
 TERM_SETTLE_S = 0.25
 
 
@@ -160,7 +160,8 @@
             if not self.may_order():
                 return
             store_allowed = self._pace.allows(engine.loads_per_s)
-            move = planner.next_move(copies, store_allowed)
+            may_spread = self._replicas.is_settled(service)
+            move = planner.next_move(copies, store_allowed, may_spread=may_spread)
             if move is None:
                 self._note_upcoming(service, planner.upcoming_s(copies))
                 passed_over = planner.passed_over(copies, store_allowed)
--- /dev/null
+++ b/limeshelf/placement/spread.py
@@ -0,0 +1,73 @@
+"""Brings weights near that lie at no replica, while that takes nothing from callers.
+
+A load from a replica's memory or disk takes a second where one from the weight store takes
+several, so whoever may be asked for next is loaded somewhere once, before it is asked for. The
+copy that makes room for it comes back from memory. Owns the rule alone; relies on the survey for
+where weights lie.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limeshelf.placement.options import LoadOption, load_options
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from limeshelf.placement.survey import CopySurvey, ReplicaCopies
+    from limeshelf.placement.worth import CopyWorth
+
+#: Share of the replicas that may load something while weights are spread.
+SPREADING_SHARE = 0.7
+
+
+def far_models(survey: CopySurvey, barred: Collection[str]) -> list[str]:
+    """Return the models whose weights lie at no replica, nor are on their way to one."""
+    near: set[str] = set()
+    for replica in survey.replicas:
+        near |= replica.ready | replica.loading | replica.in_memory | replica.on_disk
+    return [name for name in survey.engine.models if name not in near and name not in barred]
+
+
+def spread_option(
+    survey: CopySurvey, worth: CopyWorth, barred: Collection[str]
+) -> tuple[str, LoadOption] | None:
+    """Return the next model to bring near, and where; ``None`` if there is none.
+
+    It goes where the copies that a load may push off the disk lie elsewhere as well.
+    """
+    if not worth.is_quiet or survey.loading >= SPREADING_SHARE * len(survey.replicas):
+        return None
+    if any(not one.is_idle and not one.loading for one in survey.replicas):
+        # What it holds may not be known yet.
+        return None
+    for model in far_models(survey, barred):
+        options = [
+            option
+            for option in load_options(model, survey, worth, store_allowed=True)
+            if all(_is_spare(name, survey, worth) for name in option.eviction.models)
+        ]
+        if options:
+            return model, min(options, key=lambda one: _cost(one, survey))
+    return None
+
+
+def _is_spare(model: str, survey: CopySurvey, worth: CopyWorth) -> bool:
+    """Return whether a copy may go for a while without one who asks for it missing it."""
+    return survey.copies(model).ready > 1 or not worth.was_found(model)
+
+
+def _cost(option: LoadOption, survey: CopySurvey) -> tuple[int, float, str]:
+    only_here = _only_near_here(option.replica, survey)
+    return only_here, option.eviction.loss, option.replica.replica_id
+
+
+def _only_near_here(replica: ReplicaCopies, survey: CopySurvey) -> int:
+    """Return how many models lie on this replica's disk, unused, and nowhere else."""
+    elsewhere: set[str] = set()
+    for other in survey.replicas:
+        if other.replica_id != replica.replica_id:
+            elsewhere |= other.ready | other.loading | other.in_memory | other.on_disk
+    unused = replica.on_disk - replica.ready - replica.loading
+    return len(unused - elsewhere)
--- a/limeshelf/placement/worth.py
+++ b/limeshelf/placement/worth.py
@@ -60,6 +60,10 @@
         """Return for how long a model that is asked for has had no copy, in seconds."""
         return self._starved_s.get(model, 0.0)
 
+    def was_found(self, model: str) -> bool:
+        """Return whether the leader found copies of a model at its start."""
+        return bool(self._first_copies.get(model))
+
     def idle_gain(self, model: str) -> float:
         """Return what one more copy gains at a replica with nothing else to do.
 
--- a/tests/placement/test_replica_watch.py
+++ b/tests/placement/test_replica_watch.py
@@ -13,7 +13,7 @@
 from limeshelf.orders.pending import LOST_AFTER_POLLS, REPORT_SETTLE_S
 from limeshelf.orders.sender import OrderSender
 from limeshelf.orders.task import Loadable
-from limeshelf.placement.replica_watch import ReplicaWatch
+from limeshelf.placement.replica_watch import SETTLED_S, ReplicaWatch
 from limeshelf.platform.replicas import read_record
 from limeshelf.replicas.directory import ReplicaDirectory
 from limeshelf.replicas.health import Failure
@@ -110,6 +110,19 @@
     assert [copies.free_in_s for copies in world.watch.copies('lm')] == [4.0, 0.0]
 
 
+def test_replicas_are_settled_once_no_other_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World()
+    now_s = [100.0]
+    monkeypatch.setattr('limeshelf.placement.replica_watch.boottime_s', lambda: now_s[0])
+    world.watch.note_first_copies('lm')
+    assert not world.watch.is_settled('lm')
+    now_s[0] += SETTLED_S
+    assert world.watch.is_settled('lm')
+    world.add('r3', 'm1')
+    world.watch.note_first_copies('lm')
+    assert not world.watch.is_settled('lm')
+
+
 def test_lost_replica_is_not_planned_for() -> None:
     world = World()
     for _ in range(LOST_AFTER_POLLS):
