Placement: where weights are near counts more; one look at what waits after a round

Times told ahead and the reasons for the log come from one survey, and none is taken where nobody waits.

--- a/benchmarks/placement_round.py
+++ b/benchmarks/placement_round.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
+import msgspec
 
 from limeshelf.calls.routes import EngineSpec, ModelSpec
 from limeshelf.demand.keys import KeyDemand, ModelKey
@@ -131,7 +132,8 @@
         ]
         keys += self._random.sample(adapters, WANTED_ADAPTERS)
         return [
-            KeyDemand(key, objective_ms=self._random.choice((400, 5000)), served=0) for key in keys
+            KeyDemand(key, objective_ms=self._random.choice((400, 5000)), served_ago_ms=0)
+            for key in keys
         ]
 
     def take_demand(self) -> None:
@@ -166,6 +168,7 @@
         """Plan again after all moves of a round; there is none."""
         planner = CopyPlanner(self.engine, self.demand(), self.watch.first_copies(SERVICE))
         assert planner.next_move(copies) is None
+        planner.outlook(copies)
 
     def plan_adapters(self) -> int:
         """Plan the adapters that wait; return how many can come."""
@@ -178,16 +181,7 @@
 
 def counts_now(demand: KeyDemand) -> KeyDemand:
     """Return the counts as they are now."""
-    return KeyDemand(
-        demand.key,
-        demand.started,
-        demand.running,
-        demand.wanted,
-        demand.objective_ms,
-        demand.tokens,
-        demand.refused,
-        demand.served,
-    )
+    return msgspec.structs.replace(demand)
 
 
 def best_ms(action: Callable[[], object]) -> float:
--- a/limeshelf/placement/planner.py
+++ b/limeshelf/placement/planner.py
@@ -38,7 +38,7 @@
 #: A load that takes longer here than at another idle replica costs, of what it gains, the share
 #: of this time by which it is longer: where weights lie on a disk it takes a fifth of a load
 #: from the store, and calls wait or are refused meanwhile.
-LOAD_HORIZON_S = 10.0
+LOAD_HORIZON_S = 5.0
 #: Cost of each copy that is evicted.
 EVICTION_COST_PER_S = 0.05
 #: Cost of each wanted adapter that has to wait while a whole model is loaded, since a replica
@@ -121,6 +121,19 @@
     nearer: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class WaitingOutlook:
+    """What becomes of models that calls wait for, without an order yet.
+
+    :ivar upcoming_s: seconds until a model is likely there, from the memory or disk of a replica
+        that carries out another order now; models come one after the other there.
+    :ivar passed_over: why a model is not loaded now.
+    """
+
+    upcoming_s: dict[str, float] = attrs.field(factory=dict)
+    passed_over: dict[str, PassedOver] = attrs.field(factory=dict)
+
+
 class CopyPlanner:
     """Plans the copies of one engine service.
 
@@ -194,37 +207,24 @@
         weighed = _WeighedOption(option, worth.gain(model, option.replica), 0.0)
         return weighed.as_move(model, MoveReason.FAR, 0.0, ())
 
-    def upcoming_s(self, replicas: list[ReplicaCopies]) -> dict[str, float]:
-        """Return when models that calls wait for are likely there, though no order went out yet.
-
-        Each comes from the memory or disk of a replica that carries out another order now, one
-        after the other there.
-
-        :return: seconds from now, by model.
-        """
+    def outlook(self, replicas: list[ReplicaCopies], store_allowed: bool = True) -> WaitingOutlook:
+        """Return what becomes of the models that calls wait for and that have no copy."""
+        if not any(demand.is_waiting for demand in self._demands.values()):
+            return WaitingOutlook()
         survey = CopySurvey.take(self._engine, self._demands, replicas)
         worth = CopyWorth(survey, self._first_copies, self._starved_s, self._models)
         waiting = [
             name
             for name in self._engine.models
-            if survey.demand(name).is_waiting
-            and not survey.copies(name).total
-            and name not in self._barred
+            if survey.demand(name).is_waiting and not survey.copies(name).total
         ]
         waiting.sort(key=lambda name: (-worth.idle_gain(name), name))
-        return upcoming_loads_s(waiting, survey, worth)
-
-    def passed_over(
-        self, replicas: list[ReplicaCopies], store_allowed: bool = True
-    ) -> dict[str, PassedOver]:
-        """Return why models that calls wait for, and that have no copy, are not loaded now."""
-        survey = CopySurvey.take(self._engine, self._demands, replicas)
-        worth = CopyWorth(survey, self._first_copies, self._starved_s, self._models)
-        return {
-            name: _why_not_loaded(name, survey, worth, store_allowed)
-            for name in self._engine.models
-            if survey.demand(name).is_waiting and not survey.copies(name).total
+        loadable = [name for name in waiting if name not in self._barred]
+        upcoming_s = upcoming_loads_s(loadable, survey, worth)
+        passed_over = {
+            name: _why_not_loaded(name, survey, worth, store_allowed) for name in waiting
         }
+        return WaitingOutlook(upcoming_s, passed_over)
 
 
 def _why_not_loaded(
--- a/limeshelf/placement/service.py
+++ b/limeshelf/placement/service.py
@@ -163,9 +163,9 @@
             may_spread = self._replicas.is_settled(service)
             move = planner.next_move(copies, store_allowed, may_spread=may_spread)
             if move is None:
-                self._note_upcoming(service, planner.upcoming_s(copies))
-                passed_over = planner.passed_over(copies, store_allowed)
-                self._survey_log.note_passed_over(service, passed_over)
+                outlook = planner.outlook(copies, store_allowed)
+                self._note_upcoming(service, outlook.upcoming_s)
+                self._survey_log.note_passed_over(service, outlook.passed_over)
                 return
             if move.from_store:
                 self._pace.note()
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -301,7 +301,7 @@
     replicas += [replica(f'r{n}', 'hot', 'big') for n in range(4, 8)]
     soon, late = occupied('r3', 1.0, 'other', 'rare'), occupied('r3', 9.0, 'other', 'rare')
     assert planner(**demands).next_move([*replicas, soon]) is None
-    assert planner(**demands).upcoming_s([*replicas, soon]) == {
+    assert planner(**demands).outlook([*replicas, soon]).upcoming_s == {
         'rare': 1.0 + engine().models['rare'].disk_load_s
     }
     move = planner(**demands).next_move([*replicas, late])
--- a/tests/placement/test_survey_log.py
+++ b/tests/placement/test_survey_log.py
@@ -63,6 +63,6 @@
 
 def test_planner_names_why_a_waiting_model_is_not_loaded() -> None:
     planner = CopyPlanner(engine(), {'hot': busy(50.0), 'rare': seldom(waits=True)}, {'hot': 1})
-    assert planner.passed_over([replica('r1', 'hot', is_idle=False)]) == {
+    assert planner.outlook([replica('r1', 'hot', is_idle=False)]).passed_over == {
         'rare': PassedOver.NO_IDLE_REPLICA
     }
--- a/tests/placement/tier_play.py
+++ b/tests/placement/tier_play.py
@@ -169,7 +169,9 @@
             self._begin(move)
             if move.reason is MoveReason.OVERDUE:
                 self.turns.note_begun(move.replica_id, move.model)
-        self.upcoming_s = {name: now_s + in_s for name, in_s in planner.upcoming_s(copies).items()}
+        self.upcoming_s = {
+            name: now_s + in_s for name, in_s in planner.outlook(copies).upcoming_s.items()
+        }
 
     def _begin(self, move: CopyMove) -> None:
         replica = next(one for one in self.replicas if one.copies.replica_id == move.replica_id)
