Placement: a copy that nobody asks for is worth no more than a bounded demand

Cause: a model whose callers cannot wait counts as asked for by 0.3 of the mean of all such models that are known to be. Where four of ten take all calls and the others are not known, that is more than most are ever asked for. It is 1.5 calls a second at the most now.

--- a/limeshelf/placement/model_worth.py
+++ b/limeshelf/placement/model_worth.py
@@ -34,6 +34,9 @@
 #: second of all such models, however few ask for it now: demand moves among them, and until a
 #: load is done all calls to the one it moves to are refused.
 EXPECTED_SHARE = 0.3
+#: The same at the most. Where few models take most calls, a share of the mean would be more than
+#: most are asked for, and copies that nobody asks for would take all places.
+EXPECTED_LIMIT_PER_S = 1.5
 #: A second copy is worth this share of a model's calls at the least, because replicas and
 #: data centres are lost: with the only copy of the busiest model behind a cut, 220 calls were
 #: refused until another one was loaded. At the most it is worth less than a model that calls
@@ -107,7 +110,7 @@
             for model, can_wait in self._can_wait.items()
             if not can_wait
         ]
-        return EXPECTED_SHARE * sum(urgent) / max(1, len(urgent))
+        return min(EXPECTED_LIMIT_PER_S, EXPECTED_SHARE * sum(urgent) / max(1, len(urgent)))
 
     def _judge_only_copy(self, model: str) -> float:
         if self.is_quiet:
--- a/limeshelf/placement/options.py
+++ b/limeshelf/placement/options.py
@@ -102,6 +102,7 @@
 
 
 def _busy_near(model: str, survey: CopySurvey) -> list[ReplicaCopies]:
+    """Return the replicas that load something now and have the weights of a model near."""
     return [
         one
         for one in survey.replicas
--- a/limeshelf/placement/survey_log.py
+++ b/limeshelf/placement/survey_log.py
@@ -17,6 +17,7 @@
 #: A change is logged this long after the one before of the same replica or model at the earliest.
 LEAST_PAUSE_S = 1.0
 
+#: What a replica holds ready, in memory and on disk.
 _Contents = tuple[frozenset[str], frozenset[str], frozenset[str]]
 
 
