--- a/tests/placement/test_service.py
+++ b/tests/placement/test_service.py
@@ -12,16 +12,18 @@
 from limeshelf.crashes.end_watch import EndWatch
 from limeshelf.crashes.lost_loads import LostLoads
 from limeshelf.crashes.suspects import Suspects
-from limeshelf.demand.keys import ModelKey
+from limeshelf.demand.keys import KeyDemand, ModelKey
 from limeshelf.lease.leadership import Term
 from limeshelf.metrics.prometheus import GatewayMetrics
+from limeshelf.orders.order import OrderKind, OrderOutcome, ReplicaOrder, ReplicaOrderAnswer
 from limeshelf.orders.pending import REPORT_SETTLE_S
 from limeshelf.orders.sender import OrderSender
 from limeshelf.placement.service import LEAST_ROUND_S, PlacementService
 from limeshelf.platform.orders import ReplicaOrderClient
 from limeshelf.platform.replicas import read_record
 from limeshelf.replicas.directory import ReplicaDirectory
-from limeshelf.replicas.record import Holding, ReplicaRecord
+from limeshelf.replicas.record import Holding, ReplicaRecord, ReplicaReport
+from limeshelf.util.clock import boottime_s
 from limeshelf.util.tasks import TaskSet
 from standins.users_platform.replica import ReplicaStandIn
 from tests.support.clock import run_virtual
@@ -56,6 +58,9 @@
 
     services: dict[str, ServiceSpec]
 
+    def engine_services(self) -> list[ServiceSpec]:
+        return list(self.services.values())
+
 
 async def wait_until(condition: Any) -> None:
     async with asyncio.timeout(5.0):
@@ -170,3 +175,57 @@
 def test_many_calls_for_a_model_that_does_not_come_cost_few_plans() -> None:
     """The leader planned without a pause, and its calls and peers waited."""
     assert planned_rounds(2.0, wants_per_s=200) <= 2.0 / LEAST_ROUND_S + 1
+
+
+class HangingWire:
+    """Replicas that report what they hold and have near, and never answer an order to load."""
+
+    async def report(self, address: str, replica_id: str) -> ReplicaReport:
+        return ReplicaReport((Holding('m1'),), False, 0, on_disk=frozenset({'m2', 'm3'}))
+
+    async def order(
+        self, address: str, replica_id: str, order: ReplicaOrder
+    ) -> ReplicaOrderAnswer:
+        if order.kind is not OrderKind.LOAD:
+            return ReplicaOrderAnswer(OrderOutcome.HOLDS_ALREADY, 200)
+        await asyncio.sleep(math.inf)
+        raise AssertionError
+
+
+def announced_times(waiting: list[str]) -> dict[str, float]:
+    """Return in how many seconds the models that calls wait for are there, as the leader tells."""
+    specs = {
+        name: ModelSpec(name, 70.0, 6.0, 0.6, frozenset(), 0.0, 1.3) for name in ('m1', 'm2', 'm3')
+    }
+    engine = EngineSpec(8, 1000, 150.0, 2, 1.0, specs)
+    told: dict[str, float] = {}
+
+    async def run() -> None:
+        directory = ReplicaDirectory(read_record)
+        held = (Holding('m1'),)
+        directory.take_record(ReplicaRecord('e-1', 'lm', 'lm:1', 'z1', 8, False, None, held, 1))
+        leadership: Any = FixedTerm(5)
+        config: Any = Config({'lm': ServiceSpec('lm', 50, engine)})
+        wire: Any = HangingWire()
+        tasks = TaskSet()
+        sender = OrderSender(wire, directory, leadership, 'g-1', GatewayMetrics(), lambda: config)
+        service = service_of(directory, leadership, sender, tasks, config)
+        running = asyncio.create_task(service.run())
+        for calls in range(1, 40):
+            demands = [KeyDemand(ModelKey('lm', name), calls, 0, calls, 5000) for name in waiting]
+            service.totals.take('g-2', demands)
+            await asyncio.sleep(0.1)
+        told.update({key.model: at_s - boottime_s() for key, at_s in service.awaited().items()})
+        running.cancel()
+        await tasks.close()
+
+    run_virtual(run())
+    return told
+
+
+def test_time_of_a_model_that_comes_after_another_is_told_before_its_order() -> None:
+    """A call for it was refused with a time that nobody had planned."""
+    assert announced_times(['m2']).keys() == {'m2'}
+    both = announced_times(['m2', 'm3'])
+    assert both.keys() == {'m2', 'm3'}
+    assert abs(both['m2'] - both['m3']) >= 1.3
