--- a/limeshelf/placement/planner.py
+++ b/limeshelf/placement/planner.py
@@ -1,8 +1,9 @@
 """Decides which model is loaded next, and where; a plan, no orders.
 
-Owns the choice among moves and when a move is withheld. Relies on the worth of copies
-(``worth.py``), the choice of what is evicted (``eviction.py``) and one survey of what
-stands where. Who calls orders the move and logs it (event ``move``).
+Owns the choice among moves, and what is told of models that wait for one. Relies on the worth of
+copies (``worth.py``), the choice of what is evicted (``eviction.py``), when a load does not begin
+(``restraint.py``) and one survey of what stands where. Who calls orders the move and logs it (event
+``move``).
 """
 
 from __future__ import annotations
@@ -14,6 +15,11 @@
 
 from limeshelf.placement.model_worth import ModelWorth
 from limeshelf.placement.options import LoadOption, load_options, near_in_s, upcoming_loads_s
+from limeshelf.placement.restraint import (
+    has_enough_coming,
+    is_withheld,
+    may_occupy_for_long,
+)
 from limeshelf.placement.spread import spread_option
 from limeshelf.placement.survey import CopySurvey, WeightsTier
 from limeshelf.placement.turns import bearable_loss_per_s, due_models
@@ -44,26 +50,6 @@
 #: Cost of each wanted adapter that has to wait while a whole model is loaded, since a replica
 #: carries out one order at a time.
 BLOCKED_ADAPTER_COST_PER_S = 0.3
-#: Moves that gain less leave this share of the replicas idle for urgent ones.
-URGENT_GAIN_PER_S = 2.0
-RESERVED_REPLICAS_SHARE = 0.34
-#: Models whose callers can wait leave this share of the replicas idle, whatever they gain: when
-#: demand moved to a model whose callers cannot, every replica that had its weights near was
-#: busy with one that was asked for once.
-RESERVED_FROM_PATIENT_SHARE = 0.5
-#: A model that has been asked for without a copy for this long counts like the others.
-LONG_STARVED_S = 6.0
-#: A model whose callers can wait comes from the weight store only while no more than this share
-#: of the replicas loads something: a load from the store occupies a replica for six seconds,
-#: and when demand moved to a model in the first of them, three of six replicas were bringing
-#: models that were asked for once.
-PATIENT_STORE_SHARE = 0.2
-#: Once this share of the replicas brings models from the weight store, no other begins, so that
-#: these can bring what they have near. A model without a copy whose callers cannot wait comes all
-#: the same.
-LONG_LOADS_SHARE = 0.34
-#: Once a model is on its way to this share of the replicas, no further copy of it is ordered.
-COMING_SHARE = 0.2
 #: What sums of gains and losses differ by when they are added up in another order.
 ROUNDING_PER_S = 1e-6
 #: Digits of gain and loss in the log line of a move.
@@ -191,9 +177,9 @@
         for idle_gain, model in candidates:
             if idle_gain < LEAST_GAIN_PER_S:
                 break
-            if _has_enough_coming(model, survey) or not _may_gain(model, idle_gain, survey, worth):
+            if has_enough_coming(model, survey) or not _may_gain(model, idle_gain, survey, worth):
                 continue
-            from_store = store_allowed and not _is_withheld(model, idle_gain, survey, worth)
+            from_store = store_allowed and not is_withheld(model, idle_gain, survey, worth)
             move = _best_move(model, survey, worth, from_store)
             if move is not None:
                 return move
@@ -234,28 +220,12 @@
         return PassedOver.NO_IDLE_REPLICA
     if not all(replica.needs_store(model) for replica in survey.idle):
         return PassedOver.OUTBID
-    if _is_withheld(model, worth.idle_gain(model), survey, worth):
+    if is_withheld(model, worth.idle_gain(model), survey, worth):
         return PassedOver.WITHHELD
-    may_begin = store_allowed and _may_occupy_for_long(model, survey, worth)
+    may_begin = store_allowed and may_occupy_for_long(model, survey, worth)
     return PassedOver.OUTBID if may_begin else PassedOver.STORE_LIMITED
 
 
-def _is_withheld(model: str, idle_gain: float, survey: CopySurvey, worth: CopyWorth) -> bool:
-    """Return whether a move waits, so that replicas stay idle for urgent ones.
-
-    A replica carries out one order at a time and a load takes seconds.
-    """
-    if worth.is_quiet:
-        return False
-    if worth.can_wait_for_a_load(model) and worth.starved_s(model) < LONG_STARVED_S:
-        reserved_share = RESERVED_FROM_PATIENT_SHARE
-    elif idle_gain >= URGENT_GAIN_PER_S:
-        return False
-    else:
-        reserved_share = RESERVED_REPLICAS_SHARE
-    return len(survey.idle) <= reserved_share * len(survey.replicas)
-
-
 def _may_gain(model: str, idle_gain: float, survey: CopySurvey, worth: CopyWorth) -> bool:
     """Return whether a load may gain more than it loses at any replica; a quick look.
 
@@ -270,27 +240,6 @@
     )
 
 
-def _may_occupy_for_long(model: str, survey: CopySurvey, worth: CopyWorth) -> bool:
-    """Return whether a replica may bring a model from the weight store now."""
-    if worth.is_quiet:
-        return True
-    can_wait = worth.can_wait_for_a_load(model)
-    if not can_wait and not survey.copies(model).total:
-        return True
-    replicas = len(survey.replicas)
-    if survey.long_loads() >= max(1.0, LONG_LOADS_SHARE * replicas):
-        return False
-    if not can_wait or worth.starved_s(model) >= LONG_STARVED_S:
-        return True
-    return survey.loading < max(1.0, PATIENT_STORE_SHARE * replicas)
-
-
-def _has_enough_coming(model: str, survey: CopySurvey) -> bool:
-    """Return whether so many copies are on their way that what they serve is to be seen first."""
-    coming = survey.copies(model).total - survey.copies(model).ready
-    return coming >= max(1.0, COMING_SHARE * len(survey.replicas))
-
-
 def _turn(
     model: str, survey: CopySurvey, worth: CopyWorth, store_allowed: bool
 ) -> CopyMove | None:
@@ -311,7 +260,7 @@
     model: str, survey: CopySurvey, worth: CopyWorth, store_allowed: bool
 ) -> CopyMove | None:
     """Return the move that brings a model where that is worth most after all costs."""
-    store_allowed = store_allowed and _may_occupy_for_long(model, survey, worth)
+    store_allowed = store_allowed and may_occupy_for_long(model, survey, worth)
     reason = MoveReason.OVERLOADED if survey.copies(model).total else MoveReason.MISSING
     options = load_options(model, survey, worth, store_allowed)
     worthwhile = [one for one in _weigh(model, options, survey, worth) if one.net > 0]
--- a/tests/placement/test_shift.py
+++ b/tests/placement/test_shift.py
@@ -11,7 +11,7 @@
 
 from limeshelf.calls.routes import EngineSpec, ModelSpec
 from limeshelf.demand.model_demand import ModelDemand
-from limeshelf.placement import planner
+from limeshelf.placement import restraint
 from limeshelf.placement.planner import CopyMove, CopyPlanner
 from limeshelf.placement.survey import ReplicaCopies
 
@@ -121,6 +121,6 @@
     monkeypatch: pytest.MonkeyPatch, constant: str, off: float, seconds: float
 ) -> None:
     """All replicas that could bring it are busy with models that can wait."""
-    monkeypatch.setattr(planner, constant, off)
-    monkeypatch.setattr(planner, 'LONG_LOADS_SHARE', 9.0)
+    monkeypatch.setattr(restraint, constant, off)
+    monkeypatch.setattr(restraint, 'LONG_LOADS_SHARE', 9.0)
     assert shift(copies=1) == pytest.approx(seconds)
