--- a/limeshelf/placement/planner.py
+++ b/limeshelf/placement/planner.py
@@ -1,9 +1,9 @@
 """Decides which model is loaded next, and where; a plan, no orders.
 
-Owns the choice among moves, and what is told of models that wait for one. Relies on the worth of
-copies (``worth.py``), the choice of what is evicted (``eviction.py``), when a load does not begin
-(``restraint.py``) and one survey of what stands where. Who calls orders the move and logs it (event
-``move``).
+Owns the choice among moves, and what is told of models that wait for one. Relies on the worth
+of copies (``worth.py``), the choice of what is evicted (``eviction.py``), when a load does not
+begin (``restraint.py``) and one survey of what stands where. Who calls orders the move and logs
+it (event ``move``).
 """
 
 from __future__ import annotations
