Placement: new replicas, which have nothing near, load from the store all at once

The bound on loads from the store, made so that replicas can bring what they have near, counted replicas that have nothing near but what they load.

They don't count now. New test; it failed before (no move).

--- a/limeshelf/placement/restraint.py
+++ b/limeshelf/placement/restraint.py
@@ -27,9 +27,8 @@
 #: and when demand moved to a model in the first of them, three of six replicas were bringing
 #: models that were asked for once.
 PATIENT_STORE_SHARE = 0.2
-#: Once this share of the replicas brings models from the weight store, no other begins, so that
-#: these can bring what they have near. A model without a copy whose callers cannot wait comes all
-#: the same.
+#: Once this share of the replicas brings models from the weight store in place of what they have
+#: near, no other begins. A model without a copy whose callers cannot wait comes all the same.
 LONG_LOADS_SHARE = 0.34
 #: Once a model is on its way to this share of the replicas, no further copy of it is ordered.
 COMING_SHARE = 0.2
--- a/limeshelf/placement/survey.py
+++ b/limeshelf/placement/survey.py
@@ -57,6 +57,10 @@
         """Return whether a copy is there or on its way."""
         return model in self.ready or model in self.loading
 
+    def has_spare(self) -> bool:
+        """Return whether weights lie near here of a model that is neither ready nor coming."""
+        return bool((self.in_memory | self.on_disk) - self.ready - self.loading)
+
     def tier(self, model: str) -> WeightsTier:
         """Return where a load here finds the weights of a model."""
         if model in self.in_memory:
@@ -199,8 +203,8 @@
         return min(1.0, max(LEAST_CAPACITY_SHARE, 1.0 - busy_share))
 
     def long_loads(self) -> int:
-        """Return how many replicas a load occupies for long yet."""
-        return sum(1 for one in self.replicas if one.free_in_s > LONG_LOAD_S)
+        """Return how many replicas a load keeps for long yet from what lies near there."""
+        return sum(1 for one in self.replicas if one.free_in_s > LONG_LOAD_S and one.has_spare())
 
     def size_mb(self, model: str) -> float:
         """Return the size of a model's weights; 0 if the configuration lacks it."""
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -324,7 +324,7 @@
 def test_few_replicas_bring_models_from_the_store_at_the_same_time() -> None:
     """The others can bring what they have near meanwhile, whoever asks for the far ones."""
     replicas = [replica(f'r{n}', 'big') for n in range(3)]
-    replicas += [occupied(f'r{n}', 5.0, 'other') for n in (3, 4, 5)]
+    replicas += [occupied(f'r{n}', 5.0, 'other', 'small') for n in (3, 4, 5)]
     demands = {'big': busy(5), 'hot': busy(30, replicas=5.0)}
     plan = planner(**demands)
     assert plan.next_move(replicas) is None
@@ -334,6 +334,19 @@
     assert (move.model, move.from_store) == ('hot', True)
 
 
+def test_new_replicas_that_have_nothing_near_load_from_the_store_all_at_once() -> None:
+    """Where most replicas were new, a third of them at a time brought what calls waited for."""
+    replicas = [replica(f'r{n}') for n in range(3)]
+    for n in (3, 4, 5):
+        one = replica(f'r{n}', is_idle=False)
+        one.loading = {'other'}
+        one.free_in_s = 5.0
+        replicas.append(one)
+    move = planner(hot=busy(30, replicas=5.0)).next_move([*replicas, replica('r6', 'hot')])
+    assert move is not None
+    assert (move.model, move.from_store) == ('hot', True)
+
+
 def test_model_without_a_copy_whose_callers_cannot_wait_comes_from_the_store_at_once() -> None:
     replicas = [replica(f'r{n}', 'big') for n in range(3)]
     replicas += [occupied(f'r{n}', 5.0, 'other') for n in (3, 4, 5)]
