Keep the watch for suspensions running on every Python 3.11

Callers saw: nothing at once; after a suspension of a machine on Python 3.11.6 the watch ended with an AssertionError for good, so that later suspensions left limits of calls and orders late.

Cause: asyncio.Timeout does not say whether it was entered. The watch kept every limit from its creation and took the RuntimeError of reschedule() for 'not entered or ended'. Python 3.11.6 asserts on a limit that was not entered; later versions raise RuntimeError.

Evidence: tests/util/test_suspension.py failed two of seven on 3.11.6 (test_limits_that_ended_or_were_not_entered_are_unchanged, test_exactly_the_expired_limits_end_after_any_suspensions), and passes seven of seven now; the tests are unchanged.

A limit now adds itself when it is entered and leaves when it ends, so only limits that can be rescheduled are, and no exception of the library is interpreted.

--- a/limeshelf/util/suspension.py
+++ b/limeshelf/util/suspension.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import weakref
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from types import TracebackType
 
 #: Period at which the clocks are compared, and thus the maximum delay after a wake-up until
 #: the limits are corrected.
@@ -25,31 +25,67 @@
 #: Smallest difference that counts as a suspension: the two clocks are read one after the other.
 MIN_SUSPENSION_S = 0.05
 
-#: Open time limits, with their end times on the boot clock.
-_ends_s: weakref.WeakKeyDictionary[asyncio.Timeout, float] = weakref.WeakKeyDictionary()
 
+class BootTimeout:
+    """A time limit like :class:`asyncio.Timeout`, but on the boot clock.
 
-def boot_timeout(limit_s: float) -> asyncio.Timeout:
+    :param limit_s: time from now, in seconds; negative values count as zero.
+    """
+
+    def __init__(self, limit_s: float) -> None:
+        limit_s = max(0.0, limit_s)
+        self._end_s = boottime_s() + limit_s
+        self._limit = asyncio.timeout(limit_s)
+
+    async def __aenter__(self) -> BootTimeout:
+        """Begin to limit the current task."""
+        await self._limit.__aenter__()
+        _open_limits.add(self)
+        return self
+
+    async def __aexit__(
+        self,
+        error_class: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End the limit.
+
+        :raises TimeoutError: the limit has expired.
+        """
+        _open_limits.discard(self)
+        await self._limit.__aexit__(error_class, error, traceback)
+
+    def expired(self) -> bool:
+        """Return whether the limit has expired."""
+        return self._limit.expired()
+
+    def reschedule(self, loop_offset_s: float) -> None:
+        """Let the limit end at its time on the boot clock.
+
+        :param loop_offset_s: time of the event loop less the boot clock, in seconds.
+        """
+        if not self._limit.expired():
+            self._limit.reschedule(loop_offset_s + self._end_s)
+
+
+#: Limits that were entered and have not ended; only these can be rescheduled.
+_open_limits: set[BootTimeout] = set()
+
+
+def boot_timeout(limit_s: float) -> BootTimeout:
     """Return a time limit like :func:`asyncio.timeout`, but on the boot clock.
 
     :param limit_s: time from now, in seconds; negative values count as zero.
     """
-    limit_s = max(0.0, limit_s)
-    limit = asyncio.timeout(limit_s)
-    _ends_s[limit] = boottime_s() + limit_s
-    return limit
+    return BootTimeout(limit_s)
 
 
 def _reschedule_open_limits() -> None:
     """Reschedule the open limits to end at their time on the boot clock."""
     loop_offset_s = asyncio.get_running_loop().time() - boottime_s()
-    for limit, end_s in list(_ends_s.items()):
-        try:
-            limit.reschedule(loop_offset_s + end_s)
-        except RuntimeError:
-            # The limit has ended or has not been entered; the object does not tell which. One
-            # that has not been entered was created in the current step of the loop.
-            del _ends_s[limit]
+    for limit in _open_limits:
+        limit.reschedule(loop_offset_s)
 
 
 @attrs.define
