Show that callers of a gateway which reaches no replica are refused

Callers saw: while gateways are partitioned from all replicas, and clients, the store and the other gateways still reach them, 0 of 40 calls served at each of two such gateways from 3 s after the cut, 40 of 40 at the third. The same whether connections hang, are reset, or live on while new ones are refused.

--- /dev/null
+++ b/tests/gateway/test_unreachable_replicas.py
@@ -0,0 +1,70 @@
+"""A gateway that reaches no replica serves its callers as others do, through one that does."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.support.fleet import run_fleet
+from tests.support.partition import Cut, PartitionedFleet
+
+if TYPE_CHECKING:
+    from tests.support.fleet import FleetWorld
+
+#: Time after the beginning of a cut from which callers must be served as elsewhere.
+CONTACT_S = 3.0
+#: Least share of the calls at gateways that are cut off that are served at the first attempt,
+#: relative to the others; and most that may fail there: a number, plus a share of all.
+LEAST_SHARE = 2 / 3
+MOST_FAILED = 10
+MOST_FAILED_SHARE = 1 / 50
+CALLS_PER_S = 40
+PATHS = ('/safe/x', '/unsafe/x', '/stream/x')
+
+
+async def _load(world: FleetWorld, for_s: float) -> dict[int, collections.Counter[int]]:
+    """Send calls of each kind to all gateways in turn; return the statuses by gateway."""
+    statuses: dict[int, collections.Counter[int]] = collections.defaultdict(collections.Counter)
+
+    async def send(at: int, path: str) -> None:
+        if path.startswith('/stream'):
+            status = await world.generate_at(at, b'x')
+        else:
+            status = await world.call_at(at, path, b'x')
+        statuses[at][status] += 1
+
+    calls = []
+    gateways = len(world.centres)
+    for number in range(int(for_s * CALLS_PER_S)):
+        path = PATHS[number // gateways % len(PATHS)]
+        calls.append(asyncio.create_task(send(number % gateways, path)))
+        await asyncio.sleep(1 / CALLS_PER_S)
+    await asyncio.gather(*calls)
+    return statuses
+
+
+@pytest.mark.parametrize('how', list(Cut))
+def test_callers_of_a_gateway_that_reaches_no_replica_are_served(how: Cut) -> None:
+    async def scenario(world: PartitionedFleet) -> None:
+        cut_off = [0, 2]
+        await _load(world, 1.0)
+        for number in cut_off:
+            await world.cut_off(number, how)
+        await _load(world, CONTACT_S)
+        statuses = await _load(world, 3.0)
+        shares = {at: counts[200] / counts.total() for at, counts in statuses.items()}
+        total = sum(counts.total() for counts in statuses.values())
+        failed = sum(statuses[at].total() - statuses[at][200] for at in cut_off)
+        assert shares[1] == 1.0
+        assert min(shares[at] for at in cut_off) >= LEAST_SHARE, statuses
+        assert failed <= MOST_FAILED + MOST_FAILED_SHARE * total, statuses
+        for number in cut_off:
+            await world.reconnect(number)
+        await _load(world, 2.0)
+        after = await _load(world, 1.0)
+        assert all(set(counts) == {200} for counts in after.values()), after
+
+    run_fleet(scenario, world_class=PartitionedFleet)
