--- a/limeshelf/admission/retry_after.py
+++ b/limeshelf/admission/retry_after.py
@@ -23,6 +23,8 @@
 LOAD_TIME_MARGIN = 1.1
 #: Another gateway accepts the call at once.
 STOPPING_RETRY_AFTER_S = 0.05
+#: Replicas that cannot be connected to are probed again within this time while calls need them.
+UNREACHABLE_RETRY_AFTER_S = 0.45
 #: The configuration and the replicas are received within about a second of the start.
 NOT_READY_RETRY_AFTER_S = 0.5
 
--- a/limeshelf/calls/wire.py
+++ b/limeshelf/calls/wire.py
@@ -62,7 +62,20 @@
     notice: ReplicaNotice = NO_NOTICE
 
 
-class CallWire(Protocol):
+class SendWire(Protocol):
+    """Encodes the headers of a call that is sent, and decodes the head of its answer."""
+
+    def send_headers(self, call: Call, context: SendContext) -> list[tuple[str, str]]:
+        """Return the headers with which to send a call."""
+
+    def read_answer(self, status: int, fields: Any) -> AnswerHead:
+        """Parse the head of an answer.
+
+        :param fields: header fields, a case-insensitive multi-dictionary.
+        """
+
+
+class CallWire(SendWire, Protocol):
     """Decodes requests and answers, and encodes their headers, in one wire format."""
 
     def read_call(
@@ -76,12 +89,6 @@
         :raises InvalidRequest: a field is missing or malformed.
         """
 
-    def send_headers(self, call: Call, context: SendContext) -> list[tuple[str, str]]:
-        """Return the headers with which to send a call to a replica."""
-
-    def read_answer(self, status: int, fields: Any) -> AnswerHead:
-        """Parse the head of a replica's answer."""
-
     def refusal_headers(
         self, call_id: str | None, retry_after_s: float | None, *, asks_for_key: bool = False
     ) -> list[tuple[str, str]]:
--- a/limeshelf/gateway/attempts.py
+++ b/limeshelf/gateway/attempts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,18 +18,21 @@
 from limeshelf.gateway.exchange import Exchange, WholeAnswer
 from limeshelf.gateway.result_rules import (
     STATUS_SERVER_ERROR,
+    Failed,
     apply_finding,
     classify_for_replica,
     excludes_replica,
+    was_reached,
 )
+from limeshelf.replicas.health import Failure
 from limeshelf.util.clock import boottime_s
 from limeshelf.util.suspension import boot_timeout
 
 if TYPE_CHECKING:
     from limeshelf.calls.active_config import ActiveConfig
-    from limeshelf.calls.wire import CallWire
+    from limeshelf.calls.wire import AnswerHead, CallWire
     from limeshelf.demand.meter import DemandMeter
-    from limeshelf.gateway.exchange import AttemptResult
+    from limeshelf.gateway.exchange import ReplicaResult
     from limeshelf.gateway.quarantine import QuarantineGuard
     from limeshelf.gateway.selection import Selected
     from limeshelf.gateway.state import CallState
@@ -38,6 +42,9 @@
     from limeshelf.replicas.pool import ConnectionPool
     from limeshelf.replicas.replica import Replica
 
+#: A replica that has sent nothing for this long since a call was sent to it is probed.
+SILENCE_CHECK_S = 0.4
+
 
 @attrs.frozen
 class AttemptRunner:
@@ -65,7 +72,7 @@
 
     async def _send(
         self, state: CallState, selected: Selected, organisation: Organisation | None
-    ) -> AttemptResult:
+    ) -> ReplicaResult:
         call = state.call
         replica = selected.replica
         tokens = call.model_need.memory_tokens if call.model_need else 0
@@ -87,9 +94,12 @@
             state.answer,
             state.splitter,
             lambda: self._report_first_event(state, selected),
-            lambda head: self.notices.handle_call_response(replica, head, sent_s),
+            lambda head: self._handle_head(replica, head, sent_s),
             selected.may_send,
         )
+        silence_timer = asyncio.get_running_loop().call_later(
+            SILENCE_CHECK_S, self._check_if_silent, replica, sent_s
+        )
         replica.own_load.calls += 1
         replica.own_load.tokens += tokens
         try:
@@ -102,23 +112,39 @@
         except TimeoutError:
             return exchange.deadline_exceeded()
         finally:
+            silence_timer.cancel()
             replica.own_load.calls -= 1
             replica.own_load.tokens -= tokens
             selected.report_end()
 
+    def _handle_head(self, replica: Replica, head: AnswerHead, sent_s: float) -> None:
+        replica.health.record_heard()
+        self.notices.handle_call_response(replica, head, sent_s)
+
+    def _check_if_silent(self, replica: Replica, sent_s: float) -> None:
+        """Probe a replica from which nothing has arrived since a call was sent to it.
+
+        On a connection that was open before a partition, the call itself shows nothing for longer.
+        """
+        if replica.health.heard_s < sent_s:
+            self.pool.check(replica)
+
     def _report_first_event(self, state: CallState, selected: Selected) -> None:
         selected.report_first_event()
         self.demand.record_served(state.call, state.service)
 
-    def _apply_result(self, state: CallState, replica: Replica, result: AttemptResult) -> None:
+    def _apply_result(self, state: CallState, replica: Replica, result: ReplicaResult) -> None:
         need = state.call.model_need
         is_model_call = need is not None and state.service.engine is not None
         finding = classify_for_replica(result, is_model_call)
         if excludes_replica(finding):
-            state.excluded.add(replica.replica_id)
+            state.record_excluded(replica.replica_id, reached=was_reached(result))
+        was_unreachable = replica.health.awaits_probe
         suspended = apply_finding(finding, replica, need, self.directory)
-        if replica.health.awaits_probe:
-            self.pool.request_probes()
+        if replica.health.awaits_probe and not was_unreachable:
+            self.pool.record_unreachable(replica, self.directory)
+        elif isinstance(finding, Failed) and finding.failure is Failure.BROKEN:
+            self.pool.check(replica)
         load = self.directory.load_of(replica)
         config = self.active_config.config
         version = config.version if config is not None else None
--- a/limeshelf/gateway/call_log.py
+++ b/limeshelf/gateway/call_log.py
@@ -7,13 +7,21 @@
 
 from typing import TYPE_CHECKING
 
-from limeshelf.gateway.exchange import Broken, Delivered, NeverRan, NotSent, WholeAnswer
+from limeshelf.gateway.exchange import (
+    Broken,
+    Delivered,
+    NeverRan,
+    NotCarried,
+    NotSent,
+    WholeAnswer,
+)
 from limeshelf.metrics.event_log import log_request
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
     from limeshelf.calls.call import Call
     from limeshelf.demand.waits import CallWaitEstimate
+    from limeshelf.errors import NotRun
     from limeshelf.gateway.endings import Refuse
     from limeshelf.gateway.exchange import AttemptResult
     from limeshelf.gateway.state import CallState
@@ -67,7 +75,39 @@
     )
 
 
+def log_forwarded(state: CallState, gateway: str, result: AttemptResult) -> None:
+    """Log how another gateway carried a call.
+
+    :param gateway: its peer address.
+    """
+    log_request(
+        'forwarded',
+        request=state.call.call_id,
+        route=state.route.name,
+        service=state.service.name,
+        gateway=gateway,
+        result=type(result).__name__,
+        detail=_detail(result),
+        left_ms=int(state.left_s * 1000),
+        waited_ms=int(state.waited_s * 1000),
+        took_ms=int((state.since_arrival_s - state.waited_s) * 1000),
+        answer_started=state.answer.started,
+    )
+
+
+def log_not_carried(call: Call, outcome: NotRun) -> None:
+    """Log that a call which another gateway forwarded did not run here."""
+    log_request(
+        'not_carried',
+        request=call.call_id,
+        reason=outcome.reason,
+        retry_after_s=outcome.retry_after_s,
+    )
+
+
 def _detail(result: AttemptResult) -> str:
+    if isinstance(result, NotCarried):
+        return str(result.outcome.reason)
     if isinstance(result, Broken | NotSent):
         return str(result.cause)
     return str(result.status) if isinstance(result, Delivered | NeverRan) else ''
--- a/limeshelf/gateway/endings.py
+++ b/limeshelf/gateway/endings.py
@@ -13,7 +13,15 @@
 from limeshelf.admission import retry_after
 from limeshelf.admission.retry_rules import is_too_late, may_run_again
 from limeshelf.errors import NotRun, RefusalReason
-from limeshelf.gateway.exchange import Delivered, NeverRan, NotSent, WholeAnswer
+from limeshelf.gateway.exchange import (
+    CarriedAnswer,
+    Delivered,
+    FailedElsewhere,
+    NeverRan,
+    NotCarried,
+    NotSent,
+    WholeAnswer,
+)
 from limeshelf.gateway.result_rules import STATUS_SERVER_ERROR
 
 if TYPE_CHECKING:
@@ -90,8 +98,14 @@
     last = progress.last_result
     if isinstance(last, Delivered):
         return Answered()
-    if isinstance(last, NeverRan | NotSent):
+    if isinstance(last, NotCarried) and last.is_final:
+        return refuse(progress, Refuse(STATUS_UNAVAILABLE, last.outcome))
+    if isinstance(last, NeverRan | NotSent | NotCarried):
         return Retry()
+    if isinstance(last, CarriedAnswer):
+        return ForwardAnswer(last.answer)
+    if isinstance(last, FailedElsewhere):
+        return _incomplete_ending(progress, is_too_late(progress.left_s))
     failed = not isinstance(last, WholeAnswer) or last.head.status >= STATUS_SERVER_ERROR
     if failed and may_run_again(progress.route, progress.runs, progress.left_s):
         return Retry()
--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -1,9 +1,11 @@
-"""Runs one attempt of a call at one replica: sends it, and validates and forwards the answer.
+"""Runs one attempt of a call: sends it to a replica, and validates and relays the answer.
 
 An answer is valid if it carries the call's id and the replica's signature and is complete. A
-stream is forwarded to the caller event by event; any other answer is read to its end first, so
-that the call can still be retried elsewhere. Keeps no state beyond the attempt; relies on
-:mod:`limeshelf.replicas.connections` to tell a reset from a regular end of the connection.
+stream is relayed to the caller event by event; any other answer is read to its end first, so that
+the call can still be retried elsewhere. The same holds where another gateway carries the call.
+
+Keeps no state beyond the attempt; relies on :mod:`limeshelf.replicas.connections` to tell a reset
+from a regular end of the connection.
 """
 
 from __future__ import annotations
@@ -24,9 +26,10 @@
     from collections.abc import Callable
 
     from limeshelf.calls.call import Call
-    from limeshelf.calls.wire import AnswerHead, CallWire, SendContext
+    from limeshelf.calls.wire import AnswerHead, SendContext, SendWire
+    from limeshelf.errors import NotRun
     from limeshelf.gateway.answer import Answer
-    from limeshelf.replicas.connections import ReplicaConnections
+    from limeshelf.replicas.connections import CallConnections
 
 #: Largest answer body that is buffered.
 MAX_ANSWER_BYTES = 32 << 20
@@ -111,7 +114,38 @@
     cause: FailureCause
 
 
-AttemptResult = Delivered | WholeAnswer | NeverRan | NotSent | Broken
+@dataclass(frozen=True)
+class NotCarried:
+    """Another gateway was asked to carry the call, which did not run and never will.
+
+    :param outcome: why it did not run.
+    :param is_final: whether other gateways would give the same answer.
+    :param is_unreachable: whether no connection to the gateway could be opened.
+    """
+
+    outcome: NotRun
+    is_final: bool = False
+    is_unreachable: bool = False
+
+
+@dataclass(frozen=True)
+class CarriedAnswer:
+    """The complete answer, no stream, of the replica to which another gateway sent the call.
+
+    That gateway has made all retries that the call is allowed.
+    """
+
+    answer: WholeAnswer
+
+
+@dataclass(frozen=True)
+class FailedElsewhere:
+    """The call may have run, and the gateway that carried it got no complete answer."""
+
+
+ReplicaResult = Delivered | WholeAnswer | NeverRan | NotSent | Broken
+ForwardResult = NotCarried | CarriedAnswer | FailedElsewhere
+AttemptResult = ReplicaResult | ForwardResult
 
 
 class Exchange:
@@ -129,8 +163,8 @@
     def __init__(
         self,
         call: Call,
-        connections: ReplicaConnections,
-        wire: CallWire,
+        connections: CallConnections,
+        wire: SendWire,
         answer: Answer,
         splitter: EventSplitter,
         on_first_event: Callable[[], None],
@@ -146,7 +180,7 @@
         self._on_head = on_head
         self._progress = SendProgress(may_send)
 
-    async def run(self, context: SendContext, head_limit_s: float) -> AttemptResult:
+    async def run(self, context: SendContext, head_limit_s: float) -> ReplicaResult:
         """Send the call, and forward or return its answer.
 
         :param head_limit_s: time limit for the head of the answer, in seconds.
@@ -156,7 +190,8 @@
         response: aiohttp.ClientResponse | None = None
         try:
             async with asyncio.timeout(head_limit_s):
-                response = await self._connections.send(self._call, context, self._progress)
+                headers = self._wire.send_headers(self._call, context)
+                response = await self._connections.send(self._call, headers, self._progress)
             return await self._handle_answer(response, started_s)
         except SendWithheld:
             return NotSent(FailureCause.WITHHELD)
@@ -187,7 +222,7 @@
 
     async def _handle_answer(
         self, response: aiohttp.ClientResponse, started_s: float
-    ) -> AttemptResult:
+    ) -> ReplicaResult:
         head = self._wire.read_answer(response.status, response.headers)
         time_to_head_s = boottime_s() - started_s
         if head.call_id != self._call.call_id and not head.misdirected:
@@ -225,7 +260,7 @@
 
     async def _relay_stream(
         self, response: aiohttp.ClientResponse, head: AnswerHead, time_to_head_s: float
-    ) -> AttemptResult:
+    ) -> ReplicaResult:
         splitter = self._splitter
         splitter.discard_partial_event()
         longest_pause_s = 0.0
--- /dev/null
+++ b/limeshelf/gateway/forwarder.py
@@ -0,0 +1,159 @@
+"""Has calls carried by other gateways where this one cannot connect to any of their replicas.
+
+A gateway may be cut off from replicas that others reach. It then sends the call on, with what it
+knows of it, and relays the answer as if a replica had given it. The other gateway does all that
+concerns replicas (selection, permits, health, crashes); this one keeps all that concerns the
+caller (limits, demand, retry budget, answer). A forwarded call is never forwarded again.
+
+Owns the connections to other gateways.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from limeshelf.calls.wire import SendContext
+from limeshelf.errors import NotRun, OutcomeKind, RefusalReason
+from limeshelf.forwarding.messages import ForwardedCall
+from limeshelf.forwarding.wire import ForwardWire
+from limeshelf.gateway.call_log import log_forwarded
+from limeshelf.gateway.exchange import (
+    CarriedAnswer,
+    Delivered,
+    Exchange,
+    FailedElsewhere,
+    NeverRan,
+    NotCarried,
+    WholeAnswer,
+)
+from limeshelf.replicas.connections import CallConnections
+from limeshelf.util.clock import MS_PER_S
+from limeshelf.util.suspension import boot_timeout
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from limeshelf.calls.wire import CallWire
+    from limeshelf.demand.meter import DemandMeter
+    from limeshelf.forwarding.targets import ForwardTargets
+    from limeshelf.gateway.exchange import AttemptResult, ReplicaResult
+    from limeshelf.gateway.state import CallState
+    from limeshelf.membership.member import Member
+
+#: Maximum number of connections to one gateway.
+MAX_CONNECTIONS = 256
+#: Reasons for which no other gateway would carry the call either; its caller gets the refusal.
+FINAL_REASONS = frozenset(
+    {
+        RefusalReason.OVERLOADED,
+        RefusalReason.QUARANTINED,
+        RefusalReason.DEADLINE_TOO_SHORT,
+    }
+)
+
+
+@attrs.define
+class Forwarder:
+    """Forwards calls to other gateways.
+
+    :param count: called with the name of each result.
+    """
+
+    wire: CallWire
+    targets: ForwardTargets
+    demand: DemandMeter
+    count: Callable[[str], None]
+    _by_address: dict[str, CallConnections] = attrs.field(factory=dict)
+
+    def choose(self, state: CallState) -> Member | None:
+        """Return the gateway that may carry a call; ``None`` if there is none."""
+        if state.is_forwarded:
+            return None
+        return self.targets.choose(state.service.name, state.asked)
+
+    async def run(self, state: CallState, member: Member) -> None:
+        """Have a call carried by another gateway, and record the result in *state*."""
+        state.asked.add(member.address)
+        state.begin_attempt()
+        result = await self._send(state, member)
+        self._record(state, member, result)
+        state.record_result(result)
+        self.count(type(result).__name__)
+        log_forwarded(state, member.address, result)
+
+    async def _send(self, state: CallState, member: Member) -> AttemptResult:
+        wire = ForwardWire(self.wire, _forwarded_call(state))
+        context = SendContext(
+            left_s=state.left_s,
+            replica_id='',
+            priority=state.priority,
+            last_event_id=state.splitter.last_id or state.call.last_event_id,
+        )
+        exchange = Exchange(
+            state.call,
+            self._connections(member),
+            wire,
+            state.answer,
+            state.splitter,
+            lambda: self.demand.record_served(state.call, state.service),
+        )
+        left_s = state.left_s
+        try:
+            async with boot_timeout(left_s):
+                result = await exchange.run(context, left_s)
+        except TimeoutError:
+            result = exchange.deadline_exceeded()
+        return _result_of(result, wire)
+
+    def _connections(self, member: Member) -> CallConnections:
+        address = member.forward_address
+        found = self._by_address.get(address)
+        if found is None:
+            found = self._by_address[address] = CallConnections(address, MAX_CONNECTIONS)
+        return found
+
+    def _record(self, state: CallState, member: Member, result: AttemptResult) -> None:
+        if isinstance(result, NotCarried):
+            if result.is_unreachable:
+                self.targets.record_unreachable(member)
+            elif result.outcome.reason not in FINAL_REASONS:
+                self.targets.record_refused(member, state.service.name)
+            if result.outcome.reason is RefusalReason.OVERLOADED:
+                self.demand.count_refused(state.call, state.service)
+            return
+        self.targets.record_carried(member)
+        if isinstance(result, CarriedAnswer | Delivered):
+            self.demand.record_served(state.call, state.service)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for connections in self._by_address.values():
+            await connections.close()
+
+
+def _forwarded_call(state: CallState) -> ForwardedCall:
+    call = state.call
+    timeout_s = call.caller_timeout_s
+    return ForwardedCall(
+        key=call.key.hex() if call.key is not None else None,
+        waited_ms=int(state.since_arrival_s * MS_PER_S),
+        caller_timeout_ms=int(timeout_s * MS_PER_S) if timeout_s is not None else None,
+        runs=state.runs,
+        excluded=sorted(state.excluded - state.unreached),
+    )
+
+
+def _result_of(result: ReplicaResult, wire: ForwardWire) -> AttemptResult:
+    """Return what the result of the exchange with another gateway means for the call."""
+    if wire.outcome is not None:
+        if wire.outcome.kind is OutcomeKind.NOT_RUN:
+            refusal = wire.outcome.refusal()
+            return NotCarried(refusal, is_final=refusal.reason in FINAL_REASONS)
+        return FailedElsewhere()
+    if isinstance(result, NeverRan) and not result.reached:
+        return NotCarried(NotRun(RefusalReason.UPSTREAM_UNREACHABLE), is_unreachable=True)
+    if isinstance(result, WholeAnswer):
+        return CarriedAnswer(result)
+    return result
--- a/limeshelf/gateway/frontend.py
+++ b/limeshelf/gateway/frontend.py
@@ -1,4 +1,4 @@
-"""HTTP listeners of the gateway: one for calls, one for the load balancer's readiness checks.
+"""HTTP listeners of the gateway: for calls, for readiness checks, and for forwarded calls.
 
 Reads each request within the current limits and passes it to the pipeline as a call;
 answers malformed requests itself. Owns the phase of the process and the count of requests
@@ -8,12 +8,16 @@
 from __future__ import annotations
 
 import enum
+import sys
 from typing import TYPE_CHECKING, Any
 
+import attrs
 from aiohttp import web
 
 from limeshelf.admission import retry_after
-from limeshelf.errors import InvalidRequest
+from limeshelf.errors import InvalidRequest, NotRun, RefusalReason
+from limeshelf.forwarding.messages import ForwardOutcome
+from limeshelf.forwarding.wire import outcome_field, read_forwarded_call
 from limeshelf.gateway.answer import CallerDisconnected, HttpAnswer
 from limeshelf.gateway.body import TooLarge, read_body
 from limeshelf.gateway.connection import CallerServer
@@ -22,6 +26,8 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from limeshelf.calls.routes import ClientLimits
     from limeshelf.calls.wire import CallWire
     from limeshelf.gateway.pipeline import Pipeline
@@ -59,12 +65,19 @@
     :ivar requests_in_flight: number of requests in flight.
     """
 
-    def __init__(self, pipeline: Pipeline, wire: CallWire, metrics: GatewayMetrics) -> None:
+    def __init__(
+        self,
+        pipeline: Pipeline,
+        wire: CallWire,
+        metrics: GatewayMetrics,
+        is_gateway_host: Callable[[str], bool],
+    ) -> None:
         self.phase = GatewayPhase.STARTING
         self.requests_in_flight = 0
         self._pipeline = pipeline
         self._wire = wire
         self._metrics = metrics
+        self._is_gateway_host = is_gateway_host
         self._servers: list[web.Server] = []
         self._runners: list[web.ServerRunner] = []
         self._active_connections: set[object] = set()
@@ -74,6 +87,10 @@
         await self._listen(readiness_address, self._readiness)
         await self._listen(calls_address, self._handle)
 
+    async def start_carrying(self, address: str) -> None:
+        """Listen for calls that other gateways forward."""
+        await self._listen(address, self._handle_forwarded)
+
     async def _listen(self, address: str, handler: Any) -> None:
         server = CallerServer(
             handler,
@@ -109,10 +126,20 @@
         return self.phase in (GatewayPhase.NOTICE, GatewayPhase.DRAINING)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        return await self._count_in_flight(request, self._serve_request)
+
+    async def _handle_forwarded(self, request: web.BaseRequest) -> web.StreamResponse:
+        return await self._count_in_flight(request, self._carry_request)
+
+    async def _count_in_flight(
+        self,
+        request: web.BaseRequest,
+        serve: Callable[[web.BaseRequest, float], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
         self.requests_in_flight += 1
         self._active_connections.add(request.protocol)
         try:
-            return await self._serve_request(request, boottime_s())
+            return await serve(request, boottime_s())
         except CallerDisconnected:
             # Not logged: a caller that disconnects is no failure of a replica or this gateway.
             return web.Response(status=STATUS_CLIENT_CLOSED_REQUEST)
@@ -145,6 +172,40 @@
         self._metrics.observe_call(response.status, boottime_s() - arrived_s)
         return response
 
+    async def _carry_request(
+        self, request: web.BaseRequest, received_s: float
+    ) -> web.StreamResponse:
+        """Send a call that another gateway forwarded to a replica."""
+        self._metrics.observe_carried()
+        if not self._is_gateway_host(request.remote or ''):
+            log_request('forward_rejected', remote=request.remote)
+            return self._not_carried(None, RefusalReason.BAD_REQUEST)
+        answer = HttpAnswer(request, self._closes_connections)
+        body = await read_body(request, self._body_limits())
+        if isinstance(body, TooLarge):
+            return self._not_carried(None, RefusalReason.BAD_REQUEST)
+        try:
+            received = read_forwarded_call(
+                self._wire, request.method, request.raw_path, request.headers, body, received_s
+            )
+        except InvalidRequest as error:
+            log_request('invalid', field=error.field_name, problem=error.problem)
+            return self._not_carried(None, RefusalReason.BAD_REQUEST)
+        if self.phase in (GatewayPhase.STARTING, GatewayPhase.DRAINING):
+            return self._not_carried(received.call.call_id, RefusalReason.STOPPING)
+        await self._pipeline.carry(received, answer)
+        return answer.response or self._not_carried(None, RefusalReason.STOPPING)
+
+    def _body_limits(self) -> ClientLimits | None:
+        """Return the limits of a forwarded call, whose head has a field more than the caller's."""
+        limits = self._limits()
+        return attrs.evolve(limits, header_bytes=sys.maxsize) if limits is not None else None
+
+    def _not_carried(self, call_id: str | None, reason: RefusalReason) -> web.Response:
+        outcome = ForwardOutcome.from_refusal(NotRun(reason))
+        headers = [*self._wire.refusal_headers(call_id, None), outcome_field(outcome)]
+        return web.Response(status=STATUS_UNAVAILABLE, headers=dict(headers))
+
     def _status_response(
         self, call_id: str | None, status: int, retry_after_s: float | None = None
     ) -> web.Response:
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -5,7 +5,8 @@
 :mod:`~limeshelf.gateway.quarantine` (calls that crash replicas),
 :mod:`~limeshelf.gateway.selection` (choice of the replica),
 :mod:`~limeshelf.admission.hold_or_refuse` (no replica is available),
-:mod:`~limeshelf.gateway.attempts` (one send), :mod:`~limeshelf.admission.retry_rules` and
+:mod:`~limeshelf.gateway.attempts` (one send), :mod:`~limeshelf.gateway.forwarder` (sends by
+another gateway), :mod:`~limeshelf.admission.retry_rules` and
 :mod:`~limeshelf.admission.retry_budget` (retries),
 :mod:`~limeshelf.gateway.endings` (how a call ends),
 :mod:`~limeshelf.gateway.final_answer` (the answer to the caller) and
@@ -17,6 +18,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
+
 from limeshelf.admission import retry_after
 from limeshelf.admission.hold_or_refuse import (
     CallWithoutReplica,
@@ -41,9 +44,10 @@
     refuse,
     refuse_unavailable,
 )
-from limeshelf.gateway.final_answer import FinalAnswerSender
-from limeshelf.gateway.selection import Selected
+from limeshelf.gateway.final_answer import CarriedAnswerSender, FinalAnswerSender
+from limeshelf.gateway.selection import Selected, Unreachable
 from limeshelf.gateway.state import CallState
+from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
     from limeshelf.admission.retry_budget import RetryBudgets
@@ -53,15 +57,19 @@
     from limeshelf.calls.wire import CallWire
     from limeshelf.demand.meter import DemandMeter
     from limeshelf.demand.waits import CallWaitEstimate
+    from limeshelf.forwarding.wire import ReceivedCall
     from limeshelf.gateway.access import AccessGuard
     from limeshelf.gateway.answer import Answer
     from limeshelf.gateway.attempts import AttemptRunner
     from limeshelf.gateway.endings import Ending
+    from limeshelf.gateway.forwarder import Forwarder
     from limeshelf.gateway.limits import LimitGuard
     from limeshelf.gateway.quarantine import QuarantineGuard
-    from limeshelf.gateway.selection import ReplicaSelector
+    from limeshelf.gateway.selection import ReplicaSelector, Selection
+    from limeshelf.membership.member import Member
     from limeshelf.organisations.access import AccessGranted
     from limeshelf.replicas.directory import ReplicaDirectory
+    from limeshelf.replicas.pool import ConnectionPool
 
 #: The final answer is sent this long before the caller's time-out.
 ANSWER_MARGIN_S = 0.02
@@ -69,6 +77,13 @@
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 
 
+@attrs.frozen
+class ForwardTo:
+    """The call is sent through another gateway, which reaches replicas that this one does not."""
+
+    member: Member
+
+
 class Pipeline:
     """Serves calls under the current configuration."""
 
@@ -84,6 +99,8 @@
         access: AccessGuard,
         limits: LimitGuard,
         quarantine: QuarantineGuard,
+        forwarder: Forwarder,
+        pool: ConnectionPool,
     ) -> None:
         self._directory = directory
         self._selector = selector
@@ -95,6 +112,9 @@
         self._access = access
         self._limits = limits
         self._quarantine = quarantine
+        self._forwarder = forwarder
+        self._pool = pool
+        self._carried_answer = CarriedAnswerSender(wire, active_config)
         self._waiting: set[asyncio.Task[object]] = set()
         self._stopping = False
 
@@ -124,6 +144,23 @@
             if reserved is not None:
                 reserved.close()
 
+    async def carry(self, received: ReceivedCall, answer: Answer) -> None:
+        """Send a call that another gateway forwarded to a replica, and answer that gateway.
+
+        The other gateway counts the call against limits, as demand and in its retry budget.
+        """
+        state = self._begin_call(received.call, answer)
+        if isinstance(state, Refuse):
+            await self._carried_answer.send(received.call, state, answer)
+            return
+        state.is_forwarded = True
+        state.runs = received.forwarded.runs
+        state.excluded.update(received.forwarded.excluded)
+        left_s = received.left_s - ANSWER_MARGIN_S
+        state.deadline_s = min(state.deadline_s, boottime_s() + left_s)
+        ending = await self._run_attempts(state)
+        await self._carried_answer.send(state.call, ending, answer, state.organisation)
+
     async def _serve_within_limit(self, state: CallState) -> None:
         call = state.call
         self._budgets.of(state.service.name).record_call()
@@ -151,14 +188,18 @@
     async def _run_attempts(self, state: CallState) -> Ending:
         while True:
             selected = await self._select_unless_stopped(state)
-            if not isinstance(selected, Selected):
+            if not isinstance(selected, Selected | ForwardTo):
                 return selected
             # Keys may be revoked, and replicas crash, while calls wait for a replica.
             admitted = self._admit(state)
             if isinstance(admitted, Refuse):
-                selected.report_end()
+                if isinstance(selected, Selected):
+                    selected.report_end()
                 return refuse(state.progress(), admitted)
-            await self._attempts.run(state, selected, admitted.organisation)
+            if isinstance(selected, ForwardTo):
+                await self._forwarder.run(state, selected.member)
+            else:
+                await self._attempts.run(state, selected, admitted.organisation)
             decision = decide_after_attempt(state.progress())
             if not isinstance(decision, Retry):
                 return decision
@@ -171,7 +212,7 @@
         quarantined = self._quarantine.check(state.fingerprint)
         return quarantined or self._access.check(state.call, state.route)
 
-    async def _select_unless_stopped(self, state: CallState) -> Selected | Ending:
+    async def _select_unless_stopped(self, state: CallState) -> Selected | ForwardTo | Ending:
         """Return the replica to try next; a planned stop ends the wait for it."""
         task = asyncio.current_task()
         assert task is not None
@@ -195,34 +236,81 @@
         for task in list(self._waiting):
             task.cancel()
 
-    async def _select(self, state: CallState) -> Selected | Ending:
-        """Return the replica to try next, or how the call ends without one."""
+    async def _select(self, state: CallState) -> Selected | ForwardTo | Ending:
+        """Return the replica or gateway to try next, or how the call ends without one."""
         while True:
-            reason = reason_not_to_send(state.refusals, state.left_s)
-            if reason is not None:
-                return refuse_unavailable(state.progress(), reason)
-            quarantined = await self._quarantine.check_confirmed(state)
-            admitted = quarantined or self._access.check(state.call, state.route)
-            if isinstance(admitted, Refuse):
-                return refuse(state.progress(), admitted)
-            selection = await self._selector.select(state)
-            if isinstance(selection, NoCapacity):
-                return self._refuse_overloaded(state, selection.wait_s)
-            if isinstance(selection, Selected):
-                self._demand.record_key_held(state.call, state.service)
-                if state.sends and not self._budgets.of(state.service.name).try_retry():
-                    selection.report_end()
-                    return refuse_unavailable(state.progress(), RefusalReason.UPSTREAM_REFUSED)
-                return selection
-            wait_estimate = self._demand.estimate_wait(state.call, state.service)
-            decision = hold_or_refuse(_call_without_replica(state, wait_estimate))
-            if isinstance(decision, RefuseUntilReady):
-                return _refuse_no_replica(state, decision, wait_estimate)
-            await self._hold(state, decision)
+            refusal = await self._refusal_before_send(state)
+            if refusal is not None:
+                return refusal
+            step = self._next_step(state, await self._selector.select(state))
+            if not isinstance(step, Hold):
+                return step
+            await self._hold(state, step)
+
+    async def _refusal_before_send(self, state: CallState) -> Ending | None:
+        """Return how a call ends that may not be sent any more."""
+        reason = reason_not_to_send(state.refusals, state.left_s)
+        if reason is not None:
+            return refuse_unavailable(state.progress(), reason)
+        quarantined = await self._quarantine.check_confirmed(state)
+        admitted = quarantined or self._access.check(state.call, state.route)
+        return refuse(state.progress(), admitted) if isinstance(admitted, Refuse) else None
+
+    def _next_step(
+        self, state: CallState, selection: Selection
+    ) -> Selected | ForwardTo | Hold | Ending:
+        """Return what follows from a selection."""
+        if isinstance(selection, NoCapacity):
+            return self._refuse_overloaded(state, selection.wait_s)
+        if isinstance(selection, Selected):
+            return self._use_replica(state, selection)
+        if isinstance(selection, Unreachable):
+            step = self._forward_or_refuse(state, selection)
+            if step is not None:
+                return step
+        elif state.is_forwarded:
+            return refuse_unavailable(state.progress(), RefusalReason.NO_READY_REPLICA)
+        wait_estimate = self._demand.estimate_wait(state.call, state.service)
+        decision = hold_or_refuse(_call_without_replica(state, wait_estimate))
+        if isinstance(decision, RefuseUntilReady):
+            return _refuse_no_replica(state, decision, wait_estimate)
+        return decision
+
+    def _use_replica(self, state: CallState, selected: Selected) -> Selected | Ending:
+        self._demand.record_key_held(state.call, state.service)
+        if self._may_send(state):
+            return selected
+        selected.report_end()
+        return refuse_unavailable(state.progress(), RefusalReason.UPSTREAM_REFUSED)
+
+    def _forward_or_refuse(
+        self, state: CallState, unreachable: Unreachable
+    ) -> ForwardTo | Ending | None:
+        """Return the gateway that may carry a call whose replicas cannot be reached from here.
+
+        ``None`` if there is none and the call is held, since a part of its answer was sent.
+        """
+        member = self._forwarder.choose(state)
+        if member is not None and self._may_send(state):
+            return ForwardTo(member)
+        return None if state.answer.started else self._refuse_unreachable(state, unreachable)
+
+    def _may_send(self, state: CallState) -> bool:
+        """Return whether a call may be sent now; spends the retry if this is one."""
+        return not state.sends or self._budgets.of(state.service.name).try_retry()
+
+    def _refuse_unreachable(self, state: CallState, unreachable: Unreachable) -> Ending:
+        """Refuse a call for whose replicas neither this gateway nor another one has a path."""
+        self._pool.probe_soon(unreachable.replicas)
+        retry_after_s = retry_after.for_wait_s(retry_after.UNREACHABLE_RETRY_AFTER_S, state.left_s)
+        return refuse_unavailable(
+            state.progress(), RefusalReason.UPSTREAM_UNREACHABLE, retry_after_s
+        )
 
     def _refuse_overloaded(self, state: CallState, queue_wait_s: float) -> Ending:
         left_s = state.left_s
-        self._demand.count_refused(state.call, state.service)
+        if not state.is_forwarded:
+            self._demand.count_refused(state.call, state.service)
         copy_in_s = self._demand.estimate_wait(state.call, state.service).announced_in_s
         log_overloaded(state, queue_wait_s, copy_in_s)
         retry_after_s = retry_after.for_overload_s(queue_wait_s, copy_in_s, left_s)
@@ -231,7 +319,7 @@
     async def _hold(self, state: CallState, hold: Hold) -> None:
         """Wait for a change that may let a replica run the call."""
         if hold.retry_excluded:
-            state.excluded.clear()
+            state.clear_excluded()
         self._demand.report_missing(state.call, state.service)
         await self._directory.wait_for_change(hold.wait_s)
 
--- a/limeshelf/gateway/quarantine.py
+++ b/limeshelf/gateway/quarantine.py
@@ -18,7 +18,7 @@
     from limeshelf.calls.fingerprint import Fingerprint
     from limeshelf.crashes.crash_detector import CrashDetector
     from limeshelf.crashes.quarantine import Quarantine, Quarantined
-    from limeshelf.gateway.exchange import AttemptResult
+    from limeshelf.gateway.exchange import ReplicaResult
     from limeshelf.gateway.state import CallState
     from limeshelf.replicas.replica import Replica
 
@@ -54,7 +54,7 @@
         self.quarantine.record_sent(fingerprint)
 
     def record_result(
-        self, state: CallState, replica: Replica, result: AttemptResult, sent_s: float
+        self, state: CallState, replica: Replica, result: ReplicaResult, sent_s: float
     ) -> None:
         """Record the result of an attempt.
 
--- a/limeshelf/gateway/result_rules.py
+++ b/limeshelf/gateway/result_rules.py
@@ -24,7 +24,7 @@
 
 if TYPE_CHECKING:
     from limeshelf.calls.call import ModelNeed
-    from limeshelf.gateway.exchange import AttemptResult
+    from limeshelf.gateway.exchange import ReplicaResult
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
 
@@ -74,7 +74,7 @@
 ReplicaFinding = Served | Failed | LacksModel | Replaced | NoFinding
 
 
-def classify_for_replica(result: AttemptResult, is_model_call: bool) -> ReplicaFinding:
+def classify_for_replica(result: ReplicaResult, is_model_call: bool) -> ReplicaFinding:
     """Return what *result* means for the replica.
 
     :param is_model_call: whether the call was for a model. A plain service has no models, so a
@@ -113,7 +113,7 @@
 _DISCONNECT_CAUSES = frozenset({FailureCause.CONNECTION_BROKEN, FailureCause.CUT_SHORT})
 
 
-def classify_for_call(result: AttemptResult) -> CallFinding:
+def classify_for_call(result: ReplicaResult) -> CallFinding:
     """Return what *result* means for the call."""
     if isinstance(result, Delivered | WholeAnswer):
         return CallFinding.FINISHED
@@ -131,6 +131,13 @@
     )
 
 
+def was_reached(result: ReplicaResult) -> bool:
+    """Return whether there was a connection to the replica."""
+    if isinstance(result, NeverRan):
+        return result.reached
+    return not isinstance(result, NotSent)
+
+
 def apply_finding(
     finding: ReplicaFinding, replica: Replica, need: ModelNeed | None, directory: ReplicaDirectory
 ) -> bool:
--- a/limeshelf/gateway/selection.py
+++ b/limeshelf/gateway/selection.py
@@ -60,7 +60,17 @@
             self.grant.report_ended()
 
 
-Selection = Selected | NoCapacity | NoHolder
+@attrs.frozen
+class Unreachable:
+    """Replicas could run the call, but no connection to any of them can be opened from here.
+
+    :param replicas: at least one.
+    """
+
+    replicas: tuple[Replica, ...]
+
+
+Selection = Selected | NoCapacity | NoHolder | Unreachable
 
 
 @attrs.frozen
@@ -74,11 +84,26 @@
 
     async def select(self, state: CallState) -> Selection:
         """Return the replica for the next attempt of a call, or why there is none."""
-        need = state.call.model_need
-        if need is not None and state.service.engine is not None:
+        candidates = self._candidates(state)
+        if candidates and not any(_is_reached(state, replica) for replica in candidates):
+            return Unreachable(tuple(candidates))
+        need = _dispatched_need(state)
+        if need is not None:
             return await self._select_dispatched(state, need)
         return await self._select_routed(state)
 
+    def _candidates(self, state: CallState) -> list[Replica]:
+        """Return the replicas that could run a call and did not refuse or fail it."""
+        need = _dispatched_need(state)
+        refused = state.excluded - state.unreached
+        return [
+            replica
+            for replica in self.directory.of_service(state.service.name)
+            if replica.replica_id not in refused
+            and not replica.backpressure.is_paused
+            and (need is None or replica.holds(need.model, need.adapter))
+        ]
+
     async def _select_routed(self, state: CallState) -> Selection:
         """Return the cheapest replica that accepts the call now.
 
@@ -114,7 +139,7 @@
                 return Selected(replica, answered, has_permit)
         # The dispatcher does not know yet that the replica leaves, or there is no permit for it.
         answered.report_ended()
-        state.excluded.add(answered.replica_id)
+        state.record_excluded(answered.replica_id, reached=True)
         return NoHolder()
 
     async def _acquire_permit(self, state: CallState, replica: Replica, grant: Grant) -> bool:
@@ -154,6 +179,15 @@
         }
 
 
+def _dispatched_need(state: CallState) -> ModelNeed | None:
+    """Return the need of a call whose replica the dispatcher selects; ``None`` for others."""
+    return state.call.model_need if state.service.engine is not None else None
+
+
+def _is_reached(state: CallState, replica: Replica) -> bool:
+    return not replica.health.awaits_probe and replica.replica_id not in state.unreached
+
+
 def _permit_wait_limit_s(state: CallState) -> float:
     """Return how long a call can wait for a permit at a replica, in seconds."""
     wait_left_s = first_event_timeout_left_s if state.is_caller_retry else hold_left_s
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -10,7 +10,14 @@
 from limeshelf.calls.fingerprint import Fingerprint, fingerprint_of
 from limeshelf.gateway.endings import CallProgress
 from limeshelf.gateway.events import EventSplitter
-from limeshelf.gateway.exchange import Delivered, FailureCause, NeverRan, NotSent
+from limeshelf.gateway.exchange import (
+    CarriedAnswer,
+    Delivered,
+    FailureCause,
+    NeverRan,
+    NotCarried,
+    NotSent,
+)
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
@@ -35,6 +42,9 @@
     :ivar sends: number of attempts so far.
     :ivar refusals: number of attempts that surely did not run it.
     :ivar excluded: ids of replicas that it is not sent to again.
+    :ivar unreached: those of them that it was not sent to, since no connection could be opened.
+    :ivar asked: addresses of the gateways that were asked to carry it.
+    :ivar is_forwarded: whether another gateway forwarded it to this one.
     :ivar last_result: result of the latest attempt.
     :ivar waited_s: time from its arrival to the latest send, in seconds.
     :ivar fingerprint: identifies its content; the same for each retry of the caller.
@@ -52,6 +62,9 @@
     sends: int = 0
     refusals: int = 0
     excluded: set[str] = attrs.field(factory=set)
+    unreached: set[str] = attrs.field(factory=set)
+    asked: set[str] = attrs.field(factory=set)
+    is_forwarded: bool = False
     last_result: AttemptResult | None = None
     waited_s: float = 0.0
     fingerprint: Fingerprint = attrs.Factory(
@@ -68,17 +81,36 @@
     def record_result(self, result: AttemptResult) -> None:
         """Count the result of an attempt."""
         self.last_result = result
-        if isinstance(result, NeverRan | NotSent):
-            if isinstance(result, NotSent) and result.cause is FailureCause.WITHHELD:
-                # No replica received anything, so the next send is not a retry.
-                self.sends -= 1
-            else:
-                self.refusals += 1
-            if self.reservation is not None:
-                self.reservation.record_not_run()
-        elif not isinstance(result, Delivered):
+        if isinstance(result, NeverRan | NotSent | NotCarried):
+            self._record_not_run(result)
+        elif not isinstance(result, Delivered | CarriedAnswer):
             self.runs += 1
 
+    def _record_not_run(self, result: NeverRan | NotSent | NotCarried) -> None:
+        is_withheld = isinstance(result, NotSent) and result.cause is FailureCause.WITHHELD
+        if is_withheld or isinstance(result, NotCarried):
+            # No replica received anything, so the next send is not a retry.
+            self.sends -= 1
+        else:
+            self.refusals += 1
+        if self.reservation is not None:
+            self.reservation.record_not_run()
+
+    def record_excluded(self, replica_id: str, *, reached: bool) -> None:
+        """Record that the call is not sent to a replica again.
+
+        :param reached: whether there was a connection to it.
+        """
+        self.excluded.add(replica_id)
+        if not reached:
+            self.unreached.add(replica_id)
+
+    def clear_excluded(self) -> None:
+        """Allow all replicas and gateways again."""
+        self.excluded.clear()
+        self.unreached.clear()
+        self.asked.clear()
+
     def progress(self) -> CallProgress:
         """Return the state on which the ending of the call depends."""
         return CallProgress(
--- a/limeshelf/membership/member.py
+++ b/limeshelf/membership/member.py
@@ -17,11 +17,14 @@
     """Value of a gateway's row in the members table.
 
     :ivar weight: spare capacity for relaying; the gateways with the highest weight are relays.
+    :ivar forward_port: where it takes calls that other gateways forward; unset if it takes none,
+        as those of earlier releases do.
     """
 
     address: str
     data_centre: str = ''
     weight: float = 0.0
+    forward_port: int | msgspec.UnsetType = msgspec.UNSET
 
 
 @attrs.define
@@ -29,6 +32,7 @@
     """A gateway, identified by its peer address; times are on this machine's boot clock.
 
     :ivar weight: see :class:`MemberValue`; 0 until it is known.
+    :ivar forward_port: see :class:`MemberValue`; 0 if it takes none, or until it is known.
     :ivar last_message_s: when its last message was received; 0 if none was, or if the gateway
         announced its shutdown.
     :ivar last_retry_s: when a message was last sent to it while it was inactive.
@@ -42,6 +46,17 @@
     last_message_s: float = 0.0
     last_retry_s: float = 0.0
     relay_since_s: float = 0.0
+    forward_port: int = 0
+
+    @property
+    def host(self) -> str:
+        """Return the IP address of the gateway."""
+        return self.address.rpartition(':')[0]
+
+    @property
+    def forward_address(self) -> str:
+        """Return the address for forwarded calls, as ``IP:PORT``."""
+        return f'{self.host}:{self.forward_port}'
 
     @property
     def is_active(self) -> bool:
--- a/limeshelf/membership/members.py
+++ b/limeshelf/membership/members.py
@@ -91,6 +91,10 @@
         """Return the other gateways that are active."""
         return [member for member in self.others() if member.is_active]
 
+    def has_host(self, host: str) -> bool:
+        """Return whether a known gateway runs at an IP address."""
+        return any(member.host == host for member in self._by_address.values())
+
     def receives_messages(self) -> bool:
         """Return whether a message from any other gateway arrived within the relay time-out.
 
--- a/limeshelf/membership/registration.py
+++ b/limeshelf/membership/registration.py
@@ -91,7 +91,9 @@
 
     def _own_value(self) -> bytes:
         own = self.members.own
-        return msgspec.json.encode(MemberValue(own.address, own.data_centre, own.weight))
+        forward_port = own.forward_port or msgspec.UNSET
+        value = MemberValue(own.address, own.data_centre, own.weight, forward_port)
+        return msgspec.json.encode(value)
 
     def rewrite_if_lost(self, copy: TableCopy) -> None:
         """Have this gateway's row written again if a restore of the store lost or reverted it."""
@@ -112,7 +114,9 @@
             # The relays of its data centre still discover the gateway by its digests.
             log_change('member_row_invalid', key=row.key)
             return False
-        self.members.add(value.address, value.data_centre, value.weight)
+        member = self.members.add(value.address, value.data_centre, value.weight)
+        if member is not self.members.own:
+            member.forward_port = value.forward_port or 0
         self.members.has_member_rows = True
         return True
 
--- a/limeshelf/metrics/prometheus.py
+++ b/limeshelf/metrics/prometheus.py
@@ -79,6 +79,22 @@
             'Times that the machine was suspended while the gateway ran.',
             registry=self._registry,
         )
+        self._forwarded = Counter(
+            'limeshelf_forwarded_calls',
+            'Calls that another gateway was asked to carry, by result.',
+            ['result'],
+            registry=self._registry,
+        )
+        self._carried = Counter(
+            'limeshelf_carried_calls',
+            'Calls of other gateways that this one was asked to carry.',
+            registry=self._registry,
+        )
+        self._unreachable = Gauge(
+            'limeshelf_unreachable_replicas',
+            'Replicas to which no connection can be opened from here.',
+            registry=self._registry,
+        )
         self._unserved_s = Gauge(
             'limeshelf_unserved_seconds',
             'Longest time that one was asked for and served to nobody, at the leader, by kind.',
@@ -138,6 +154,21 @@
         """Count a suspension of the machine."""
         self._suspensions.inc()
 
+    def observe_forwarded(self, result: str) -> None:
+        """Count a call that another gateway was asked to carry.
+
+        :param result: name of the class of the result.
+        """
+        self._forwarded.labels(result).inc()
+
+    def observe_carried(self) -> None:
+        """Count a call that another gateway asked this one to carry."""
+        self._carried.inc()
+
+    def watch_unreachable(self, count: Callable[[], int]) -> None:
+        """Serve the number of replicas that cannot be connected to, which *count* returns."""
+        self._unreachable.set_function(count)
+
     def watch_unserved(
         self, kind: str, longest_s: Callable[[], float], keys: Callable[[], int]
     ) -> None:
--- a/limeshelf/platform/wire.py
+++ b/limeshelf/platform/wire.py
@@ -11,6 +11,7 @@
 from limeshelf.calls.call import Call
 from limeshelf.calls.wire import AnswerHead, SendContext
 from limeshelf.errors import InvalidRequest
+from limeshelf.forwarding.wire import BETWEEN_GATEWAYS
 from limeshelf.platform import headers
 
 if TYPE_CHECKING:
@@ -90,7 +91,7 @@
             headers=tuple(
                 (name, value)
                 for name, value in fields.items()
-                if name.lower() not in headers.HOP_BY_HOP_HEADERS
+                if name.lower() not in headers.HOP_BY_HOP_HEADERS | BETWEEN_GATEWAYS
             ),
             keep_alive_s=headers.read_keep_alive_s(fields.get('Keep-Alive')),
             notice=headers.read_notice(status, fields),
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -23,8 +23,10 @@
 from limeshelf.dispatch.permits import PermitExchange
 from limeshelf.dispatch.rate_limiter import ReplicaRateLimiters
 from limeshelf.feeds.store_clock import StoreClock
+from limeshelf.forwarding.targets import ForwardTargets
 from limeshelf.gateway.access import AccessGuard
 from limeshelf.gateway.attempts import AttemptRunner
+from limeshelf.gateway.forwarder import Forwarder
 from limeshelf.gateway.frontend import HttpFrontend
 from limeshelf.gateway.limits import LimitGuard
 from limeshelf.gateway.pipeline import Pipeline
@@ -111,7 +113,9 @@
             read_record, self.changes.add_replica, self.metrics.observe_restart
         )
         self.notices = NoticeHandler(self.directory, count=self.metrics.observe_notice)
-        self.members = Members(Member(node.address, settings.data_centre, settings.weight))
+        own = Member(node.address, settings.data_centre, settings.weight)
+        own.forward_port = settings.forward_port
+        self.members = Members(own)
         self.leadership = Leadership(
             self.store,
             settings.instance_id,
@@ -237,7 +241,10 @@
     def _make_call_path(self, settings: GatewaySettings) -> None:
         wire = PlatformWire()
         self.budgets = RetryBudgets(retry_rule(settings))
-        self.pool = ConnectionPool(wire)
+        self.pool = ConnectionPool()
+        self.metrics.watch_unreachable(
+            lambda: sum(replica.health.awaits_probe for replica in self.directory.all())
+        )
         plain = PlainReplicaSelector(self.directory, settings.data_centre)
         selector = ReplicaSelector(self.directory, plain, self.dispatch_client, self.permits)
         self.access = AccessGuard(self.active_config, self.config_age_s, access_rule(settings))
@@ -245,6 +252,9 @@
         attempts = AttemptRunner(
             wire, self.directory, self.pool, self.active_config, guard, self.notices, self.meter
         )
+        self.forwarder = Forwarder(
+            wire, ForwardTargets(self.members), self.meter, self.metrics.observe_forwarded
+        )
         self.pipeline = Pipeline(
             wire,
             self.directory,
@@ -256,8 +266,10 @@
             self.access,
             LimitGuard(self.limits),
             guard,
+            self.forwarder,
+            self.pool,
         )
-        self.frontend = HttpFrontend(self.pipeline, wire, self.metrics)
+        self.frontend = HttpFrontend(self.pipeline, wire, self.metrics, self.members.has_host)
 
     def _handle_resume(self, slept_s: float) -> None:
         """Log and count a suspension of this machine, and notify the members."""
@@ -298,6 +310,7 @@
         """Close all connections."""
         await self.frontend.close()
         await self.pool.close()
+        await self.forwarder.close()
         await self.order_client.close()
         await self.store.close()
         await self.node.close()
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -71,6 +71,9 @@
         self.components = GatewayComponents(settings, node, self.tasks)
         self.components.register_handlers()
         await self.components.frontend.start(settings.calls_address, settings.readiness_address)
+        if settings.forward_port:
+            forward_address = f'{settings.ip}:{settings.forward_port}'
+            await self.components.frontend.start_carrying(forward_address)
         self.metrics_server = MetricsServer(self.components.metrics)
         await self.metrics_server.start(settings.ip, settings.figures_port)
         self._start_tasks()
--- a/limeshelf/replicas/connections.py
+++ b/limeshelf/replicas/connections.py
@@ -1,4 +1,4 @@
-"""Connection pool for one replica, with strict checks of how a response ends.
+"""Connection pool for one replica or gateway, with strict checks of how a response ends.
 
 Owns the open connections. Uses two private attributes of aiohttp's connector, which it does not
 allow to be changed after creation: the protocol factory and the keep-alive timeout. Also relies
@@ -30,7 +30,7 @@
     from aiohttp.connector import Connection
 
     from limeshelf.calls.call import Call
-    from limeshelf.calls.wire import AnswerHead, CallWire, SendContext
+    from limeshelf.calls.wire import AnswerHead
 
 #: Timeout for opening a connection.
 CONNECT_TIMEOUT_S = 0.35
@@ -126,16 +126,15 @@
     return min(MAX_IDLE_S, max(MIN_IDLE_S, keep_alive_s - IDLE_MARGIN_S))
 
 
-class ReplicaConnections:
-    """Sends calls to one replica over pooled connections.
+class CallConnections:
+    """Sends calls to one replica, or to another gateway, over pooled connections.
 
-    :param address: of the replica, as ``IP:PORT``.
-    :param limit: maximum number of connections of this process to the replica.
+    :param address: where it listens, as ``IP:PORT``.
+    :param limit: maximum number of connections of this process to it.
     """
 
-    def __init__(self, address: str, limit: int, wire: CallWire) -> None:
+    def __init__(self, address: str, limit: int) -> None:
         self.address = address
-        self._wire = wire
         self._connector = ProgressConnector(
             keepalive_socket, limit=limit, keepalive_timeout=MAX_IDLE_S
         )
@@ -151,12 +150,13 @@
         self._session = without_silent_retry(session)
 
     async def send(
-        self, call: Call, context: SendContext, progress: SendProgress
+        self, call: Call, headers: list[tuple[str, str]], progress: SendProgress
     ) -> aiohttp.ClientResponse:
         """Send *call* and return the response as soon as its head has arrived.
 
         The timeout is set by the code that calls this.
 
+        :param headers: all headers to send.
         :param progress: updated during the send, and valid also after a timeout.
         :raises SendWithheld: the call may no longer be sent; no byte of it was sent.
         :raises aiohttp.ClientConnectorError: no byte of the call was sent.
@@ -166,7 +166,7 @@
         return await self._session.request(
             call.method,
             URL(f'http://{self.address}{call.target}', encoded=True),
-            headers=self._wire.send_headers(call, context),
+            headers=headers,
             data=call.body or None,
             allow_redirects=False,
         )
--- a/limeshelf/replicas/health.py
+++ b/limeshelf/replicas/health.py
@@ -34,6 +34,8 @@
 FIRST_SUSPENSION_S = 0.5
 #: Longest suspension. Would be 4 s if suspensions ended with a real call instead of a probe.
 MAX_SUSPENSION_S = 1.5
+#: Least time between two probes of a replica that calls need.
+MIN_PROBE_INTERVAL_S = 0.25
 #: Weight of the latest call in the moving average of failures.
 FAILURE_RATIO_WEIGHT = 0.15
 #: Consecutive failures after which a reachable replica is suspended.
@@ -71,32 +73,61 @@
     :ivar suspended_until_s: end of the suspension, or of the time before the next probe, on the
         boot clock; 0 if there is none.
     :ivar awaits_probe: suspended until a probe can open a connection.
+    :ivar heard_s: when something last arrived from the replica, on the boot clock.
     """
 
     failure_ratio: float = 0.0
     suspended_until_s: float = 0.0
     awaits_probe: bool = False
+    heard_s: float = 0.0
+    _check_requested: bool = False
     _consecutive_failures: int = 0
     _suspension_s: float = 0.0
+    _probed_s: float = 0.0
 
     def is_suspended(self) -> bool:
         """Return whether calls avoid the replica now."""
         return self.awaits_probe or boottime_s() < self.suspended_until_s
 
+    @property
+    def needs_probe(self) -> bool:
+        """Return whether a probe is due now or later."""
+        return self.awaits_probe or self._check_requested
+
     @property
     def probe_due(self) -> bool:
         """Return whether a probe is due."""
+        if self._check_requested:
+            return True
         return self.awaits_probe and boottime_s() >= self.suspended_until_s
 
+    def record_heard(self) -> None:
+        """Record that something has arrived from the replica."""
+        self.heard_s = boottime_s()
+
+    def request_check(self) -> None:
+        """Have the replica probed, although nothing shows yet that it is unreachable."""
+        self._check_requested = not self.awaits_probe
+
+    def request_probe(self) -> None:
+        """Make a probe of an unreachable replica due, unless one failed a moment ago."""
+        if self.awaits_probe and boottime_s() - self._probed_s >= MIN_PROBE_INTERVAL_S:
+            self.suspended_until_s = 0.0
+
     def record_probe(self, reached: bool) -> None:
         """Record the outcome of a probe."""
+        self._check_requested = False
+        self._probed_s = boottime_s()
         if reached:
             self.awaits_probe = False
+            self.record_heard()
         else:
+            self.awaits_probe = True
             self._suspend()
 
     def record_success(self) -> None:
         """Record a successful response."""
+        self.record_heard()
         self.failure_ratio += FAILURE_RATIO_WEIGHT * (0.0 - self.failure_ratio)
         self._consecutive_failures = 0
         self._suspension_s = 0.0
@@ -107,6 +138,7 @@
         """Record a failure; return whether it starts a suspension."""
         self.failure_ratio += FAILURE_RATIO_WEIGHT * (1.0 - self.failure_ratio)
         if failure in ANSWERED:
+            self.record_heard()
             return False
         self._consecutive_failures += 1
         if failure not in UNREACHABLE and self._consecutive_failures < SUSPEND_AFTER_FAILURES:
--- a/limeshelf/replicas/pool.py
+++ b/limeshelf/replicas/pool.py
@@ -1,20 +1,27 @@
-"""Connections of this process to all replicas, and probes of unreachable replicas.
+"""Connections of this process to all replicas, and probes of those that may be unreachable.
 
 Owns the connections to each start of a replica. They are opened for the first call and closed
 after the start is gone. :mod:`limeshelf.replicas.health` decides when a probe is due.
+
+A replica that cannot be connected to may be down, or this gateway may be cut off from it and
+others. So some others are probed then, and more for each of these that is unreachable too:
+otherwise a call would be lost at each replica in turn.
 """
 
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from limeshelf.metrics.event_log import log_change
-from limeshelf.replicas.connections import CONNECT_TIMEOUT_S, ReplicaConnections
+from limeshelf.replicas.connections import CONNECT_TIMEOUT_S, CallConnections
+from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from limeshelf.calls.routes import ServiceSpec
-    from limeshelf.calls.wire import CallWire
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
     from limeshelf.replicas.starts import ReplicaStart
@@ -26,6 +33,8 @@
 MIN_CONNECTIONS = 4
 #: Interval between checks for connections to replicas that are gone.
 SWEEP_INTERVAL_S = 2.0
+#: Replicas that are checked when another one turns out to be unreachable.
+CHECKED_REPLICAS = 4
 #: Pause before each round of probes.
 PROBE_INTERVAL_S = 0.1
 
@@ -48,18 +57,17 @@
         created, so a change applies only to replicas that are used for the first time.
     """
 
-    def __init__(self, wire: CallWire) -> None:
+    def __init__(self) -> None:
         self.gateways = 1
-        self._wire = wire
-        self._by_start: dict[ReplicaStart, ReplicaConnections] = {}
+        self._by_start: dict[ReplicaStart, CallConnections] = {}
         self._unreachable = asyncio.Event()
 
-    def connections(self, replica: Replica, service: ServiceSpec) -> ReplicaConnections:
+    def connections(self, replica: Replica, service: ServiceSpec) -> CallConnections:
         """Return the connections to a replica, created if there are none."""
         found = self._by_start.get(replica.start)
         if found is None:
             limit = connection_limit(service.max_connections, self.gateways)
-            found = ReplicaConnections(replica.record.address, limit, self._wire)
+            found = CallConnections(replica.record.address, limit)
             self._by_start[replica.start] = found
         return found
 
@@ -79,22 +87,57 @@
                 elif replica.gone and replica.own_load.calls == 0:
                     await self._by_start.pop(start).close()
 
-    def request_probes(self) -> None:
-        """Start probing, because a replica has become unreachable."""
+    def check(self, replica: Replica) -> None:
+        """Probe a replica that may be unreachable."""
+        replica.health.request_check()
+        self._unreachable.set()
+
+    def record_unreachable(self, replica: Replica, directory: ReplicaDirectory) -> None:
+        """Probe a replica that has become unreachable, and check some of the others."""
+        log_change(
+            'replica_unreachable', replica=replica.replica_id, service=replica.record.service
+        )
+        # Replicas that were heard while this one was tried are reachable.
+        oldest_s = boottime_s() - CONNECT_TIMEOUT_S
+        unsure = [
+            other
+            for other in directory.all()
+            if not other.health.needs_probe and other.health.heard_s < oldest_s
+        ]
+        for other in random.sample(unsure, min(CHECKED_REPLICAS, len(unsure))):
+            other.health.request_check()
+        self._unreachable.set()
+
+    def probe_soon(self, replicas: Iterable[Replica]) -> None:
+        """Probe unreachable replicas without waiting for the end of their back-off.
+
+        :param replicas: those that calls need now.
+        """
+        for replica in replicas:
+            replica.health.request_probe()
         self._unreachable.set()
 
     async def probe(self, directory: ReplicaDirectory) -> None:
-        """Probe unreachable replicas until they can be reached again; runs until cancelled.
+        """Probe replicas until all can be reached again; runs until cancelled.
 
         A round ends when all of its probes have ended.
         """
         while True:
             await self._unreachable.wait()
             self._unreachable.clear()
-            while any(replica.health.awaits_probe for replica in directory.all()):
+            while any(replica.health.needs_probe for replica in directory.all()):
                 await asyncio.sleep(PROBE_INTERVAL_S)
                 due = [replica for replica in directory.all() if replica.health.probe_due]
-                await asyncio.gather(*(_probe(replica) for replica in due))
+                await asyncio.gather(*(self._probe(replica, directory) for replica in due))
+
+    async def _probe(self, replica: Replica, directory: ReplicaDirectory) -> None:
+        was_unreachable = replica.health.awaits_probe
+        is_reached = await _can_connect(replica.record.address)
+        replica.health.record_probe(is_reached)
+        if is_reached and was_unreachable:
+            log_change('replica_reached', replica=replica.replica_id)
+        elif not is_reached and not was_unreachable:
+            self.record_unreachable(replica, directory)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -102,16 +145,14 @@
             await connections.close()
 
 
-async def _probe(replica: Replica) -> None:
+async def _can_connect(address: str) -> bool:
     """Open a connection and close it; a real call would be lost in a network partition."""
-    host, _, port = replica.record.address.rpartition(':')
+    host, _, port = address.rpartition(':')
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, writer = await asyncio.open_connection(host, int(port))
     except OSError:
         # Includes timeouts. Not logged, since probes fail repeatedly during a partition.
-        replica.health.record_probe(reached=False)
-        return
+        return False
     writer.close()
-    replica.health.record_probe(reached=True)
-    log_change('replica_reached', replica=replica.replica_id)
+    return True
--- a/limeshelf/settings/gateway.py
+++ b/limeshelf/settings/gateway.py
@@ -128,7 +128,8 @@
     :param readiness_address: address for readiness checks by the load balancer, as ``IP:PORT``.
     :param store_address: address of the platform's store, as ``IP:PORT``.
     :param peer_ports: first and last port for traffic between gateways, the same on all
-        instances; only the first is used.
+        instances. Messages use the first and forwarded calls the last; without a second one, no
+        calls are forwarded to this gateway.
     :param seeds: peer addresses of other gateways, as ``IP:PORT``; may be outdated.
     :param grace_s: time between the stop signal and the forced kill, in seconds.
     :param figures_port: port at which metrics are served.
@@ -163,6 +164,12 @@
         """Return the port on which this gateway listens for peers."""
         return self.peer_ports[0]
 
+    @property
+    def forward_port(self) -> int:
+        """Return the port on which this gateway takes forwarded calls; 0 if it takes none."""
+        last = self.peer_ports[-1]
+        return last if last != self.peer_port else 0
+
 
 def load_gateway_settings(path: Path) -> GatewaySettings:
     """Read and validate a settings file.
--- a/tests/docs/test_named_things.py
+++ b/tests/docs/test_named_things.py
@@ -92,8 +92,8 @@
 
 #: Packages of the users' platform whose modules decide.
 DECIDING = (
-    'admission', 'crashes', 'demand', 'dispatch', 'feeds', 'gateway', 'lease', 'membership',
-    'orders', 'organisations', 'placement', 'replicas', 'routing',
+    'admission', 'crashes', 'demand', 'dispatch', 'feeds', 'forwarding', 'gateway', 'lease',
+    'membership', 'orders', 'organisations', 'placement', 'replicas', 'routing',
 )  # fmt: skip
 #: Figures of these time or bound the applying code; no rule goes by them.
 NO_RULE = {
--- a/tests/forms/test_rows.py
+++ b/tests/forms/test_rows.py
@@ -308,6 +308,16 @@
 MEMBER = b'{"address":"10.0.0.1:7001","data_centre":"z1","weight":2.5}'
 
 
+MEMBER_THAT_CARRIES = MEMBER[:-1] + b',"forward_port":7016}'
+
+
+def test_member_row_of_a_gateway_that_carries_calls_as_written() -> None:
+    store = RecordingStore()
+    own = Member('10.0.0.1:7001', 'z1', 2.5, forward_port=7016)
+    asyncio.run(registration(own).write_row(store))
+    assert store.written == [('members', 'g-1', MEMBER_THAT_CARRIES, None)]
+
+
 def test_member_row_as_written() -> None:
     store = RecordingStore()
     asyncio.run(registration(Member('10.0.0.1:7001', 'z1', 2.5)).write_row(store))
@@ -318,9 +328,10 @@
     ('value', 'member'),
     [
         (MEMBER, Member('10.0.0.1:7001', 'z1', 2.5)),
+        (MEMBER_THAT_CARRIES, Member('10.0.0.1:7001', 'z1', 2.5, forward_port=7016)),
         (b'{"address":"10.0.0.1:7001"}', Member('10.0.0.1:7001', '', 0.0)),
     ],
-    ids=['full', 'bare'],
+    ids=['full', 'carries', 'bare'],
 )
 def test_member_row_as_read(value: bytes, member: Member) -> None:
     reader = registration(Member('10.0.0.9:7001', 'z1', 1.0))
--- a/tests/replicas/test_connections.py
+++ b/tests/replicas/test_connections.py
@@ -11,10 +11,8 @@
 from aiohttp.streams import StreamReader
 
 from limeshelf.calls.call import Call
-from limeshelf.calls.wire import SendContext
 from limeshelf.errors import SendWithheld
-from limeshelf.platform.wire import PlatformWire
-from limeshelf.replicas.connections import ReplicaConnections, SendProgress, StrictResponseHandler
+from limeshelf.replicas.connections import CallConnections, SendProgress, StrictResponseHandler
 from standins.users_platform.replica import Fault, ReplicaStandIn
 
 
@@ -91,16 +89,15 @@
 
     async def scenario() -> None:
         replica = ReplicaStandIn('p-1')
-        connections = ReplicaConnections(await replica.start(), 1, PlatformWire())
-        facts = SendContext(1.0, 'p-1', 0, None)
+        connections = CallConnections(await replica.start(), 1)
 
         async def send(call_id: str, limit_s: float, **options: Any) -> SendProgress:
             progress = SendProgress(**options)
-            headers = (('Limeshelf-Attempt-Id', call_id),)
-            call = Call(call_id, 'GET', 'h', '/x', headers, b'', 0.0, None, None, None)
+            headers = [('Limeshelf-Attempt-Id', call_id)]
+            call = Call(call_id, 'GET', 'h', '/x', (), b'', 0.0, None, None, None)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(limit_s):
-                    response = await connections.send(call, facts, progress)
+                    response = await connections.send(call, headers, progress)
                     await response.read()
             return progress
 
--- a/tests/replicas/test_pool.py
+++ b/tests/replicas/test_pool.py
@@ -8,7 +8,6 @@
 import pytest
 
 from limeshelf.calls.routes import ServiceSpec
-from limeshelf.platform.wire import PlatformWire
 from limeshelf.replicas.connections import MAX_IDLE_S, MIN_IDLE_S, idle_timeout_s
 from limeshelf.replicas.health import Failure
 from limeshelf.replicas.pool import MIN_CONNECTIONS, ConnectionPool, connection_limit
@@ -54,7 +53,7 @@
 
 def test_connections_to_a_replica_are_reused() -> None:
     async def scenario() -> None:
-        pool = ConnectionPool(PlatformWire())
+        pool = ConnectionPool()
         first = replica_at('127.0.0.1:1')
         assert pool.connections(first, SERVICE) is pool.connections(first, SERVICE)
         await pool.close()
@@ -69,9 +68,9 @@
         replica.health.record_failure(Failure.NO_CONNECTION)
         replica.health.suspended_until_s = 0.0
         directory: Any = Directory(replica)
-        pool = ConnectionPool(PlatformWire())
+        pool = ConnectionPool()
         probing = asyncio.create_task(pool.probe(directory))
-        pool.request_probes()
+        pool.probe_soon([replica])
         async with asyncio.timeout(10.0):
             while replica.health.awaits_probe:
                 await asyncio.sleep(0.01)
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -161,7 +161,7 @@
             calls_address=f'127.0.0.1:{self.port}',
             readiness_address=f'127.0.0.1:{self.readiness_port}',
             store_address=self.store_address,
-            peer_ports=[free_port()],
+            peer_ports=[free_port(), free_port()],
             seeds=[],
             grace_s=self.grace_s,
             figures_port=free_port(),
