Do not count sends that reached no replica as retries

Cause: an attempt counted as a send even where no byte of the call had left. The users' bound is on what arrives at a service beyond the first of each call, so such an attempt is none.

--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -39,7 +39,7 @@
     :ivar reservation: its share of the organisation's limit; ``None`` without a limit.
     :ivar splitter: keeps the position in a stream across attempts.
     :ivar runs: number of replicas that ran it or may have run it.
-    :ivar sends: number of attempts so far.
+    :ivar sends: number of attempts so far that a replica may have received.
     :ivar refusals: number of attempts that surely did not run it.
     :ivar excluded: ids of replicas that it is not sent to again.
     :ivar unreached: those of them that it was not sent to, since no connection could be opened.
@@ -88,10 +88,10 @@
 
     def _record_not_run(self, result: NeverRan | NotSent | NotCarried) -> None:
         is_withheld = isinstance(result, NotSent) and result.cause is FailureCause.WITHHELD
-        if is_withheld or isinstance(result, NotCarried):
+        if not isinstance(result, NeverRan) or not result.reached:
             # No replica received anything, so the next send is not a retry.
             self.sends -= 1
-        else:
+        if not is_withheld and not isinstance(result, NotCarried):
             self.refusals += 1
         if self.reservation is not None:
             self.reservation.record_not_run()
--- a/tests/gateway/test_forwarded_calls.py
+++ b/tests/gateway/test_forwarded_calls.py
@@ -208,6 +208,17 @@
     _run(scenario)
 
 
+def test_retry_budget_is_not_spent_on_connections_that_failed() -> None:
+    async def scenario(world: _Fleet) -> None:
+        await world.cut_off(0, Cut.NEW_REFUSED)
+        budget = world.components(0).budgets.of('app')
+        budget._balance = 0.0
+        statuses = [(await world.send(0, '/unsafe/x')).status for _ in range(5)]
+        assert statuses == [200] * 5
+
+    _run(scenario)
+
+
 def test_planned_stop_of_the_gateway_that_carries_a_call_cuts_nothing_off() -> None:
     async def scenario(world: _Fleet) -> None:
         await world.isolate(0)
