Keep the calls of a replica that is silent for a second or so

Cause: one set of socket options for store, peers and replicas. With a user timeout of 0.8 s a connection that was quiet for two seconds ends with one unanswered probe, whatever TCP_KEEPCNT says.

--- a/limeshelf/replicas/connections.py
+++ b/limeshelf/replicas/connections.py
@@ -22,7 +22,7 @@
 from limeshelf.errors import SendWithheld
 from limeshelf.util.connector import SingleCloseConnector
 from limeshelf.util.http import without_silent_retry
-from limeshelf.util.sockets import keepalive_socket
+from limeshelf.util.sockets import call_socket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -135,9 +135,7 @@
 
     def __init__(self, address: str, limit: int) -> None:
         self.address = address
-        self._connector = ProgressConnector(
-            keepalive_socket, limit=limit, keepalive_timeout=MAX_IDLE_S
-        )
+        self._connector = ProgressConnector(call_socket, limit=limit, keepalive_timeout=MAX_IDLE_S)
         make: Any = functools.partial(StrictResponseHandler, loop=asyncio.get_running_loop())
         self._connector._factory = make
         session = aiohttp.ClientSession(
