Let another gateway place models when the leader reaches no replica

Cause: the same as of calls that only their own gateway could send: the lease depends on the store alone, and a holder goes on renewing it without a path to any replica.

A holder that reaches none of the replicas that take orders, while another gateway has carried its calls in the last two seconds (so others do reach them), frees the lease, and does not contend meanwhile.

Evidence: tests/gateway/test_unreachable_replicas.py::test_gateway_that_reaches_no_replica_does_not_keep_placement_from_others failed before (the holder still led 6 s after the cut) and passes.

--- a/limeshelf/gateway/forwarder.py
+++ b/limeshelf/gateway/forwarder.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -29,7 +30,7 @@
     WholeAnswer,
 )
 from limeshelf.replicas.connections import CallConnections
-from limeshelf.util.clock import MS_PER_S
+from limeshelf.util.clock import MS_PER_S, boottime_s
 from limeshelf.util.suspension import boot_timeout
 
 if TYPE_CHECKING:
@@ -44,6 +45,8 @@
 
 #: Maximum number of connections to one gateway.
 MAX_CONNECTIONS = 256
+#: How long a carried call shows that other gateways reach replicas that this one does not.
+CARRIED_RECENTLY_S = 2.0
 #: Reasons for which no other gateway would carry the call either; its caller gets the refusal.
 FINAL_REASONS = frozenset(
     {
@@ -66,6 +69,7 @@
     demand: DemandMeter
     count: Callable[[str], None]
     _by_address: dict[str, CallConnections] = attrs.field(factory=dict)
+    _carried_s: float = -math.inf
 
     def choose(self, state: CallState) -> Member | None:
         """Return the gateway that may carry a call; ``None`` if there is none."""
@@ -73,6 +77,10 @@
             return None
         return self.targets.choose(state.service.name, state.asked)
 
+    def was_carried_recently(self) -> bool:
+        """Return whether another gateway has lately carried a call that this one cannot send."""
+        return boottime_s() - self._carried_s < CARRIED_RECENTLY_S
+
     async def run(self, state: CallState, member: Member) -> None:
         """Have a call carried by another gateway, and record the result in *state*."""
         state.asked.add(member.address)
@@ -124,6 +132,7 @@
                 self.demand.count_refused(state.call, state.service)
             return
         self.targets.record_carried(member)
+        self._carried_s = boottime_s()
         if isinstance(result, CarriedAnswer | Delivered):
             self.demand.record_served(state.call, state.service)
 
--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -19,7 +19,7 @@
 orders.
 
 A term ends when a renewal finds another holder in the row, when a replica or a peer shows a higher
-fence, or when the process stops.
+fence, when the holder reaches no replica that other gateways reach, or when the process stops.
 
 The standalone system has a lease of its own (:mod:`limeshelf.standalone.lease.keeper`). Its table
 has no clock, so contenders watch the row for longer than the lease lasts; some of its upstreams
@@ -271,10 +271,17 @@
     async def release(self) -> None:
         """Release the lease permanently, so that a successor need not wait for it to expire."""
         self._released = True
+        await self.hand_over('released')
+
+    async def hand_over(self, cause: str) -> None:
+        """End the term, if there is one, and free the lease for others.
+
+        :param cause: for the log.
+        """
         term = self.term
         if term is None:
             return
-        self.end_term('released')
+        self.end_term(cause)
         value = LeaseValue(self._holder, term.fence, 0)
         try:
             await self._store.write(LEASE_TABLE, LEASE_KEY, value.encode(), term.row_position)
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -277,6 +277,19 @@
         self.metrics.observe_suspension()
         self.members.add_suspension(slept_s)
 
+    def is_cut_off(self) -> bool:
+        """Return whether other gateways reach replicas, and this one none that takes orders."""
+        config = self.active_config.config
+        if config is None or not self.forwarder.was_carried_recently():
+            return False
+        replicas = [
+            replica
+            for service in config.services.values()
+            if service.engine is not None
+            for replica in self.directory.of_service(service.name)
+        ]
+        return bool(replicas) and all(replica.health.awaits_probe for replica in replicas)
+
     def config_age_s(self) -> float:
         """Return an upper bound on the time for which the configuration may be outdated.
 
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -127,6 +127,9 @@
             is_lost = components.leadership.store_is_unavailable
             await asyncio.sleep(jittered_s(LEASE_RETRY_S if is_lost else LEASE_STEP_S))
             self._update_gateway_count()
+            if components.is_cut_off():
+                await components.leadership.hand_over('cut_off')
+                continue
             if components.leadership.term is None and not components.leader.may_contend():
                 continue
             await components.leadership.renew_or_acquire()
--- a/tests/gateway/test_unreachable_replicas.py
+++ b/tests/gateway/test_unreachable_replicas.py
@@ -68,3 +68,22 @@
         assert all(set(counts) == {200} for counts in after.values()), after
 
     run_fleet(scenario, world_class=PartitionedFleet)
+
+
+def test_gateway_that_reaches_no_replica_does_not_keep_placement_from_others() -> None:
+    async def scenario(world: PartitionedFleet) -> None:
+        numbers = range(len(world.centres))
+
+        def leaders() -> list[int]:
+            return [at for at in numbers if world.components(at).leadership.fence]
+
+        await world.until(leaders, limit_s=15.0)
+        (before,) = leaders()
+        await world.cut_off(before, Cut.RESET)
+        await _load(world, 2 * CONTACT_S)
+        assert leaders() and before not in leaders()
+        await world.reconnect(before)
+        await _load(world, 2.0)
+        assert len(leaders()) == 1
+
+    run_fleet(scenario, world_class=PartitionedFleet)
