Do not topple replicas that fall over from rejections

Of three gateways that send half as much again as two plain replicas bear, these rejected more than the stated two in a second 41 times in 6 s.

Cause: the statement Server-Brittle was not read, and a plain call was sent to whatever replica was least loaded, full or not.

It is now a statement like the rate: read with the head of each answer, kept with the start of the replica, passed on to the other gateways (two further fields at the end of an entry, which earlier releases skip), and ended by an answer without it. While it holds, a plain call goes only into a free slot, of which each gateway uses its part, and waits here otherwise; after a rejection a gateway sends nothing there for gateways / limit seconds, 3 at most.

--- a/limeshelf/calls/notice.py
+++ b/limeshelf/calls/notice.py
@@ -17,6 +17,9 @@
         states no valid rate.
     :param names_rate: whether it states a rate, valid or not. An invalid one neither sets a rate
         nor ends one.
+    :param rejections_per_s: rejections a second, to all gateways together, beyond which it falls
+        over; ``None`` where it states no valid number.
+    :param names_rejections: whether it states such a number, valid or not.
     :param leaving: whether it is shutting down and must get no more calls.
     :param pause_s: time for which the gateway that it answers must not send to it, in seconds;
         ``None`` where it asks for no pause.
@@ -25,6 +28,8 @@
 
     rate_per_s: float | None = None
     names_rate: bool = False
+    rejections_per_s: float | None = None
+    names_rejections: bool = False
     leaving: bool = False
     pause_s: float | None = None
     unusable: bool = False
--- a/limeshelf/dispatch/permits.py
+++ b/limeshelf/dispatch/permits.py
@@ -128,7 +128,7 @@
         replica_id=replica.replica_id,
         born_ms=replica.known_start.born_ms,
         rate_per_s=backpressure.rate_per_s or 0.0,
-        heard_ms_ago=int((boottime_s() - backpressure.rate_received_s) * MS_PER_S),
+        heard_ms_ago=int((boottime_s() - backpressure.rate.received_s) * MS_PER_S),
         patience_ms=int(max_wait_s * MS_PER_S),
     )
 
--- a/limeshelf/membership/messages.py
+++ b/limeshelf/membership/messages.py
@@ -199,6 +199,10 @@
         an answer stated the rate. Without one: time since the sending of the latest call whose
         answer stated no rate.
     :ivar leaving: whether the replica has announced that it is shutting down.
+    :ivar rejections_per_s: rejections per second beyond which the replica falls over; ``None`` if
+        it states no limit.
+    :ivar rejections_known_ms_ago: as *known_ms_ago*, for *rejections_per_s*; ``None`` from a
+        release that sends neither.
     """
 
     replica_id: str
@@ -206,6 +210,8 @@
     rate_per_s: float | None
     known_ms_ago: int
     leaving: bool = False
+    rejections_per_s: float | None = None
+    rejections_known_ms_ago: int | None = None
 
 
 @add_message('replica-notices')
--- a/limeshelf/membership/notice_exchange.py
+++ b/limeshelf/membership/notice_exchange.py
@@ -1,4 +1,4 @@
-"""Exchanges the notices of replicas that apply to all gateways: call rate and shutdown.
+"""Exchanges the notices of replicas that apply to all gateways: limits and shutdown.
 
 Notices are broadcast through :mod:`~limeshelf.membership.broadcast_queue`. A gateway that starts
 later has missed them. It receives a replica's notice with the replica's first answer, and sends it
@@ -64,6 +64,9 @@
             if replica is not None and replica.known_start.born_ms == entry.born_ms:
                 known_s = now_s - entry.known_ms_ago / MS_PER_S
                 self.notices.handle_peer_rate(replica, entry.rate_per_s, known_s)
+                if entry.rejections_known_ms_ago is not None:
+                    known_s = now_s - entry.rejections_known_ms_ago / MS_PER_S
+                    self.notices.handle_peer_rejections(replica, entry.rejections_per_s, known_s)
                 if entry.leaving:
                     self.notices.handle_peer_leaving(replica)
 
@@ -80,12 +83,16 @@
 
 def _notice_from_replica(replica: Replica) -> ReplicaNoticeEntry:
     backpressure = replica.backpressure
-    rate_per_s = backpressure.rate_per_s
-    known_s = backpressure.no_rate_sent_s if rate_per_s is None else backpressure.rate_received_s
     return ReplicaNoticeEntry(
         replica.replica_id,
         replica.known_start.born_ms,
-        rate_per_s,
-        int((boottime_s() - known_s) * MS_PER_S) if math.isfinite(known_s) else NEVER_MS,
+        backpressure.rate_per_s,
+        _ms_ago(backpressure.rate.known_s),
         backpressure.leaving,
+        backpressure.rejections_per_s,
+        _ms_ago(backpressure.rejections.known_s),
     )
+
+
+def _ms_ago(known_s: float) -> int:
+    return int((boottime_s() - known_s) * MS_PER_S) if math.isfinite(known_s) else NEVER_MS
--- a/limeshelf/platform/headers.py
+++ b/limeshelf/platform/headers.py
@@ -62,6 +62,9 @@
 #: Rate limit of a replica over all gateways, in calls per second as a decimal number; sent in
 #: each response while the limit applies.
 RATE_LIMIT = 'Server-Limit'
+#: Rejections a second, to all gateways together, beyond which the replica falls over; sent in each
+#: response while that is so.
+BRITTLE = 'Server-Brittle'
 #: Sent with the value :data:`LEAVING_VALUE` in each response of a replica that is leaving.
 LEAVING = 'Server-Leaving'
 LEAVING_VALUE = '1'
@@ -223,23 +226,29 @@
 
 
 def read_notice(status: int, fields: Mapping[str, str]) -> ReplicaNotice:
-    """Return the rate limit, pause and leaving notice in the headers of a response.
+    """Return the limits, the pause and the leaving notice in the headers of a response.
 
     :param fields: case-insensitive multi-dictionary of the response headers.
     """
     rate = fields.get(RATE_LIMIT)
+    rejections = fields.get(BRITTLE)
     leaving = fields.get(LEAVING, '').strip() == LEAVING_VALUE
     pause = fields.get(RETRY_AFTER) if status in REJECTION_STATUSES else None
-    if rate is None and pause is None and not leaving:
+    if rate is None and rejections is None and pause is None and not leaving:
         return NO_NOTICE
     rate_per_s = _read_rate(rate) if rate is not None else None
+    rejections_per_s = _read_rate(rejections) if rejections is not None else None
     pause_s = read_seconds(pause)
     return ReplicaNotice(
         rate_per_s=rate_per_s,
         names_rate=rate is not None,
+        rejections_per_s=rejections_per_s,
+        names_rejections=rejections is not None,
         leaving=leaving,
         pause_s=pause_s,
-        unusable=_is_unusable(rate, rate_per_s) or _is_unusable(pause, pause_s),
+        unusable=_is_unusable(rate, rate_per_s)
+        or _is_unusable(rejections, rejections_per_s)
+        or _is_unusable(pause, pause_s),
     )
 
 
@@ -248,7 +257,7 @@
 
 
 def _read_rate(text: str) -> float | None:
-    """Return a rate in calls per second; ``None`` if it is not a finite number of 0 or more."""
+    """Return a number per second; ``None`` if it is not a finite number of 0 or more."""
     try:
         rate_per_s = float(text)
     except ValueError:
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -245,7 +245,10 @@
         self.metrics.watch_unreachable(
             lambda: sum(replica.health.awaits_probe for replica in self.directory.all())
         )
-        plain = PlainReplicaSelector(self.directory, settings.data_centre)
+        self.notices.gateways = lambda: self.pool.gateways
+        plain = PlainReplicaSelector(
+            self.directory, settings.data_centre, lambda: self.pool.gateways
+        )
         selector = ReplicaSelector(self.directory, plain, self.dispatch_client, self.permits)
         self.access = AccessGuard(self.active_config, self.config_age_s, access_rule(settings))
         guard = QuarantineGuard(Quarantine(self.suspects), self.crash_detector)
--- a/limeshelf/replicas/backpressure.py
+++ b/limeshelf/replicas/backpressure.py
@@ -1,4 +1,4 @@
-"""Rate limit, pause and leaving state that one start of a replica has requested.
+"""Limits, pause and leaving state that one start of a replica has requested.
 
 Depends only on the boot clock; :mod:`limeshelf.replicas.notices` records the notices. The result
 does not depend on the order in which notices arrive: responses on two connections may overtake
@@ -16,35 +16,80 @@
 #: Longer pauses are cut to this. A pause given in a wrong unit by mistake must not
 #: exclude the replica from calls permanently.
 MAX_PAUSE_S = 300.0
+#: Longest pause after a rejection by a replica that falls over from rejections.
+MAX_REJECTION_PAUSE_S = 3.0
+#: A lower limit counts as this, as it takes calls to hear of a higher one.
+MIN_REJECTIONS_PER_S = 0.5
+
+
+@attrs.define
+class StatedLimit:
+    """A limit that a replica states in each response while it applies.
+
+    It remains active until a response without it arrives to a call that was sent after the limit
+    was last received; only then was the response certainly sent later. It does not expire while
+    there are no responses, since calls sent to test it would exceed it.
+
+    :ivar received_s: when the latest response with it arrived, on the boot clock.
+    :ivar absent_sent_s: when the latest call was sent whose response did not have it, on the boot
+        clock.
+    """
+
+    received_s: float = -math.inf
+    absent_sent_s: float = -math.inf
+    _latest: float | None = None
+
+    @property
+    def value(self) -> float | None:
+        """Return the limit; ``None`` if there is none."""
+        return self._latest if self.received_s >= self.absent_sent_s else None
+
+    @property
+    def known_s(self) -> float:
+        """Return the time on the boot clock from which the present value is known."""
+        return self.absent_sent_s if self.value is None else self.received_s
+
+    def record(self, value: float, received_s: float) -> None:
+        """Record the limit from a response.
+
+        :param received_s: when the response began to arrive, on the boot clock.
+        """
+        if received_s >= self.received_s:
+            self._latest, self.received_s = value, received_s
+
+    def record_absent(self, sent_s: float) -> None:
+        """Record a response without the limit.
+
+        :param sent_s: when the call was sent, on the boot clock.
+        """
+        self.absent_sent_s = max(self.absent_sent_s, sent_s)
 
 
 @attrs.define
 class Backpressure:
     """Requests of one start of a replica to the gateways.
 
-    A rate limit remains active until a response without one arrives to a call that was sent after
-    the limit was last received; only then was the response certainly sent later. The limit does
-    not expire while there are no responses, since calls sent at full rate to test it would exceed
-    it.
-
     :ivar leaving: the replica has announced that it is leaving; it never withdraws that.
     :ivar paused_until_s: no calls from this gateway until then, on the boot clock. A replica
         pauses each gateway separately. A later, shorter pause does not shorten an earlier one.
-    :ivar rate_received_s: when the latest response with a rate limit arrived, on the boot clock.
-    :ivar no_rate_sent_s: when the latest call was sent whose response had no rate limit, on the
-        boot clock.
+    :ivar rate: calls per second that it accepts from all gateways.
+    :ivar rejections: rejections per second, to all gateways, beyond which it falls over.
     """
 
     leaving: bool = False
     paused_until_s: float = -math.inf
-    rate_received_s: float = -math.inf
-    no_rate_sent_s: float = -math.inf
-    _latest_rate_per_s: float | None = None
+    rate: StatedLimit = attrs.field(factory=StatedLimit)
+    rejections: StatedLimit = attrs.field(factory=StatedLimit)
 
     @property
     def rate_per_s(self) -> float | None:
         """Return the limit for the calls of all gateways per second; ``None`` if unlimited."""
-        return self._latest_rate_per_s if self.rate_received_s >= self.no_rate_sent_s else None
+        return self.rate.value
+
+    @property
+    def rejections_per_s(self) -> float | None:
+        """Return how many rejections per second it bears; ``None`` if it states no limit."""
+        return self.rejections.value
 
     @property
     def is_paused(self) -> bool:
@@ -61,17 +106,14 @@
         until_s = boottime_s() + min(MAX_PAUSE_S, pause_s)
         self.paused_until_s = max(self.paused_until_s, until_s)
 
-    def record_rate(self, rate_per_s: float, received_s: float) -> None:
-        """Record a rate limit from a response.
-
-        :param received_s: when the response began to arrive, on the boot clock.
-        """
-        if received_s >= self.rate_received_s:
-            self._latest_rate_per_s, self.rate_received_s = rate_per_s, received_s
+    def record_rejection(self, gateways: int) -> None:
+        """Pause calls from this gateway to a replica that falls over from rejections.
 
-    def record_no_rate(self, sent_s: float) -> None:
-        """Record a response without a rate limit.
+        If each gateway causes one rejection per pause, all together stay within the limit.
 
-        :param sent_s: when the call was sent, on the boot clock.
+        :param gateways: number of gateways that may send to the replica.
         """
-        self.no_rate_sent_s = max(self.no_rate_sent_s, sent_s)
+        limit_per_s = self.rejections_per_s
+        if limit_per_s is not None:
+            pause_s = gateways / max(limit_per_s, MIN_REJECTIONS_PER_S)
+            self.record_pause(min(MAX_REJECTION_PAUSE_S, pause_s))
--- a/limeshelf/replicas/notices.py
+++ b/limeshelf/replicas/notices.py
@@ -22,6 +22,7 @@
 
     from limeshelf.calls.notice import ReplicaNotice
     from limeshelf.calls.wire import AnswerHead
+    from limeshelf.replicas.backpressure import StatedLimit
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
     from limeshelf.replicas.starts import ReplicaStart
@@ -42,6 +43,7 @@
 
     RATE = 'rate'
     PAUSE = 'pause'
+    BRITTLE = 'brittle'
     LEAVING = 'leaving'
 
 
@@ -50,12 +52,13 @@
     """Requests of a replica to all gateways, to detect changes."""
 
     rate_per_s: float | None
+    rejections_per_s: float | None
     leaving: bool
 
     @classmethod
     def from_replica(cls, replica: Replica) -> _Requested:
         backpressure = replica.backpressure
-        return cls(backpressure.rate_per_s, backpressure.leaving)
+        return cls(backpressure.rate_per_s, backpressure.rejections_per_s, backpressure.leaving)
 
 
 @attrs.define
@@ -65,12 +68,14 @@
     :ivar on_change: called with a replica whose rate limit or leaving state has changed, and the
         source of the notice.
     :ivar count: called when a replica starts to request something, or changes its rate limit.
+    :ivar gateways: returns the number of gateways that may send to a replica.
     :ivar unusable: starts of replicas that have sent an unusable notice, which is logged once.
     """
 
     directory: ReplicaDirectory
     on_change: Callable[[Replica, NoticeSource], None] = lambda replica, source: None
     count: Callable[[NoticeKind], None] = lambda kind: None
+    gateways: Callable[[], int] = lambda: 1
     unusable: set[ReplicaStart] = attrs.field(factory=set)
 
     def handle_call_response(self, replica: Replica, head: AnswerHead, sent_s: float) -> None:
@@ -83,7 +88,11 @@
         before = _Requested.from_replica(replica)
         self._apply(replica, head.notice, NoticeSource.CALL)
         if not head.notice.names_rate and not head.not_run:
-            replica.backpressure.record_no_rate(sent_s)
+            replica.backpressure.rate.record_absent(sent_s)
+        if not head.notice.names_rejections and not head.not_run:
+            replica.backpressure.rejections.record_absent(sent_s)
+        if head.not_run and not head.misdirected:
+            replica.backpressure.record_rejection(self.gateways())
         self._report_change(replica, before, NoticeSource.CALL)
 
     def handle_order_response(self, replica_id: str, notice: ReplicaNotice) -> None:
@@ -102,7 +111,9 @@
         if notice.leaving:
             self.directory.mark_leaving(replica, source)
         if notice.rate_per_s is not None:
-            replica.backpressure.record_rate(notice.rate_per_s, boottime_s())
+            replica.backpressure.rate.record(notice.rate_per_s, boottime_s())
+        if notice.rejections_per_s is not None:
+            replica.backpressure.rejections.record(notice.rejections_per_s, boottime_s())
         if notice.pause_s is not None:
             self._apply_pause(replica, notice.pause_s, source)
         if notice.unusable:
@@ -133,10 +144,18 @@
             the latest call was sent whose response had none; on the boot clock.
         """
         before = _Requested.from_replica(replica)
-        if rate_per_s is not None:
-            replica.backpressure.record_rate(rate_per_s, known_s)
-        else:
-            replica.backpressure.record_no_rate(known_s)
+        _apply_stated(replica.backpressure.rate, rate_per_s, known_s)
+        self._report_change(replica, before, NoticeSource.PEER)
+
+    def handle_peer_rejections(
+        self, replica: Replica, rejections_per_s: float | None, known_s: float
+    ) -> None:
+        """Apply the limit on rejections that another gateway knows, or that there is none.
+
+        :param known_s: as for :meth:`handle_peer_rate`.
+        """
+        before = _Requested.from_replica(replica)
+        _apply_stated(replica.backpressure.rejections, rejections_per_s, known_s)
         self._report_change(replica, before, NoticeSource.PEER)
 
     def _report_change(self, replica: Replica, before: _Requested, source: NoticeSource) -> None:
@@ -151,6 +170,15 @@
             )
             if now.rate_per_s is not None:
                 self.count(NoticeKind.RATE)
+        if now.rejections_per_s != before.rejections_per_s:
+            log_change(
+                'replica_brittle',
+                replica=replica.replica_id,
+                rejections_per_s=now.rejections_per_s,
+                learned_by=source,
+            )
+            if now.rejections_per_s is not None:
+                self.count(NoticeKind.BRITTLE)
         if now.leaving and not before.leaving:
             self.count(NoticeKind.LEAVING)
         if now != before:
@@ -160,3 +188,10 @@
         if replica.start not in self.unusable:
             self.unusable.add(replica.start)
             log_change('replica_notice_unusable', replica=replica.replica_id)
+
+
+def _apply_stated(limit: StatedLimit, value: float | None, known_s: float) -> None:
+    if value is not None:
+        limit.record(value, known_s)
+    else:
+        limit.record_absent(known_s)
--- a/limeshelf/routing/plain_selector.py
+++ b/limeshelf/routing/plain_selector.py
@@ -17,6 +17,8 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from limeshelf.calls.routes import ServiceSpec
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
@@ -58,22 +60,27 @@
     """Selects among the replicas of a service.
 
     :param data_centre: of this process.
+    :ivar gateways: returns the number of gateways that may send to a replica.
     """
 
     directory: ReplicaDirectory
     data_centre: str
+    gateways: Callable[[], int] = lambda: 1
 
     def choose(self, service: ServiceSpec, excluded: frozenset[str]) -> Replica | None:
         """Return the cheapest replica of a service; a random one of several with equal cost.
 
-        Replicas that asked this gateway to pause are never selected.
+        Replicas that asked this gateway to pause are never selected, nor are those that fall over
+        from rejections unless they have a free slot.
 
         :param excluded: ids of replicas that refused or failed this call.
         """
         replicas = [
             replica
             for replica in self.directory.of_service(service.name)
-            if replica.replica_id not in excluded and not replica.backpressure.is_paused
+            if replica.replica_id not in excluded
+            and not replica.backpressure.is_paused
+            and self._has_room(replica)
         ]
         costs = [(self._cost(replica, service), replica) for replica in replicas]
         # Gateways that see the same loads must not all select the same replica.
@@ -81,6 +88,18 @@
         cheapest = min(costs, key=lambda entry: entry[0], default=None)
         return cheapest[1] if cheapest is not None else None
 
+    def _has_room(self, replica: Replica) -> bool:
+        """Return whether a replica that falls over from rejections surely has a free slot.
+
+        The loads of other gateways are known late, so each uses its share of the slots only.
+        """
+        if replica.backpressure.rejections_per_s is None:
+            return True
+        slots = replica.record.slots
+        own_slots = max(1, slots // max(1, self.gateways()))
+        has_own_slot = replica.own_load.calls < own_slots
+        return has_own_slot and self.directory.load_of(replica).calls < slots
+
     def _cost(self, replica: Replica, service: ServiceSpec) -> float:
         load = self._load(replica, service)
         cost = with_penalties(load.cost, replica, self.data_centre)
--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -80,6 +80,7 @@
     :ivar rate_per_s: calls a second that it accepts from all gateways together, as text.
     :ivar leaving: whether it asks for no further calls.
     :ivar retry_after_s: seconds for which a gateway that it refused must send no calls, as text.
+    :ivar rejections_per_s: rejections a second beyond which it falls over, as text.
     :ivar call_answers_only: whether reports and answers to orders carry no notices.
     """
 
@@ -87,12 +88,15 @@
     leaving: bool = False
     retry_after_s: str | None = None
     call_answers_only: bool = False
+    rejections_per_s: str | None = None
 
     def headers(self, status: int) -> dict[str, str]:
         """Return the headers with these notices for an answer with *status*."""
         headers = {}
         if self.rate_per_s is not None:
             headers['Server-Limit'] = self.rate_per_s
+        if self.rejections_per_s is not None:
+            headers['Server-Brittle'] = self.rejections_per_s
         if self.leaving:
             headers['Server-Leaving'] = '1'
         if self.retry_after_s is not None and status == STATUS_FULL:
@@ -176,6 +180,12 @@
         self._crash_tasks: set[asyncio.Task[None]] = set()
         self.on_crash: Callable[[ReplicaStandIn], None] = lambda replica: None
         self.notices = ReplicaNotices()
+        #: Calls that it takes at a time; it rejects any more. ``None`` for no limit.
+        self.room: int | None = None
+        self.work_s = 0.0
+        self.running = 0
+        #: Times of its rejections on the clock of the event loop.
+        self.rejected_s: list[float] = []
         self.sent_notices: list[SentNotices] = []
         self._first_beat = 0
         self._busy = False
@@ -397,18 +407,23 @@
         if missing:
             return self._refusal(421, call_id)
         fault = self._next_fault()
-        if fault is Fault.FULL:
+        if fault is Fault.FULL or (self.room is not None and self.running >= self.room):
+            self.rejected_s.append(asyncio.get_running_loop().time())
             return self._refusal(503, call_id)
         self.runs.append(call_id)
         if self.crash_text is not None and self.crash_text in body:
             await self.crash()
             self.on_crash(self)
             return web.Response()
+        self.running += 1
         try:
+            await asyncio.sleep(self.work_s)
             return await self._run(request, call_id, fault, bool(model))
         except asyncio.CancelledError:
             self.abandoned += 1
             raise
+        finally:
+            self.running -= 1
 
     async def _run(
         self, request: web.BaseRequest, call_id: str, fault: Fault, streams: bool
--- a/tests/dispatch/test_permits.py
+++ b/tests/dispatch/test_permits.py
@@ -70,7 +70,7 @@
     nodes.update({address: Node(address, nodes) for address in (PACER, CLIENT)})
     _, replica_at_pacer = gateway_at(nodes[PACER], LOCAL)
     client, replica_at_client = gateway_at(nodes[CLIENT], PACER)
-    replica_at_client.backpressure.record_rate(2.0, boottime_s())
+    replica_at_client.backpressure.rate.record(2.0, boottime_s())
     return PacerAndClient(nodes, client, replica_at_client, replica_at_pacer)
 
 
@@ -94,7 +94,7 @@
         assert not (await pair.client.acquire(pair.replica_at_client, 0.0)).is_granted
         assert pair.nodes[CLIENT].sent == asked
         # At another rate, the next permit is due at another time.
-        pair.replica_at_client.backpressure.record_rate(20.0, boottime_s())
+        pair.replica_at_client.backpressure.rate.record(20.0, boottime_s())
         await pair.client.acquire(pair.replica_at_client, 0.0)
         assert pair.nodes[CLIENT].sent == asked + 1
 
@@ -104,7 +104,7 @@
 def test_pacer_that_knows_of_no_rate_limit_grants_at_once() -> None:
     async def scenario() -> None:
         pair = pacer_and_client()
-        pair.replica_at_pacer.backpressure.record_no_rate(boottime_s() + 1.0)
+        pair.replica_at_pacer.backpressure.rate.record_absent(boottime_s() + 1.0)
         for _ in range(3):
             assert await pair.client.acquire(pair.replica_at_client, 0.0) == RatePermit(True, 0.0)
 
@@ -117,7 +117,7 @@
         pair.nodes[PACER].is_cut = True
         assert await pair.client.acquire(pair.replica_at_client, 1.0) == RatePermit(False, AVOID_S)
         without_pacer, replica = gateway_at(pair.nodes[CLIENT], None)
-        replica.backpressure.record_rate(2.0, boottime_s())
+        replica.backpressure.rate.record(2.0, boottime_s())
         assert await without_pacer.acquire(replica, 1.0) == RatePermit(False, AVOID_S)
 
     asyncio.run(scenario())
@@ -129,7 +129,7 @@
         nodes.update({address: Node(address, nodes) for address in (PACER, CLIENT)})
         gateway_at(nodes[PACER], 'somebody else')
         client, replica = gateway_at(nodes[CLIENT], PACER)
-        replica.backpressure.record_rate(2.0, boottime_s())
+        replica.backpressure.rate.record(2.0, boottime_s())
         assert not (await client.acquire(replica, 0.0)).is_granted
 
     asyncio.run(scenario())
--- a/tests/dispatch/test_rate_limiter.py
+++ b/tests/dispatch/test_rate_limiter.py
@@ -23,7 +23,7 @@
     record = ReplicaRecord('r-1', 'app', '127.0.0.1:1', 'z1', 8, False, None, (), 1)
     replica = Replica(record, {})
     if rate_per_s is not None:
-        replica.backpressure.record_rate(rate_per_s, 0.0)
+        replica.backpressure.rate.record(rate_per_s, 0.0)
     return replica
 
 
@@ -105,10 +105,10 @@
     replica = replica_with(0.1)
     limiters.try_acquire(replica, 0.0, 10.0)
     assert limiters.wait_s(replica, 15.0) > 4.0
-    replica.backpressure.record_rate(20.0, 15.0)
+    replica.backpressure.rate.record(20.0, 15.0)
     assert limiters.wait_s(replica, 15.0) == 0.0
     limiters.try_acquire(replica, 0.0, 15.0)
-    replica.backpressure.record_rate(0.1, 16.0)
+    replica.backpressure.rate.record(0.1, 16.0)
     limiters.try_acquire(replica, 0.0, 16.0)
     assert limiters.wait_s(replica, 16.0) > 9.0
 
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -152,7 +152,7 @@
     for replica_id in replica_ids:
         replica = selector.directory.get(replica_id)
         assert replica is not None
-        replica.backpressure.record_rate(2.0, boottime_s())
+        replica.backpressure.rate.record(2.0, boottime_s())
 
 
 @in_loop
--- a/tests/replicas/test_backpressure.py
+++ b/tests/replicas/test_backpressure.py
@@ -14,23 +14,23 @@
 
 def test_rate_limit_remains_active_without_further_responses() -> None:
     backpressure = Backpressure()
-    backpressure.record_rate(2.3, received_s=10.0)
+    backpressure.rate.record(2.3, received_s=10.0)
     assert backpressure.rate_per_s == 2.3
 
 
 def test_response_without_a_rate_ends_it_only_if_its_call_was_sent_later() -> None:
     backpressure = Backpressure()
-    backpressure.record_rate(2.3, received_s=10.0)
-    backpressure.record_no_rate(sent_s=9.9)
+    backpressure.rate.record(2.3, received_s=10.0)
+    backpressure.rate.record_absent(sent_s=9.9)
     assert backpressure.rate_per_s == 2.3
-    backpressure.record_no_rate(sent_s=10.1)
+    backpressure.rate.record_absent(sent_s=10.1)
     assert backpressure.rate_per_s is None
 
 
 def test_rate_limit_is_set_again_after_it_ended() -> None:
     backpressure = Backpressure()
-    backpressure.record_no_rate(sent_s=10.0)
-    backpressure.record_rate(0.3, received_s=11.0)
+    backpressure.rate.record_absent(sent_s=10.0)
+    backpressure.rate.record(0.3, received_s=11.0)
     assert backpressure.rate_per_s == 0.3
 
 
@@ -49,9 +49,9 @@
         backpressure = Backpressure()
         for rate_per_s, at in notices:
             if rate_per_s is None:
-                backpressure.record_no_rate(at)
+                backpressure.rate.record_absent(at)
             else:
-                backpressure.record_rate(rate_per_s, at)
+                backpressure.rate.record(rate_per_s, at)
         results.append(backpressure.rate_per_s)
         random.shuffle(notices)
     assert results[0] == results[1]
