--- /dev/null
+++ b/tests/gateway/test_crashing_part.py
@@ -0,0 +1,92 @@
+"""Calls with a part of a prompt that crashes replicas are refused after a few crashes, others not.
+
+Guards against calls of which no two are alike, and of which some share a part that crashes each
+replica that begins to write an answer: no call is seen twice, so none is refused for its content,
+and replicas crash for as long as such calls come.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+import pytest
+
+from tests.support.fleet import FleetWorld, run_fleet
+
+BAD_PART = 'bad0'
+CRASH_TEXT = b'deadly'
+CALLS_PER_S = 14
+CRASHING_SHARE = 0.3
+#: Time in which all gateways must know, and crashes allowed after that.
+CONTACT_S = 3.0
+MAX_LATE_CRASHES = 3
+#: Crashes after which that time begins.
+KNOWN_AFTER_CRASHES = 5
+#: Least share of sound calls that are served once the crashes are known, relative to before.
+LEAST_SHARE = 0.5
+
+
+@attrs.define
+class _Sent:
+    at_s: float
+    crashing: bool
+    status: int
+
+
+def _parts(number: int, rng: random.Random, *, crashing: bool) -> str:
+    middle = BAD_PART if crashing else f'f{rng.randrange(6)}'
+    return f'aa:40,{middle}:30,e{number:x}:30'
+
+
+async def _send_for(
+    world: FleetWorld, rng: random.Random, for_s: float, share: float
+) -> list[_Sent]:
+    """Send calls of which no two are alike to random gateways.
+
+    :param share: of the calls that have the part that crashes replicas.
+    """
+    loop = asyncio.get_running_loop()
+
+    async def send(number: int, crashing: bool) -> _Sent:
+        at_s = loop.time()
+        body = b'%s %d' % (CRASH_TEXT if crashing else b'sound', number)
+        status = await world.call_at(
+            rng.randrange(len(world.centres)),
+            '/stream/x',
+            body,
+            Limeshelf_Model='m1',
+            Limeshelf_Token_Count='100,20',
+            Limeshelf_Prompt_Prefix=_parts(number, rng, crashing=crashing),
+        )
+        return _Sent(at_s, crashing, status)
+
+    calls = []
+    for _ in range(int(for_s * CALLS_PER_S)):
+        number = rng.getrandbits(32)
+        calls.append(asyncio.create_task(send(number, rng.random() < share)))
+        await asyncio.sleep(1 / CALLS_PER_S)
+    return list(await asyncio.gather(*calls))
+
+
+def _share_served(calls: list[_Sent], since_s: float = 0.0) -> float:
+    sound = [call for call in calls if not call.crashing and call.at_s >= since_s]
+    return sum(call.status == 200 for call in sound) / len(sound)
+
+
+@pytest.mark.parametrize('seed', [4, 11])
+def test_part_of_prompts_that_crashes_replicas_is_refused_and_sound_calls_are_served(
+    seed: int,
+) -> None:
+    async def scenario(world: FleetWorld) -> None:
+        rng = random.Random(seed)
+        before = await _send_for(world, rng, 3.0, 0.0)
+        calls = await _send_for(world, rng, 14.0, CRASHING_SHARE)
+        known_s = world.ends[KNOWN_AFTER_CRASHES - 1 :][:1] or world.ends[-1:]
+        late = sum(at_s > known_s[0] + CONTACT_S for at_s in world.ends)
+        served = _share_served(calls, known_s[0] + 2 * CONTACT_S)
+        assert late <= MAX_LATE_CRASHES
+        assert served >= LEAST_SHARE * _share_served(before)
+
+    run_fleet(scenario, engines=6, crash_text=CRASH_TEXT)
