Refuse calls with a part of a prompt that crashes replicas

Cause: a suspect was the content of a whole call. Each such call is a new one, with one crash; nothing counted what calls have in common. And every call at a crashed replica was a suspect alike, also one whose answer had long begun.

The parts of prompts but the last are now suspects of their own, in the same sets that merge over all gateways and in the same messages and rows. Those of calls whose answer had not begun, or less than 0.25 s ago, count. A part that all calls share is a suspect of every crash too, so a call that begins to be answered clears its parts of the crashes known then, and crashes that a rarer part explains do not count against one that occurs in more calls. From three crashes, two of them isolated, or four of any kind, calls with the part are refused for a minute after the latest crash; then each gateway tries one, at times that differ.

--- a/limeshelf/calls/fingerprint.py
+++ b/limeshelf/calls/fingerprint.py
@@ -1,4 +1,4 @@
-"""Content hashes that recognise a repeated call or model load.
+"""Content hashes that recognise a repeated call, part of a prompt or model load.
 
 A call's hash covers what stays the same when its caller retries, under another id and at any
 gateway.
@@ -6,18 +6,21 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from typing import TYPE_CHECKING, NewType
 
 if TYPE_CHECKING:
     from limeshelf.calls.call import Call
 
-#: Hash of the content of a call, or of a load, in hexadecimal digits.
+#: Hash of the content of a call, of a part of a prompt, or of a load, in hexadecimal digits.
 Fingerprint = NewType('Fingerprint', str)
 
 #: With 1,000 fingerprints stored and 10^9 calls, the probability of a collision is 5e-8 at this
 #: length.
 FINGERPRINT_BYTES = 8
+#: Parts occur in many calls.
+PARTS_CACHED = 1024
 
 
 def fingerprint_of(call: Call) -> Fingerprint:
@@ -49,6 +52,23 @@
     return Fingerprint(digest.hexdigest())
 
 
+def part_fingerprints(call: Call) -> tuple[Fingerprint, ...]:
+    """Return the fingerprints of the parts of a call's prompt, without the last one.
+
+    The last part belongs to the call itself or to its session.
+    """
+    if call.model_need is None:
+        return ()
+    return tuple(_part_fingerprint(part.part_id) for part in call.model_need.parts[:-1])
+
+
+@functools.lru_cache(maxsize=PARTS_CACHED)
+def _part_fingerprint(part_id: str) -> Fingerprint:
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, person=b'part')
+    _add(digest, part_id.encode(errors='surrogateescape'))
+    return Fingerprint(digest.hexdigest())
+
+
 def _add(digest: hashlib.blake2b, part: bytes) -> None:
     # The length comes first, so that parts split at other places hash differently.
     digest.update(len(part).to_bytes(8, 'big'))
--- a/limeshelf/crashes/crash_detector.py
+++ b/limeshelf/crashes/crash_detector.py
@@ -26,6 +26,8 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from limeshelf.calls.fingerprint import Fingerprint
     from limeshelf.crashes.suspects import Suspects
     from limeshelf.replicas.directory import ReplicaDirectory
@@ -63,6 +65,7 @@
     """A start of a replica at which calls or loads were interrupted.
 
     :ivar interrupted: these calls and loads.
+    :ivar interrupted_parts: parts of the prompts of these calls that may have caused a crash.
     :ivar interrupted_s: time of the latest interruption, on the boot clock.
     :ivar has_lost_connection: whether a connection broke. A lost load does not show that, since
         the replica may be behind a partition that drops packets.
@@ -75,6 +78,7 @@
     replica: Replica
     interrupted_s: float
     interrupted: set[Fingerprint] = attrs.field(factory=set)
+    interrupted_parts: set[Fingerprint] = attrs.field(factory=set)
     has_lost_connection: bool = False
     has_crashed: bool = False
     crash_detected_s: float = 0.0
@@ -95,13 +99,19 @@
         self._tasks = tasks
         self._watched: dict[ReplicaStart, _WatchedStart] = {}
 
-    def record_interrupted_call(self, fingerprint: Fingerprint, replica: Replica) -> None:
+    def record_interrupted_call(
+        self, fingerprint: Fingerprint, replica: Replica, parts: Iterable[Fingerprint] = ()
+    ) -> None:
         """Record that a call lost its connection before its response was complete.
 
         Ignored for a replica that has announced that it is leaving, because it exits anyway.
+
+        :param parts: parts of its prompt that may have crashed the replica.
         """
         if not _has_announced_leaving(replica):
-            self._watched_start_of(replica).has_lost_connection = True
+            watched = self._watched_start_of(replica)
+            watched.has_lost_connection = True
+            watched.interrupted_parts.update(parts)
             self._record_interrupted(fingerprint, replica)
 
     def record_lost_load(self, fingerprint: Fingerprint, replica: Replica) -> None:
@@ -118,7 +128,8 @@
         watched.interrupted_s = now_s
         watched.interrupted.add(fingerprint)
         if watched.has_crashed:
-            self._suspects.record_crash(fingerprint, _crash_of(replica))
+            for suspect in sorted(watched.interrupted_parts | {fingerprint}):
+                self._suspects.record_crash(suspect, _crash_of(replica))
             if watched.is_coincident:
                 self._suspects.mark_coincident(_crash_of(replica))
         elif watched.check is None:
@@ -183,7 +194,7 @@
             learned_by=learned_by,
             calls=len(watched.interrupted),
         )
-        for fingerprint in sorted(watched.interrupted):
+        for fingerprint in sorted(watched.interrupted | watched.interrupted_parts):
             self._suspects.record_crash(fingerprint, crash)
         self._mark_coincident(watched)
 
--- a/limeshelf/crashes/suspects.py
+++ b/limeshelf/crashes/suspects.py
@@ -1,7 +1,8 @@
-"""Calls that were running at replicas when these crashed, merged over all gateways.
+"""Calls, and parts of their prompts, that were running at replicas when these crashed.
 
 A crash interrupts all calls at the replica, and one of them may be its cause, so each of them
-becomes a suspect. A call that later completes at another replica is cleared. The state of a
+becomes a suspect, and so do parts of prompts (:mod:`limeshelf.crashes.crashing_parts`) and loads.
+A call that later completes at another replica is cleared. The state of a
 suspect is three sets that only grow: crashes, coincident crashes and cleared crashes. They can be
 merged in any order, late or repeatedly, with the same result, while a counter would count a crash
 twice that two gateways detected.
@@ -193,6 +194,15 @@
         if state is not None:
             self.merge(attrs.evolve(state, cleared=state.crashes), UpdateSource.OWN)
 
+    def clear(self, fingerprint: Fingerprint, crashes: frozenset[ReplicaCrash]) -> None:
+        """Clear a suspect of some crashes, because it has run since without crashing a replica."""
+        state = self.state_of(fingerprint)
+        if state is not None:
+            self.merge(
+                attrs.evolve(state, cleared=state.cleared | crashes & state.crashes),
+                UpdateSource.OWN,
+            )
+
     def withdraw_crash(self, crash: ReplicaCrash) -> None:
         """Clear a crash for all calls, because the replica has responded."""
         for state in self.states():
--- a/limeshelf/gateway/attempts.py
+++ b/limeshelf/gateway/attempts.py
@@ -77,7 +77,7 @@
         replica = selected.replica
         tokens = call.model_need.memory_tokens if call.model_need else 0
         state.begin_attempt()
-        self.quarantine.record_send(state.fingerprint)
+        self.quarantine.record_send(state)
         context = SendContext(
             left_s=state.left_s,
             replica_id=replica.replica_id,
@@ -131,6 +131,7 @@
 
     def _report_first_event(self, state: CallState, selected: Selected) -> None:
         selected.report_first_event()
+        self.quarantine.record_first_event(state)
         self.demand.record_served(state.call, state.service)
 
     def _apply_result(self, state: CallState, replica: Replica, result: ReplicaResult) -> None:
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -129,7 +129,8 @@
         if isinstance(state, Refuse):
             await self._final_answer.send(call, state, answer)
             return
-        quarantined = self._quarantine.check(state.fingerprint)
+        self._quarantine.record_call(state)
+        quarantined = self._quarantine.check(state)
         if quarantined is not None:
             await self._final_answer.send(call, quarantined, answer, state.organisation)
             return
@@ -209,7 +210,7 @@
         if is_too_late(state.left_s):
             # After a suspension of the machine, selection may succeed past the deadline.
             return deadline_refusal(state.route)
-        quarantined = self._quarantine.check(state.fingerprint)
+        quarantined = self._quarantine.check(state)
         return quarantined or self._access.check(state.call, state.route)
 
     async def _select_unless_stopped(self, state: CallState) -> Selected | ForwardTo | Ending:
--- a/limeshelf/gateway/quarantine.py
+++ b/limeshelf/gateway/quarantine.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
@@ -13,26 +14,38 @@
 from limeshelf.errors import NotRun, RefusalReason
 from limeshelf.gateway.endings import STATUS_UNAVAILABLE, Refuse
 from limeshelf.gateway.result_rules import CallFinding, classify_for_call
+from limeshelf.gateway.state import BegunAnswer
+from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
     from limeshelf.calls.fingerprint import Fingerprint
     from limeshelf.crashes.crash_detector import CrashDetector
+    from limeshelf.crashes.crashing_parts import CrashingParts
     from limeshelf.crashes.quarantine import Quarantine, Quarantined
     from limeshelf.gateway.exchange import ReplicaResult
     from limeshelf.gateway.state import CallState
     from limeshelf.replicas.replica import Replica
 
 
+#: An answer that has gone on for this long after its first event did not crash its replica.
+BEGUN_PROOF_S = 0.25
+
+
 @attrs.frozen
 class QuarantineGuard:
     """Checks calls before each send, and records their results."""
 
     quarantine: Quarantine
     detector: CrashDetector
+    parts: CrashingParts
+
+    def record_call(self, state: CallState) -> None:
+        """Record that a call has arrived here."""
+        self.parts.record_call(state.parts)
 
-    def check(self, fingerprint: Fingerprint) -> Refuse | None:
+    def check(self, state: CallState) -> Refuse | None:
         """Return the refusal of a call by the crashes known now; ``None`` if it may be sent."""
-        quarantined = self.quarantine.check(fingerprint)
+        quarantined = self.quarantine.check(state.fingerprint) or self.parts.check(state.parts)
         return _refusal_of(quarantined) if quarantined is not None else None
 
     async def check_confirmed(self, state: CallState) -> Refuse | None:
@@ -46,12 +59,38 @@
         unconfirmed = self.detector.unconfirmed_crashes(fingerprint)
         if self.quarantine.check(fingerprint, unconfirmed, broken_twice=broken_twice):
             await self.detector.wait_until_checked(fingerprint)
-        quarantined = self.quarantine.check(fingerprint, broken_twice=broken_twice)
+        quarantined = self.quarantine.check(
+            fingerprint, broken_twice=broken_twice
+        ) or self.parts.check(state.parts)
         return _refusal_of(quarantined) if quarantined is not None else None
 
-    def record_send(self, fingerprint: Fingerprint) -> None:
+    def record_send(self, state: CallState) -> None:
         """Record that a call is sent."""
-        self.quarantine.record_sent(fingerprint)
+        self.quarantine.record_sent(state.fingerprint)
+        self.parts.record_sent(state.parts)
+
+    def record_first_event(self, state: CallState) -> None:
+        """Record that the first event of an answer has arrived.
+
+        A part of a prompt that crashes replicas does so when they begin to answer, so the parts of
+        this prompt are cleared of the crashes known now, once the replica has gone on for a while.
+        """
+        suspects = self.quarantine.suspects
+        known = {part: suspects.state_of(part) for part in state.parts}
+        crashes = {
+            part: found.crashes
+            for part, found in known.items()
+            if found is not None and found.crashes - found.cleared
+        }
+        state.begun = BegunAnswer(boottime_s(), crashes)
+        if crashes:
+            state.begun.timer = asyncio.get_running_loop().call_later(
+                BEGUN_PROOF_S, self._clear_parts, state.begun
+            )
+
+    def _clear_parts(self, begun: BegunAnswer) -> None:
+        for part, crashes in begun.crashes.items():
+            self.quarantine.suspects.clear(part, crashes)
 
     def record_result(
         self, state: CallState, replica: Replica, result: ReplicaResult, sent_s: float
@@ -62,13 +101,31 @@
         """
         finding = classify_for_call(result)
         if finding is CallFinding.DISCONNECTED:
-            self.detector.record_interrupted_call(state.fingerprint, replica)
+            parts = _suspicious_parts(state)
+            self.detector.record_interrupted_call(state.fingerprint, replica, parts)
         elif finding is not CallFinding.NONE:
             self.detector.record_response(replica, sent_s)
         if finding is CallFinding.FINISHED:
+            if state.begun is not None:
+                self._clear_parts(state.begun)
             self.quarantine.suspects.record_completion(state.fingerprint)
 
 
+def _suspicious_parts(state: CallState) -> tuple[Fingerprint, ...]:
+    """Return the parts that may have crashed the replica of a call that was interrupted.
+
+    None if the answer had gone on for a while: it was not the cause.
+    """
+    begun = state.begun
+    if begun is None:
+        return state.parts
+    if boottime_s() - begun.begun_s >= BEGUN_PROOF_S:
+        return ()
+    if begun.timer is not None:
+        begun.timer.cancel()
+    return state.parts
+
+
 def _refusal_of(quarantined: Quarantined) -> Refuse:
     # Not a 4xx, though only other content would help: the caller is not proved to be at fault,
     # and this attempt has surely not run.
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -7,7 +7,7 @@
 import attrs
 
 from limeshelf.admission.wait_limits import is_retry
-from limeshelf.calls.fingerprint import Fingerprint, fingerprint_of
+from limeshelf.calls.fingerprint import Fingerprint, fingerprint_of, part_fingerprints
 from limeshelf.gateway.endings import CallProgress
 from limeshelf.gateway.events import EventSplitter
 from limeshelf.gateway.exchange import (
@@ -21,14 +21,31 @@
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
+    import asyncio
+
     from limeshelf.calls.call import Call
     from limeshelf.calls.routes import Route, ServiceSpec
+    from limeshelf.crashes.suspects import ReplicaCrash
     from limeshelf.gateway.answer import Answer
     from limeshelf.gateway.exchange import AttemptResult
     from limeshelf.organisations.organisation import Organisation
     from limeshelf.organisations.usage import Reservation
 
 
+@attrs.define
+class BegunAnswer:
+    """The answer of an attempt that has begun.
+
+    :ivar begun_s: when its first event arrived, on the boot clock.
+    :ivar crashes: crashes that the parts of its prompt were suspected of at that time.
+    :ivar timer: clears the parts once the replica has gone on for a while.
+    """
+
+    begun_s: float
+    crashes: dict[Fingerprint, frozenset[ReplicaCrash]]
+    timer: asyncio.TimerHandle | None = None
+
+
 @attrs.define
 class CallState:
     """The state of a call.
@@ -48,6 +65,8 @@
     :ivar last_result: result of the latest attempt.
     :ivar waited_s: time from its arrival to the latest send, in seconds.
     :ivar fingerprint: identifies its content; the same for each retry of the caller.
+    :ivar parts: fingerprints of the parts of its prompt, without the last one.
+    :ivar begun: that its latest attempt has begun to be answered; ``None`` before.
     """
 
     call: Call
@@ -70,10 +89,15 @@
     fingerprint: Fingerprint = attrs.Factory(
         lambda self: fingerprint_of(self.call), takes_self=True
     )
+    parts: tuple[Fingerprint, ...] = attrs.Factory(
+        lambda self: part_fingerprints(self.call), takes_self=True
+    )
+    begun: BegunAnswer | None = None
 
     def begin_attempt(self) -> None:
         """Count an attempt that starts now."""
         self.sends += 1
+        self.begun = None
         if self.reservation is not None:
             self.reservation.record_sent()
         self.waited_s = self.since_arrival_s
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -12,6 +12,7 @@
 from limeshelf.admission.retry_budget import RetryBudgets, RetryRule
 from limeshelf.calls.active_config import ActiveConfig
 from limeshelf.crashes.crash_detector import CrashDetector
+from limeshelf.crashes.crashing_parts import CrashingParts
 from limeshelf.crashes.lost_loads import LostLoads
 from limeshelf.crashes.quarantine import Quarantine
 from limeshelf.crashes.quarantine_sync import QuarantineSync
@@ -251,7 +252,9 @@
         )
         selector = ReplicaSelector(self.directory, plain, self.dispatch_client, self.permits)
         self.access = AccessGuard(self.active_config, self.config_age_s, access_rule(settings))
-        guard = QuarantineGuard(Quarantine(self.suspects), self.crash_detector)
+        guard = QuarantineGuard(
+            Quarantine(self.suspects), self.crash_detector, CrashingParts(self.suspects)
+        )
         attempts = AttemptRunner(
             wire, self.directory, self.pool, self.active_config, guard, self.notices, self.meter
         )
