--- a/tests/forms/test_messages.py
+++ b/tests/forms/test_messages.py
@@ -50,6 +50,12 @@
     'a577686f6c65c2ab646174615f63656e747265a27a31a46b696e64ae7265706c6963612d73746174'
     '6573a673656e646572ad31302e302e302e313a37303031'
 )
+#: Notices of the release that did not read how many rejections a replica bears.
+NOTICES_WITHOUT_REJECTIONS = (
+    '84a4626f647981a76e6f74696365739195a3722d31cf0000019f81f4dcc0cb400266666666666678'
+    'c3ab646174615f63656e747265a27a31a46b696e64af7265706c6963612d6e6f7469636573a67365'
+    '6e646572ad31302e302e302e313a37303031'
+)
 #: A verdict of the release whose grants brought no turns.
 OLD_VERDICT = (
     '84a4626f647984a46b696e64a76772616e746564aa7265706c6963615f6964a3722d31a97469636b'
@@ -209,6 +215,12 @@
     assert [state.born_ms for state in message.states] == [None]
 
 
+def test_notices_of_a_gateway_that_does_not_read_how_many_rejections_a_replica_bears() -> None:
+    message = decode(bytes.fromhex(NOTICES_WITHOUT_REJECTIONS)).message
+    assert {entry.rejections_per_s for entry in message.notices} == {None}
+    assert {entry.rejections_known_ms_ago for entry in message.notices} == {None}
+
+
 def test_verdict_of_a_dispatcher_that_gives_no_turns() -> None:
     message = decode(bytes.fromhex(OLD_VERDICT)).message
     assert (message.replica_id, message.has_turn) == ('r-1', False)
