Reject numbers of other writers' rows that cannot be kept or passed on

Reported: another writer left one odd entry among those of the replicas, with a number too large, and the machines that read the list ended again and again, or stopped following it.

Here: born of 2^70 and Slots of 2^63 were accepted. Messages between gateways hold 64 bits. Played on with three gateways and one such row: the tasks states and notices failed at each of them (OverflowError: can't serialize ints), so that the leader's states went out no more. With so many slots a replica also gets all calls. Host names and 999.0.0.1 were accepted as addresses; their look-up has no time limit, and calls wait for it. A port out of range in a member's row was taken for the link to it. SeqNo below 0 was compared with heartbeats.

Whole numbers of rows, reports, the lease row and quarantine rows are from 0 to 2^53, slots up to a million, addresses an IP address and a port. Such an entry names nothing, and the others hold, as of any row that cannot be read. Too deeply nested ones were rejected before; a test holds that now.

--- a/limeshelf/crashes/rows.py
+++ b/limeshelf/crashes/rows.py
@@ -10,7 +10,7 @@
 
 from limeshelf.calls.fingerprint import Fingerprint
 from limeshelf.crashes.suspects import CallCrash, ReplicaCrash, SuspectState
-from limeshelf.util.decoding import DECODE_ERRORS
+from limeshelf.util.decoding import DECODE_ERRORS, Count
 
 #: The keys of its rows are the fingerprints of calls.
 QUARANTINE_TABLE = 'quarantine'
@@ -20,7 +20,7 @@
     """One crash in a row; see :class:`~limeshelf.crashes.suspects.CallCrash`."""
 
     replica_id: str
-    born_ms: int = 0
+    born_ms: Count = 0
     cleared: bool = False
     coincident: bool = False
 
--- a/limeshelf/lease/row.py
+++ b/limeshelf/lease/row.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from limeshelf.errors import InvalidDocument, Problem
-from limeshelf.util.decoding import DECODE_ERRORS
+from limeshelf.util.decoding import DECODE_ERRORS, Count
 
 if TYPE_CHECKING:
     from limeshelf.feeds.position import Position
@@ -33,8 +33,8 @@
     """
 
     holder: str
-    fence: int
-    until_ms: int
+    fence: Count
+    until_ms: Count
 
     def encode(self) -> bytes:
         """Return the value as stored in the row."""
--- a/limeshelf/membership/member.py
+++ b/limeshelf/membership/member.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import attrs
 import msgspec
 
 from limeshelf.membership.liveness import is_active
+from limeshelf.util.addresses import MAX_PORT
 from limeshelf.util.clock import boottime_s
 
 MEMBER_TABLE = 'members'
@@ -24,7 +27,9 @@
     address: str
     data_centre: str = ''
     weight: float = 0.0
-    forward_port: int | msgspec.UnsetType = msgspec.UNSET
+    forward_port: Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)] | msgspec.UnsetType = (
+        msgspec.UNSET
+    )
 
 
 @attrs.define
--- a/limeshelf/membership/registration.py
+++ b/limeshelf/membership/registration.py
@@ -18,6 +18,7 @@
 from limeshelf.membership.member import MEMBER_TABLE, MemberValue
 from limeshelf.membership.messages import GatewayLeaving
 from limeshelf.metrics.event_log import log_change
+from limeshelf.util.addresses import is_ip_address_and_port
 from limeshelf.util.backoff import full_jitter_s
 from limeshelf.util.decoding import DECODE_ERRORS
 
@@ -46,8 +47,7 @@
         member = _value_decoder.decode(value)
     except DECODE_ERRORS:
         return None
-    host, _, port = member.address.rpartition(':')
-    return member if host and port.isascii() and port.isdigit() else None
+    return member if is_ip_address_and_port(member.address) else None
 
 
 @attrs.define
--- a/limeshelf/platform/replicas.py
+++ b/limeshelf/platform/replicas.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-import re
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 
 from limeshelf.errors import InvalidDocument, Problem
 from limeshelf.replicas.record import Holding, ReplicaRecord, ReplicaReport
-from limeshelf.util.decoding import DECODE_ERRORS
+from limeshelf.util.addresses import is_ip_address_and_port
+from limeshelf.util.decoding import DECODE_ERRORS, MAX_WHOLE_NUMBER, Count
 
 if TYPE_CHECKING:
     from limeshelf.feeds.restore_rule import WriterVersion
@@ -24,9 +24,8 @@
 READY = 'ready'
 #: State of a replica that accepts no new calls and will stop soon.
 DRAINING = 'draining'
-#: A host name or IP address, IPv6 in brackets, followed by a port.
-_ADDRESS = re.compile(r'(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})')
-MAX_PORT = 65535
+#: No replica runs more calls at once; with a larger number it would get all calls.
+MAX_SLOTS = 1_000_000
 
 
 class _LoadedModel(msgspec.Struct, rename='pascal'):
@@ -53,11 +52,11 @@
     #: The data centre.
     zone: str
     #: Number of calls that it runs concurrently; it queues a few more.
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
     #: Counts heartbeats, whereas the field of the same name in a report counts accepted
     #: orders. If the two are confused, the replica refuses every order.
-    seq_no: int
+    seq_no: Count
     #: Time until the replica stops, regardless of running calls; set only by a replica that
     #: stops at short notice.
     remaining_ms: float | None = None
@@ -72,13 +71,13 @@
     is_busy: bool = False
     #: Orders accepted since its start, including those for adapters; not heartbeats as in the
     #: row.
-    seq_no: int = 0
+    seq_no: Count = 0
     #: Number of queued calls.
-    queued: int = 0
+    queued: Count = 0
     #: Number of calls in the batch.
-    running: int = 0
+    running: Count = 0
     #: Cache use in tokens, without cached prompts that can be evicted.
-    kv_used: int = 0
+    kv_used: Count = 0
     #: Adapters being loaded, as MODEL/NAME@VERSION; they already take up capacity.
     loading: list[str] = []
     #: As in the row; empty if not stated.
@@ -94,7 +93,7 @@
 class _RowAge(msgspec.Struct, rename='pascal'):
     """The fields that order the rows of one replica by age."""
 
-    seq_no: int
+    seq_no: Count
     born: Any = msgspec.field(name='born', default=None)
 
 
@@ -117,12 +116,12 @@
 def _born_ms(born: Any) -> int | None:
     """Return the start time of a replica; ``None`` if it states none.
 
-    :raises InvalidDocument: the start time is not a whole number.
+    :raises InvalidDocument: the start time is no whole number, or none that can be passed on.
     """
     if born is None:
         return None
-    if type(born) is not int:
-        raise InvalidDocument([Problem('born', 'is not a whole number')])
+    if type(born) is not int or not 0 <= born <= MAX_WHOLE_NUMBER:
+        raise InvalidDocument([Problem('born', 'is not a time in milliseconds since 1970')])
     return born
 
 
@@ -134,11 +133,9 @@
 
     :raises InvalidDocument: with one problem for each invalid field.
     """
-    address = _ADDRESS.fullmatch(row.address)
     checks = {
         'Service': bool(row.service),
-        'Address': address is not None and 0 < int(address[1]) <= MAX_PORT,
-        'Slots': row.slots >= 1,
+        'Address': is_ip_address_and_port(row.address),
         'State': row.state in (READY, DRAINING),
     }
     problems = [
@@ -178,7 +175,7 @@
         data_centre=row.zone,
         slots=row.slots,
         leaving=row.state == DRAINING,
-        leaves_in_s=None if row.remaining_ms is None else row.remaining_ms / _MS_PER_S,
+        leaves_in_s=None if row.remaining_ms is None else max(0.0, row.remaining_ms / _MS_PER_S),
         holdings=_holdings(row.models),
         heartbeat_number=row.seq_no,
         born_ms=_born_ms(row.born),
--- a/tests/platform/test_foreign_rows.py
+++ b/tests/platform/test_foreign_rows.py
@@ -7,8 +7,9 @@
 import math
 from typing import Any
 
+import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from limeshelf.errors import InvalidDocument
@@ -155,6 +156,16 @@
         {'Models': [{'Name': 'm1', 'Adapters': [7]}]},
         {'Models': [{'Name': 'm1', 'Adapters': [{'Name': 7}]}]},
         {'Models': [{'Adapters': []}]},
+        {'Address': '10.0.0.1:' + '8' * 5000},
+        {'Address': '999.0.0.1:80'},
+        {'Address': 'host:80'},
+        {'Slots': 2**63},
+        {'Slots': 2**200},
+        {'SeqNo': -5},
+        {'SeqNo': 2**63},
+        {'born': 2**70},
+        {'born': -(2**70)},
+        {'born': 10**400},
     ],
 )
 def test_row_with_an_invalid_value_is_rejected(changes: dict[str, Any]) -> None:
@@ -162,6 +173,33 @@
         read_record('r1', row_value(**changes))
 
 
+@pytest.mark.parametrize('name', ['SeqNo', 'Queued', 'Running', 'KvUsed', 'born'])
+def test_report_with_a_number_too_large_is_rejected(name: str) -> None:
+    with pytest.raises(InvalidDocument):
+        read_report(json.dumps({**VALID_REPORT, name: 2**64}).encode())
+
+
+@given(st.sampled_from(['Slots', 'SeqNo', 'RemainingMs', 'born']), st.integers() | FINITE)
+@example('born', 2**70)
+def test_numbers_of_a_row_that_is_accepted_can_be_passed_on(name: str, value: float) -> None:
+    """Guards against one odd row that ends the tasks which send messages about replicas."""
+    try:
+        record = read_record('r1', row_value(**{name: value}))
+    except InvalidDocument:
+        return
+    msgspec.msgpack.encode(record)
+
+
+def test_nested_too_deeply_is_rejected() -> None:
+    for depth in (100, 1_500, 100_000):
+        nested = '[' * depth + ']' * depth
+        value = json.dumps({**VALID_ROW, 'Models': 0}).replace(
+            '"Models": 0', f'"Models": {nested}'
+        )
+        with pytest.raises(InvalidDocument):
+            read_record('r1', value.encode())
+
+
 @pytest.mark.parametrize('state', ['ready', 'draining'])
 def test_known_states_are_read(state: str) -> None:
     assert read_record('r1', row_value(State=state)).leaving is (state == 'draining')
