Carry a forwarded call like one of the gateway's own

By reading: a gateway that carries a call drew the service of a split route anew, and answered at once where its own call would have been held for room or for a load, so that its caller's gateway asked up to three others, each of which sent the call on to full replicas.

The service that was drawn travels with the call, and is kept if the route still leads there; the call is held and refused as any other. Only what concerns the refusing gateway alone (it reaches no replica either, starts, stops, knows another configuration) lets another one be asked; any other refusal is the caller's.

--- a/limeshelf/calls/routes.py
+++ b/limeshelf/calls/routes.py
@@ -75,6 +75,10 @@
         """Return whether a call may run more than once: a safe call or a resumable stream."""
         return self.kind is CallKind.SAFE or (self.kind is CallKind.STREAM and self.resumable)
 
+    def leads_to(self, service: str) -> bool:
+        """Return whether a service is one of the targets."""
+        return any(target.service == service for target in self.targets)
+
     def draw_service(self) -> str:
         """Return one of the services, chosen at random by weight."""
         if len(self.targets) == 1:
--- a/limeshelf/forwarding/messages.py
+++ b/limeshelf/forwarding/messages.py
@@ -14,6 +14,7 @@
 class ForwardedCall:
     """What the forwarding gateway knows of a call beyond its request.
 
+    :param service: service that the forwarding gateway drew for the call.
     :param key: digest of the caller's key in hexadecimal digits; ``None`` without a key.
     :param waited_ms: time since the call arrived at the forwarding gateway.
     :param caller_timeout_ms: time-out that the caller stated when the call arrived; ``None`` if it
@@ -22,6 +23,7 @@
     :param excluded: ids of replicas that refused or failed the call.
     """
 
+    service: str
     key: str | None
     waited_ms: int
     caller_timeout_ms: int | None
--- a/limeshelf/gateway/forwarder.py
+++ b/limeshelf/gateway/forwarder.py
@@ -47,12 +47,17 @@
 MAX_CONNECTIONS = 256
 #: How long a carried call shows that other gateways reach replicas that this one does not.
 CARRIED_RECENTLY_S = 2.0
-#: Reasons for which no other gateway would carry the call either; its caller gets the refusal.
-FINAL_REASONS = frozenset(
+#: Reasons that concern the refusing gateway alone, so that another one may carry the call. With
+#: any other, the caller gets the refusal.
+RETRIED_REASONS = frozenset(
     {
-        RefusalReason.OVERLOADED,
-        RefusalReason.QUARANTINED,
-        RefusalReason.DEADLINE_TOO_SHORT,
+        RefusalReason.UPSTREAM_UNREACHABLE,
+        RefusalReason.STARTING,
+        RefusalReason.STOPPING,
+        RefusalReason.BAD_REQUEST,
+        RefusalReason.UNKNOWN_ROUTE,
+        RefusalReason.UNKNOWN_KEY,
+        RefusalReason.CONFIG_TOO_OLD,
     }
 )
 
@@ -126,7 +131,7 @@
         if isinstance(result, NotCarried):
             if result.is_unreachable:
                 self.targets.record_unreachable(member)
-            elif result.outcome.reason not in FINAL_REASONS:
+            elif not result.is_final:
                 self.targets.record_refused(member, state.service.name)
             if result.outcome.reason is RefusalReason.OVERLOADED:
                 self.demand.count_refused(state.call, state.service)
@@ -146,6 +151,7 @@
     call = state.call
     timeout_s = call.caller_timeout_s
     return ForwardedCall(
+        service=state.service.name,
         key=call.key.hex() if call.key is not None else None,
         waited_ms=int(state.since_arrival_s * MS_PER_S),
         caller_timeout_ms=int(timeout_s * MS_PER_S) if timeout_s is not None else None,
@@ -159,7 +165,7 @@
     if wire.outcome is not None:
         if wire.outcome.kind is OutcomeKind.NOT_RUN:
             refusal = wire.outcome.refusal()
-            return NotCarried(refusal, is_final=refusal.reason in FINAL_REASONS)
+            return NotCarried(refusal, is_final=refusal.reason not in RETRIED_REASONS)
         return FailedElsewhere()
     if isinstance(result, NeverRan) and not result.reached:
         return NotCarried(NotRun(RefusalReason.UPSTREAM_UNREACHABLE), is_unreachable=True)
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -3,8 +3,8 @@
 Owns the set of calls that wait for a replica. Each step has a module of its own:
 :mod:`~limeshelf.gateway.access` (authorisation), :mod:`~limeshelf.gateway.limits` (rate limits),
 :mod:`~limeshelf.gateway.quarantine` (calls that crash replicas),
-:mod:`~limeshelf.gateway.selection` (choice of the replica),
-:mod:`~limeshelf.admission.hold_or_refuse` (no replica is available),
+:mod:`~limeshelf.gateway.selection` (choice of the replica), :mod:`~limeshelf.gateway.steps` (what
+follows from it), :mod:`~limeshelf.admission.hold_or_refuse` (no replica is available),
 :mod:`~limeshelf.gateway.attempts` (one send), :mod:`~limeshelf.gateway.forwarder` (sends by
 another gateway), :mod:`~limeshelf.admission.retry_rules` and
 :mod:`~limeshelf.admission.retry_budget` (retries),
@@ -18,22 +18,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import attrs
-
 from limeshelf.admission import retry_after
 from limeshelf.admission.hold_or_refuse import (
-    CallWithoutReplica,
     Hold,
-    RefuseUntilReady,
-    hold_or_refuse,
 )
 from limeshelf.admission.retry_rules import is_too_late, reason_not_to_send
-from limeshelf.dispatch.grants import NoCapacity
 from limeshelf.errors import NotRun, RefusalReason
-from limeshelf.gateway.call_log import (
-    log_no_replica,
-    log_overloaded,
-)
 from limeshelf.gateway.endings import (
     STATUS_UNAVAILABLE,
     STATUS_UNKNOWN_ROUTE,
@@ -45,18 +35,17 @@
     refuse_unavailable,
 )
 from limeshelf.gateway.final_answer import CarriedAnswerSender, FinalAnswerSender
-from limeshelf.gateway.selection import Selected, Unreachable
+from limeshelf.gateway.selection import Selected
 from limeshelf.gateway.state import CallState
+from limeshelf.gateway.steps import ForwardTo
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
-    from limeshelf.admission.retry_budget import RetryBudgets
     from limeshelf.calls.active_config import ActiveConfig
     from limeshelf.calls.call import Call
     from limeshelf.calls.routes import ServingConfig
     from limeshelf.calls.wire import CallWire
     from limeshelf.demand.meter import DemandMeter
-    from limeshelf.demand.waits import CallWaitEstimate
     from limeshelf.forwarding.wire import ReceivedCall
     from limeshelf.gateway.access import AccessGuard
     from limeshelf.gateway.answer import Answer
@@ -65,11 +54,10 @@
     from limeshelf.gateway.forwarder import Forwarder
     from limeshelf.gateway.limits import LimitGuard
     from limeshelf.gateway.quarantine import QuarantineGuard
-    from limeshelf.gateway.selection import ReplicaSelector, Selection
-    from limeshelf.membership.member import Member
+    from limeshelf.gateway.selection import ReplicaSelector
+    from limeshelf.gateway.steps import StepChooser
     from limeshelf.organisations.access import AccessGranted
     from limeshelf.replicas.directory import ReplicaDirectory
-    from limeshelf.replicas.pool import ConnectionPool
 
 #: The final answer is sent this long before the caller's time-out.
 ANSWER_MARGIN_S = 0.02
@@ -77,13 +65,6 @@
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 
 
-@attrs.frozen
-class ForwardTo:
-    """The call is sent through another gateway, which reaches replicas that this one does not."""
-
-    member: Member
-
-
 class Pipeline:
     """Serves calls under the current configuration."""
 
@@ -94,26 +75,24 @@
         selector: ReplicaSelector,
         attempts: AttemptRunner,
         demand: DemandMeter,
-        budgets: RetryBudgets,
         active_config: ActiveConfig,
         access: AccessGuard,
         limits: LimitGuard,
         quarantine: QuarantineGuard,
         forwarder: Forwarder,
-        pool: ConnectionPool,
+        steps: StepChooser,
     ) -> None:
         self._directory = directory
         self._selector = selector
         self._attempts = attempts
         self._demand = demand
-        self._budgets = budgets
         self._active_config = active_config
         self._final_answer = FinalAnswerSender(wire, active_config)
         self._access = access
         self._limits = limits
         self._quarantine = quarantine
         self._forwarder = forwarder
-        self._pool = pool
+        self._steps = steps
         self._carried_answer = CarriedAnswerSender(wire, active_config)
         self._waiting: set[asyncio.Task[object]] = set()
         self._stopping = False
@@ -150,7 +129,7 @@
 
         The other gateway counts the call against limits, as demand and in its retry budget.
         """
-        state = self._begin_call(received.call, answer)
+        state = self._begin_call(received.call, answer, received.forwarded.service)
         if isinstance(state, Refuse):
             await self._carried_answer.send(received.call, state, answer)
             return
@@ -164,12 +143,18 @@
 
     async def _serve_within_limit(self, state: CallState) -> None:
         call = state.call
-        self._budgets.of(state.service.name).record_call()
+        self._steps.record_call(state)
         with self._demand.track(call, state.service.name, state.route.objective_s):
             ending = await self._run_attempts(state)
             await self._final_answer.send(call, ending, state.answer, state.organisation)
 
-    def _begin_call(self, call: Call, answer: Answer) -> CallState | Refuse:
+    def _begin_call(
+        self, call: Call, answer: Answer, drawn_service: str = ''
+    ) -> CallState | Refuse:
+        """Return the state of a call that arrives, or its refusal.
+
+        :param drawn_service: service that another gateway drew for it; empty for none.
+        """
         config = self.config
         if config is None:
             return _not_ready(RefusalReason.STARTING)
@@ -179,7 +164,8 @@
         admitted = self._access.check(call, route)
         if isinstance(admitted, Refuse):
             return admitted
-        service = config.services.get(route.draw_service())
+        is_drawn = route.leads_to(drawn_service)
+        service = config.services.get(drawn_service if is_drawn else route.draw_service())
         if service is None:
             return _not_ready(RefusalReason.NO_READY_REPLICA)
         allowed_s = min(call.caller_timeout_s or DEFAULT_CALLER_TIMEOUT_S, route.timeout_s)
@@ -243,7 +229,7 @@
             refusal = await self._refusal_before_send(state)
             if refusal is not None:
                 return refusal
-            step = self._next_step(state, await self._selector.select(state))
+            step = self._steps.choose(state, await self._selector.select(state))
             if not isinstance(step, Hold):
                 return step
             await self._hold(state, step)
@@ -257,66 +243,6 @@
         admitted = quarantined or self._access.check(state.call, state.route)
         return refuse(state.progress(), admitted) if isinstance(admitted, Refuse) else None
 
-    def _next_step(
-        self, state: CallState, selection: Selection
-    ) -> Selected | ForwardTo | Hold | Ending:
-        """Return what follows from a selection."""
-        if isinstance(selection, NoCapacity):
-            return self._refuse_overloaded(state, selection.wait_s)
-        if isinstance(selection, Selected):
-            return self._use_replica(state, selection)
-        if isinstance(selection, Unreachable):
-            step = self._forward_or_refuse(state, selection)
-            if step is not None:
-                return step
-        elif state.is_forwarded:
-            return refuse_unavailable(state.progress(), RefusalReason.NO_READY_REPLICA)
-        wait_estimate = self._demand.estimate_wait(state.call, state.service)
-        decision = hold_or_refuse(_call_without_replica(state, wait_estimate))
-        if isinstance(decision, RefuseUntilReady):
-            return _refuse_no_replica(state, decision, wait_estimate)
-        return decision
-
-    def _use_replica(self, state: CallState, selected: Selected) -> Selected | Ending:
-        self._demand.record_key_held(state.call, state.service)
-        if self._may_send(state):
-            return selected
-        selected.report_end()
-        return refuse_unavailable(state.progress(), RefusalReason.UPSTREAM_REFUSED)
-
-    def _forward_or_refuse(
-        self, state: CallState, unreachable: Unreachable
-    ) -> ForwardTo | Ending | None:
-        """Return the gateway that may carry a call whose replicas cannot be reached from here.
-
-        ``None`` if there is none and the call is held, since a part of its answer was sent.
-        """
-        member = self._forwarder.choose(state)
-        if member is not None and self._may_send(state):
-            return ForwardTo(member)
-        return None if state.answer.started else self._refuse_unreachable(state, unreachable)
-
-    def _may_send(self, state: CallState) -> bool:
-        """Return whether a call may be sent now; spends the retry if this is one."""
-        return not state.sends or self._budgets.of(state.service.name).try_retry()
-
-    def _refuse_unreachable(self, state: CallState, unreachable: Unreachable) -> Ending:
-        """Refuse a call for whose replicas neither this gateway nor another one has a path."""
-        self._pool.probe_soon(unreachable.replicas)
-        retry_after_s = retry_after.for_wait_s(retry_after.UNREACHABLE_RETRY_AFTER_S, state.left_s)
-        return refuse_unavailable(
-            state.progress(), RefusalReason.UPSTREAM_UNREACHABLE, retry_after_s
-        )
-
-    def _refuse_overloaded(self, state: CallState, queue_wait_s: float) -> Ending:
-        left_s = state.left_s
-        if not state.is_forwarded:
-            self._demand.count_refused(state.call, state.service)
-        copy_in_s = self._demand.estimate_wait(state.call, state.service).announced_in_s
-        log_overloaded(state, queue_wait_s, copy_in_s)
-        retry_after_s = retry_after.for_overload_s(queue_wait_s, copy_in_s, left_s)
-        return refuse_unavailable(state.progress(), RefusalReason.OVERLOADED, retry_after_s)
-
     async def _hold(self, state: CallState, hold: Hold) -> None:
         """Wait for a change that may let a replica run the call."""
         if hold.retry_excluded:
@@ -325,27 +251,5 @@
         await self._directory.wait_for_change(hold.wait_s)
 
 
-def _call_without_replica(state: CallState, wait_estimate: CallWaitEstimate) -> CallWithoutReplica:
-    return CallWithoutReplica(
-        route=state.route,
-        expected_wait_s=wait_estimate.wait_s,
-        waited_s=state.since_arrival_s,
-        left_s=state.left_s,
-        is_caller_retry=state.is_caller_retry,
-        announced=wait_estimate.is_announced,
-        excluded=bool(state.excluded),
-        answer_started=state.answer.started,
-    )
-
-
 def _not_ready(reason: RefusalReason) -> Refuse:
     return Refuse(STATUS_UNAVAILABLE, NotRun(reason, retry_after.NOT_READY_RETRY_AFTER_S))
-
-
-def _refuse_no_replica(
-    state: CallState, refusal: RefuseUntilReady, wait_estimate: CallWaitEstimate
-) -> Ending:
-    log_no_replica(state, refusal.expected_wait_s, wait_estimate)
-    return refuse_unavailable(
-        state.progress(), RefusalReason.NO_READY_REPLICA, refusal.retry_after_s
-    )
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -33,6 +33,7 @@
 from limeshelf.gateway.pipeline import Pipeline
 from limeshelf.gateway.quarantine import QuarantineGuard
 from limeshelf.gateway.selection import ReplicaSelector
+from limeshelf.gateway.steps import StepChooser
 from limeshelf.lease.leadership import Leadership
 from limeshelf.membership.crash_exchange import CrashExchange
 from limeshelf.membership.digest_exchange import DigestExchange
@@ -267,13 +268,12 @@
             selector,
             attempts,
             self.meter,
-            self.budgets,
             self.active_config,
             self.access,
             LimitGuard(self.limits),
             guard,
             self.forwarder,
-            self.pool,
+            StepChooser(self.meter, self.budgets, self.forwarder, self.pool),
         )
         self.frontend = HttpFrontend(self.pipeline, wire, self.metrics, self.members.has_host)
 
--- a/tests/gateway/test_forwarded_calls.py
+++ b/tests/gateway/test_forwarded_calls.py
@@ -9,11 +9,13 @@
 import aiohttp
 
 from limeshelf.admission.retry_rules import MIN_SEND_TIME_S
+from limeshelf.calls.call import Call
 from limeshelf.errors import RefusalReason
 from limeshelf.forwarding.targets import MAX_REFUSING
+from limeshelf.util.clock import boottime_s
 from standins.users_platform.replica import Fault
 from tests.support.fleet import run_fleet
-from tests.support.gateway import HOST, Response, configuration
+from tests.support.gateway import HOST, Response, configuration, route
 from tests.support.partition import Cut, PartitionedFleet
 
 #: Time in which a gateway that is cut off finds out that it reaches no replica, with calls.
@@ -60,6 +62,12 @@
             call for replica in [*self.plain, *self.engines] for call in replica.received_calls
         ]
 
+    def carrying(self) -> int:
+        """Return the gateway that carries a call of gateway 0."""
+        others = range(1, len(self.centres))
+        (number,) = (at for at in others if self.components(at).frontend.requests_in_flight)
+        return number
+
     def forwarded(self, number: int) -> float:
         text = self.components(number).metrics.text().decode()
         lines = [
@@ -69,10 +77,6 @@
         ]
         return sum(float(line.rpartition(' ')[2]) for line in lines)
 
-    def carried(self, number: int) -> float:
-        text = self.components(number).metrics.text().decode()
-        return float(text.partition('\nlimeshelf_carried_calls_total ')[2].split()[0])
-
 
 def _run(scenario: Any, centres: tuple[str, ...] = ('z1', 'z1')) -> None:
     run_fleet(scenario, world_class=_Fleet, centres=centres)
@@ -145,7 +149,7 @@
             replica.fault = Fault.SILENT
         call = asyncio.create_task(world.send(0, '/unsafe/x'))
         await world.until(lambda: world.received())
-        await world.stop_gateway(1)
+        await world.stop_gateway(world.carrying())
         answer = await call
         # It may have run, so it is neither repeated nor said not to have run.
         assert answer.status == 502
@@ -163,10 +167,7 @@
         call = asyncio.create_task(world.stream(0))
         await world.until(lambda: world.received())
         await asyncio.sleep(0.2)
-        carrying = [
-            number for number in (1, 2) if world.components(number).frontend.requests_in_flight
-        ]
-        await world.stop_gateway(carrying[0])
+        await world.stop_gateway(world.carrying())
         answer = await call
         ids = [int(line[4:]) for line in answer.body.splitlines() if line.startswith(b'id: ')]
         assert answer.status == 200
@@ -282,3 +283,21 @@
 
 def _started(world: _Fleet, number: int) -> int:
     return sum(demand.started for demand in world.components(number).meter._by_key.values())
+
+
+def test_service_drawn_by_the_forwarding_gateway_is_kept_if_the_route_leads_there() -> None:
+    async def scenario(world: _Fleet) -> None:
+        split = [{'Service': 'app', 'Weight': 1}, {'Service': 'lm', 'Weight': 1}]
+        world.configure(configuration(2, route('both', 'safe', 'app', Split=split)))
+        pipeline = world.components(1).pipeline
+        await world.until(lambda: pipeline.config.version == 2)
+        call = Call('c', 'POST', HOST, '/both/x', (), b'', boottime_s(), None, None, None)
+
+        def drawn(service: str) -> set[str]:
+            states = [pipeline._begin_call(call, Any, service) for _ in range(30)]
+            return {state.service.name for state in states}
+
+        assert drawn('lm') == {'lm'}
+        assert drawn('gone') == {'app', 'lm'}
+
+    _run(scenario)
