Tell a reset from the end of an answer on our native protocol too

Reported: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Here: a head or a body of stated length that ends at any place is told as broken on both wires. But on our native protocol an answer without a length whose connection was reset came out as whole: aiohttp takes a reset as the end of such a body. The gateway's connections had the stricter handler, the sessions of limeshelf.standalone did not.

The handler stands in limeshelf/util/strict_response.py, for both.

Evidence: tests/standalone/upstreams/test_broken_answers.py::test_answer_without_a_length_ends_with_its_connection_unless_that_is_reset failed before (200 with half the body) and passes; 14 cut answers there passed before.

--- a/limeshelf/replicas/connections.py
+++ b/limeshelf/replicas/connections.py
@@ -1,28 +1,24 @@
 """Connection pool for one replica or gateway, with strict checks of how a response ends.
 
-Owns the open connections. Uses two private attributes of aiohttp's connector, which it does not
-allow to be changed after creation: the protocol factory and the keep-alive timeout. Also relies
-on aiohttp calling the connector in the task that sends the request.
+Owns the open connections. Uses a private attribute of aiohttp's connector, which it does not
+allow to be changed after creation: the keep-alive timeout. Also relies on aiohttp calling the
+connector in the task that sends the request.
 """
 
 from __future__ import annotations
 
-import asyncio
-import functools
-import socket
 from contextvars import ContextVar
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import attrs
-from aiohttp.client_exceptions import ClientPayloadError
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from limeshelf.errors import SendWithheld
 from limeshelf.util.connector import SingleCloseConnector
 from limeshelf.util.http import without_silent_retry
 from limeshelf.util.sockets import call_socket
+from limeshelf.util.strict_response import use_strict_responses
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,39 +41,6 @@
 SKIPPED_HEADERS = frozenset({'User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type'})
 
 
-class StrictResponseHandler(ResponseHandler):
-    """Reports a reset as an error, and never reuses a connection with surplus bytes.
-
-    aiohttp treats a reset as the end of a body without a length, and the event loop reports a
-    reset that arrives together with data as end of file (both are covered by
-    tests/gateway/test_path.py::test_unsafe_call_runs_once_and_is_not_reported_as_not_run).
-    aiohttp also reuses an idle connection on which unexpected bytes have arrived.
-    """
-
-    def eof_received(self) -> None:
-        """Fail the body being read if the connection was reset."""
-        transport = self.transport
-        raw = transport.get_extra_info('socket') if transport is not None else None
-        if raw is not None and raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            self._break_body('reset')
-        super().eof_received()
-
-    def _break_body(self, cause: str) -> None:
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f'connection lost: {cause}'))
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body being read if the connection was not closed cleanly."""
-        if exc is not None:
-            self._break_body(repr(exc))
-        super().connection_lost(exc)
-
-    def is_connected(self) -> bool:
-        """Return whether this connection may be reused for a new request."""
-        return super().is_connected() and not self._buffer and not self._tail
-
-
 @attrs.define
 class SendProgress:
     """Progress of sending one call.
@@ -136,8 +99,7 @@
     def __init__(self, address: str, limit: int) -> None:
         self.address = address
         self._connector = ProgressConnector(call_socket, limit=limit, keepalive_timeout=MAX_IDLE_S)
-        make: Any = functools.partial(StrictResponseHandler, loop=asyncio.get_running_loop())
-        self._connector._factory = make
+        use_strict_responses(self._connector)
         session = aiohttp.ClientSession(
             connector=self._connector,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
--- a/limeshelf/standalone/upstreams/http.py
+++ b/limeshelf/standalone/upstreams/http.py
@@ -13,6 +13,7 @@
 
 from limeshelf.errors import ExchangeBroken, MayHaveRunReason, UpstreamRefused, UpstreamUnreachable
 from limeshelf.util.http import without_silent_retry
+from limeshelf.util.strict_response import use_strict_responses
 
 if TYPE_CHECKING:
     from multidict import CIMultiDictProxy
@@ -35,6 +36,7 @@
         closed by the other side, which cannot be told from a lost answer.
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=not reuse)
+    use_strict_responses(connector)
     session = aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
--- /dev/null
+++ b/limeshelf/util/strict_response.py
@@ -0,0 +1,58 @@
+"""HTTP client connections that tell a whole answer from one that was broken off.
+
+Uses a private attribute of aiohttp's connector, the protocol factory, which has no public option;
+tests/standalone/upstreams/test_broken_answers.py and tests/gateway/test_broken_answers.py fail
+when a release of aiohttp removes or renames it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import socket
+from typing import TYPE_CHECKING, Any
+
+from aiohttp.client_exceptions import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+
+if TYPE_CHECKING:
+    import aiohttp
+
+
+class StrictResponseHandler(ResponseHandler):
+    """Reports a reset as an error, and never reuses a connection with surplus bytes.
+
+    aiohttp treats a reset as the end of a body without a length, and the event loop reports a
+    reset that arrives together with data as end of file (both are covered by
+    tests/gateway/test_path.py::test_unsafe_call_runs_once_and_is_not_reported_as_not_run).
+    aiohttp also reuses an idle connection on which unexpected bytes have arrived.
+    """
+
+    def eof_received(self) -> None:
+        """Fail the body being read if the connection was reset."""
+        transport = self.transport
+        raw = transport.get_extra_info('socket') if transport is not None else None
+        if raw is not None and raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._break_body('reset')
+        super().eof_received()
+
+    def _break_body(self, cause: str) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f'connection lost: {cause}'))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the body being read if the connection was not closed cleanly."""
+        if exc is not None:
+            self._break_body(repr(exc))
+        super().connection_lost(exc)
+
+    def is_connected(self) -> bool:
+        """Return whether this connection may be reused for a new request."""
+        return super().is_connected() and not self._buffer and not self._tail
+
+
+def use_strict_responses(connector: aiohttp.TCPConnector) -> None:
+    """Let the new connections of *connector* be of :class:`StrictResponseHandler`."""
+    make: Any = functools.partial(StrictResponseHandler, loop=asyncio.get_running_loop())
+    connector._factory = make
--- a/tests/replicas/test_connections.py
+++ b/tests/replicas/test_connections.py
@@ -12,7 +12,8 @@
 
 from limeshelf.calls.call import Call
 from limeshelf.errors import SendWithheld
-from limeshelf.replicas.connections import CallConnections, SendProgress, StrictResponseHandler
+from limeshelf.replicas.connections import CallConnections, SendProgress
+from limeshelf.util.strict_response import StrictResponseHandler
 from standins.users_platform.replica import Fault, ReplicaStandIn
 
 
