Leave a slot free at a model replica that falls over from rejections

Model calls take nine tenths of its slots now, while it says so.

Evidence: tests/dispatch/test_selector.py::test_replica_that_falls_over_from_rejections_keeps_a_slot_free failed before and passes.

--- a/limeshelf/dispatch/selector.py
+++ b/limeshelf/dispatch/selector.py
@@ -34,6 +34,9 @@
     from limeshelf.replicas.replica import Replica
     from limeshelf.replicas.starts import ReplicaStart
 
+#: Share of the slots of a replica that falls over from rejections that calls may take.
+BRITTLE_SLOTS_SHARE = 0.9
+
 
 class HolderSelector:
     """Selects among the replicas that hold a model, by the load of granted requests.
@@ -149,11 +152,23 @@
         return Occupancy(
             max(load.calls, reported.calls),
             max(load.tokens, reported.tokens),
-            replica.record.slots,
+            _usable_slots(replica),
             engine.memory_tokens,
         )
 
 
+def _usable_slots(replica: Replica) -> int:
+    """Return how many calls a replica may get at once.
+
+    A slot is free here a little before the replica has freed it, and one that falls over from
+    rejections may let no call wait meanwhile.
+    """
+    slots = replica.record.slots
+    if replica.backpressure.rejections_per_s is None:
+        return slots
+    return max(1, int(BRITTLE_SLOTS_SHARE * slots))
+
+
 def call_cost(prefill_ms: float, pause_ms: int, occupancy: Occupancy) -> float:
     """Return the cost of a call at a replica, each resource as a fraction of its total.
 
--- a/tests/dispatch/test_selector.py
+++ b/tests/dispatch/test_selector.py
@@ -94,6 +94,15 @@
     assert chosen(selector) == 'r0'
 
 
+def test_replica_that_falls_over_from_rejections_keeps_a_slot_free() -> None:
+    selector = selector_of('z1')
+    brittle = replica(selector, 'r0')
+    brittle.own_load.calls = 3
+    assert chosen(selector) == 'r0'
+    brittle.backpressure.rejections.record(4.0, boottime_s())
+    assert chosen(selector) is None
+
+
 def test_full_replica_is_not_selected() -> None:
     selector = selector_of('z1')
     replica(selector, 'r0').own_load.calls = 4
