--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -28,6 +28,8 @@
 HEARTBEAT_S = 0.5
 #: Time within which a change must reach all gateways, in seconds.
 PROPAGATION_LIMIT_S = 2.0
+#: What the ports of a gateway are for; alike at all gateways.
+PORT_NAMES = ('calls', 'ready', 'peers', 'forwards', 'figures')
 #: Models that fit into a replica's memory, and its adapter slots.
 MAX_MODELS = 2
 MAX_ADAPTERS = 2
@@ -116,7 +118,7 @@
         #: Times at which faults began or ended, on the loop's clock: by :data:`STORE`, by gateway
         #: address, and by replica id for the replica's link.
         self.fault_times_s: dict[str, list[float]] = {}
-        self.ports = {name: free_port() for name in ('calls', 'ready', 'peers', 'figures')}
+        self.ports = {name: free_port() for name in PORT_NAMES}
         self._count = gateways
         self._folder = tempfile.TemporaryDirectory()
         self._beat = 1
@@ -228,7 +230,7 @@
             'calls_address': f'{ip}:{self.ports["calls"]}',
             'readiness_address': f'{ip}:{self.ports["ready"]}',
             'store_address': link.address,
-            'peer_ports': [self.ports['peers']],
+            'peer_ports': [self.ports['peers'], self.ports['forwards']],
             'seeds': seeds,
             'grace_s': 5.0,
             'figures_port': self.ports['figures'],
