Tell the others when a leader that reaches no replica gives up

Cause: the instances that contend first were cut off as well and hold back, and the others wait until the last claim of the former leader has expired, and 1.5 s more.

--- a/limeshelf/membership/state_exchange.py
+++ b/limeshelf/membership/state_exchange.py
@@ -99,6 +99,16 @@
         message = ReplicaStates(self.leadership.fence, states, awaited, is_full, may_order)
         self.node.send_all(receivers.of_states(self.members), message)
 
+    def announce_end(self, fence: int) -> None:
+        """Let others contend at once, because this gateway gives up its term.
+
+        Without this they would wait until its last claim to lead has expired.
+
+        :param fence: of the term.
+        """
+        message = ReplicaStates(fence, [], [], whole=False, may_order=False)
+        self.node.send_all(receivers.of_states(self.members), message)
+
     def _handle_states(self, envelope: Envelope) -> None:
         message: ReplicaStates = envelope.message
         self.leadership.observe_fence(message.fence)
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -128,12 +128,20 @@
             await asyncio.sleep(jittered_s(LEASE_RETRY_S if is_lost else LEASE_STEP_S))
             self._update_gateway_count()
             if components.is_cut_off():
-                await components.leadership.hand_over('cut_off')
+                await self._hand_over_lease()
                 continue
             if components.leadership.term is None and not components.leader.may_contend():
                 continue
             await components.leadership.renew_or_acquire()
 
+    async def _hand_over_lease(self) -> None:
+        """Let another gateway lead, as this one reaches no replica."""
+        components = self.components
+        fence = components.leadership.fence
+        if fence:
+            await components.leadership.hand_over('cut_off')
+            components.states.announce_end(fence)
+
     def _update_gateway_count(self) -> None:
         gateways = self.components.digests.gateway_count
         if gateways != self.components.budgets.gateways:
--- a/tests/gateway/test_unreachable_replicas.py
+++ b/tests/gateway/test_unreachable_replicas.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from limeshelf.membership.contention import CONTEND_AFTER_S
+from limeshelf.membership.messages import ReplicaStates
 from tests.support.fleet import run_fleet
 from tests.support.partition import Cut, PartitionedFleet
 
@@ -22,6 +24,9 @@
 MOST_FAILED = 10
 MOST_FAILED_SHARE = 1 / 50
 CALLS_PER_S = 40
+#: Time in which another gateway leads, once the leader knows that it reaches no replica: that in
+#: which gateways that are no first relay contend, and one second more.
+TAKEN_OVER_S = CONTEND_AFTER_S + 1.0
 PATHS = ('/safe/x', '/unsafe/x', '/stream/x')
 
 
@@ -79,11 +84,20 @@
 
         await world.until(leaders, limit_s=15.0)
         (before,) = leaders()
+        told: list[bool] = []
+        for at in set(numbers) - {before}:
+            handle = lambda envelope: told.append(not envelope.message.may_order)  # noqa: E731
+            world.components(at).node.add_handler(ReplicaStates, handle)
         await world.cut_off(before, Cut.RESET)
-        await _load(world, 2 * CONTACT_S)
+        load = asyncio.create_task(_load(world, 2 * CONTACT_S))
+        await world.until(world.components(before).is_cut_off, limit_s=CONTACT_S)
+        await world.until(lambda: leaders() and before not in leaders(), limit_s=TAKEN_OVER_S)
+        # The others are told, so that none waits until the former claim to lead has expired.
+        assert any(told)
+        await load
         assert leaders() and before not in leaders()
         await world.reconnect(before)
         await _load(world, 2.0)
         assert len(leaders()) == 1
 
-    run_fleet(scenario, world_class=PartitionedFleet)
+    run_fleet(scenario, world_class=PartitionedFleet, centres=('z1', 'z1', 'z1'))
