Do not contend for the lease while no replica is reached

Cause: contending asked for the same evidence as giving up, that others do reach replicas. A gateway that reaches none cannot use the lease, whatever others do.

--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -285,8 +285,12 @@
 
     def is_cut_off(self) -> bool:
         """Return whether other gateways reach replicas, and this one none that takes orders."""
+        return self.forwarder.was_carried_recently() and self.reaches_no_engine()
+
+    def reaches_no_engine(self) -> bool:
+        """Return whether this gateway can connect to none of the replicas that take orders."""
         config = self.active_config.config
-        if config is None or not self.forwarder.was_carried_recently():
+        if config is None:
             return False
         replicas = [
             replica
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -130,10 +130,15 @@
             if components.is_cut_off():
                 await self._hand_over_lease()
                 continue
-            if components.leadership.term is None and not components.leader.may_contend():
+            if components.leadership.term is None and not self._may_contend():
                 continue
             await components.leadership.renew_or_acquire()
 
+    def _may_contend(self) -> bool:
+        """Return whether to try to acquire the lease, which is of no use without replicas."""
+        may_contend = self.components.leader.may_contend()
+        return may_contend and not self.components.reaches_no_engine()
+
     async def _hand_over_lease(self) -> None:
         """Let another gateway lead, as this one reaches no replica."""
         components = self.components
