Hold calls whose replicas nobody reaches as before, and ask by model

And a gateway that answered that it does not reach one model's replica was not asked for any other model of the service for a second, so that a crash beside a partition left calls unserved that others reach.

Cause: 'nobody reaches these replicas' was taken for 'refuse now', for all calls of the service.

What a gateway does not reach is remembered by service and model.

--- a/limeshelf/forwarding/targets.py
+++ b/limeshelf/forwarding/targets.py
@@ -1,8 +1,8 @@
 """Selects the gateway to which a call is forwarded.
 
-Which gateways reach a service is found by asking them: one that does not says so at once, and is
-not asked again for a while. Nothing is exchanged while all gateways reach their replicas, and the
-cost is the same in a fleet of any size.
+Which gateways reach the replicas of a service, or of a model, is found by asking them: one that
+does not says so at once, and is not asked for these again for a while. Nothing is exchanged while
+all gateways reach their replicas, and the cost is the same in a fleet of any size.
 
 Owns what is known of other gateways; the members come from the member list.
 """
@@ -20,17 +20,28 @@
     from limeshelf.membership.member import Member
     from limeshelf.membership.members import Members
 
-#: A gateway that reaches no replica of a service is not asked again for this long.
+#: A gateway that reaches none of certain replicas is not asked for these again for this long.
 REFUSED_AVOID_S = 1.0
 #: A gateway that could not be connected to is not asked for this long, doubled with each failure.
 FIRST_UNREACHABLE_AVOID_S = 2.0
 MAX_UNREACHABLE_AVOID_S = 16.0
-#: If this many gateways do not reach a service, no others are asked: probably none does.
+#: If this many gateways do not reach certain replicas, no others are asked: probably none does.
 MAX_REFUSING = 6
 #: Gateways asked for one call.
 MAX_ASKED = 4
 
 
+@attrs.frozen
+class Wanted:
+    """The replicas that a call needs.
+
+    :param model: empty for a call to a plain service.
+    """
+
+    service: str
+    model: str = ''
+
+
 @attrs.define
 class _Unreachable:
     """A gateway that could not be connected to; times on the boot clock, in seconds."""
@@ -44,43 +55,43 @@
     """Selects gateways by their distance and by how they answered before."""
 
     members: Members
-    _refused_until_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    _refused_until_s: dict[tuple[str, Wanted], float] = attrs.field(factory=dict)
     _unreachable: dict[str, _Unreachable] = attrs.field(factory=dict)
 
-    def choose(self, service: str, asked: set[str]) -> Member | None:
+    def choose(self, wanted: Wanted, asked: set[str]) -> Member | None:
         """Return the gateway to ask next, the nearest ones first; ``None`` if there is none.
 
         :param asked: addresses of the gateways that were asked for this call.
         """
         now_s = boottime_s()
-        if len(asked) >= MAX_ASKED or self._count_refusing(service, now_s) >= MAX_REFUSING:
+        if len(asked) >= MAX_ASKED or self._count_refusing(wanted, now_s) >= MAX_REFUSING:
             return None
         candidates = [
             member
             for member in self.members.others()
             if member.forward_port
             and member.address not in asked
-            and not self._is_avoided(member, service, now_s)
+            and not self._is_avoided(member, wanted, now_s)
         ]
         own_centre = self.members.own.data_centre
         near = [member for member in candidates if member.data_centre == own_centre]
         # The callers of many gateways must not all be forwarded to the same one.
         return random.choice(near or candidates) if candidates else None
 
-    def _count_refusing(self, service: str, now_s: float) -> int:
+    def _count_refusing(self, wanted: Wanted, now_s: float) -> int:
         for key in [key for key, until_s in self._refused_until_s.items() if until_s <= now_s]:
             del self._refused_until_s[key]
-        return sum(refused == service for _, refused in self._refused_until_s)
+        return sum(refused == wanted for _, refused in self._refused_until_s)
 
-    def _is_avoided(self, member: Member, service: str, now_s: float) -> bool:
+    def _is_avoided(self, member: Member, wanted: Wanted, now_s: float) -> bool:
         unreachable = self._unreachable.get(member.address)
         if unreachable is not None and now_s < unreachable.until_s:
             return True
-        return (member.address, service) in self._refused_until_s
+        return (member.address, wanted) in self._refused_until_s
 
-    def record_refused(self, member: Member, service: str) -> None:
-        """Record that a gateway cannot carry calls for a service."""
-        self._refused_until_s[member.address, service] = boottime_s() + REFUSED_AVOID_S
+    def record_refused(self, member: Member, wanted: Wanted) -> None:
+        """Record that a gateway cannot carry calls for certain replicas."""
+        self._refused_until_s[member.address, wanted] = boottime_s() + REFUSED_AVOID_S
         self._unreachable.pop(member.address, None)
 
     def record_unreachable(self, member: Member) -> None:
--- a/limeshelf/gateway/forwarder.py
+++ b/limeshelf/gateway/forwarder.py
@@ -18,6 +18,7 @@
 from limeshelf.calls.wire import SendContext
 from limeshelf.errors import NotRun, OutcomeKind, RefusalReason
 from limeshelf.forwarding.messages import ForwardedCall
+from limeshelf.forwarding.targets import Wanted
 from limeshelf.forwarding.wire import ForwardWire
 from limeshelf.gateway.call_log import log_forwarded
 from limeshelf.gateway.exchange import (
@@ -80,7 +81,7 @@
         """Return the gateway that may carry a call; ``None`` if there is none."""
         if state.is_forwarded:
             return None
-        return self.targets.choose(state.service.name, state.asked)
+        return self.targets.choose(_wanted_by(state), state.asked)
 
     def was_carried_recently(self) -> bool:
         """Return whether another gateway has lately carried a call that this one cannot send."""
@@ -132,7 +133,7 @@
             if result.is_unreachable:
                 self.targets.record_unreachable(member)
             elif not result.is_final:
-                self.targets.record_refused(member, state.service.name)
+                self.targets.record_refused(member, _wanted_by(state))
             if result.outcome.reason is RefusalReason.OVERLOADED:
                 self.demand.count_refused(state.call, state.service)
             return
@@ -147,6 +148,11 @@
             await connections.close()
 
 
+def _wanted_by(state: CallState) -> Wanted:
+    need = state.call.model_need
+    return Wanted(state.service.name, need.model if need is not None else '')
+
+
 def _forwarded_call(state: CallState) -> ForwardedCall:
     call = state.call
     timeout_s = call.caller_timeout_s
--- a/limeshelf/gateway/steps.py
+++ b/limeshelf/gateway/steps.py
@@ -85,20 +85,20 @@
     ) -> ForwardTo | Ending | None:
         """Return the gateway that may carry a call whose replicas cannot be reached from here.
 
-        ``None`` if there is none and the call is held, since a part of its answer was sent.
+        ``None`` if nobody reaches them, and the call may be held until that changes.
         """
         member = self.forwarder.choose(state)
         if member is not None and self._may_send(state):
             return ForwardTo(member)
-        return None if state.answer.started else self._refuse_unreachable(state, unreachable)
+        self.pool.probe_soon(unreachable.replicas)
+        return None if _may_be_held(state) else self._refuse_unreachable(state)
 
     def _may_send(self, state: CallState) -> bool:
         """Return whether a call may be sent now; spends the retry if this is one."""
         return not state.sends or self.budgets.of(state.service.name).try_retry()
 
-    def _refuse_unreachable(self, state: CallState, unreachable: Unreachable) -> Ending:
+    def _refuse_unreachable(self, state: CallState) -> Ending:
         """Refuse a call for whose replicas neither this gateway nor another one has a path."""
-        self.pool.probe_soon(unreachable.replicas)
         retry_after_s = retry_after.for_wait_s(retry_after.UNREACHABLE_RETRY_AFTER_S, state.left_s)
         return refuse_unavailable(
             state.progress(), RefusalReason.UPSTREAM_UNREACHABLE, retry_after_s
@@ -114,6 +114,18 @@
         return refuse_unavailable(state.progress(), RefusalReason.OVERLOADED, retry_after_s)
 
 
+def _may_be_held(state: CallState) -> bool:
+    """Return whether a call whose replicas nobody reaches may be held.
+
+    A model may be loaded elsewhere. For a plain call only the return of a replica helps, so its
+    caller is told to retry, and held then. A forwarded call is left to the other gateway.
+    """
+    if state.is_forwarded:
+        return False
+    is_model_call = state.call.model_need is not None and state.service.engine is not None
+    return is_model_call or state.answer.started or state.is_caller_retry
+
+
 def _call_without_replica(state: CallState, wait_estimate: CallWaitEstimate) -> CallWithoutReplica:
     return CallWithoutReplica(
         route=state.route,
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -374,3 +374,24 @@
             holder.cancel()
 
     run(scenario)
+
+
+def test_call_for_a_model_whose_only_replica_is_down_is_held_and_not_refused_at_once() -> None:
+    """The leader loads the model elsewhere meanwhile."""
+
+    async def scenario(world: GatewayWorld) -> None:
+        loop = asyncio.get_running_loop()
+        await world.until(world.leader_can_order, limit_s=10.0)
+        assert (await world.generate(model='m2')).status == 200
+        await world.engines[1].crash()
+        refused_after_s = []
+        async with asyncio.timeout(10.0):
+            while True:
+                began_s = loop.time()
+                if (await world.generate(model='m2')).status == 200:
+                    break
+                refused_after_s.append(loop.time() - began_s)
+        # The first call breaks off with the replica; the others are held for a part of the objective.
+        assert all(held_s > 0.1 for held_s in refused_after_s[1:])
+
+    run(scenario)
