--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -391,7 +391,7 @@
                 if (await world.generate(model='m2')).status == 200:
                     break
                 refused_after_s.append(loop.time() - began_s)
-        # The first call breaks off with the replica; the others are held for a part of the objective.
+        # The first call breaks off with the replica; others are held for part of the objective.
         assert all(held_s > 0.1 for held_s in refused_after_s[1:])
 
     run(scenario)
