Split results of attempts and the reach of engines into modules of their own

gateway/exchange.py held the results of attempts beside the transfer, and programs/components.py, which says that it contains no logic, decided whether a gateway is cut off.

--- a/limeshelf/forwarding/targets.py
+++ b/limeshelf/forwarding/targets.py
@@ -43,8 +43,12 @@
 
 
 @attrs.define
-class _Unreachable:
-    """A gateway that could not be connected to; times on the boot clock, in seconds."""
+class _Avoidance:
+    """For how long a gateway that could not be connected to is not asked.
+
+    :ivar until_s: end, on the boot clock.
+    :ivar avoid_s: length, which the next failure doubles.
+    """
 
     until_s: float
     avoid_s: float
@@ -56,7 +60,7 @@
 
     members: Members
     _refused_until_s: dict[tuple[str, Wanted], float] = attrs.field(factory=dict)
-    _unreachable: dict[str, _Unreachable] = attrs.field(factory=dict)
+    _unreachable: dict[str, _Avoidance] = attrs.field(factory=dict)
 
     def choose(self, wanted: Wanted, asked: set[str]) -> Member | None:
         """Return the gateway to ask next, the nearest ones first; ``None`` if there is none.
@@ -99,7 +103,7 @@
         known = self._unreachable.get(member.address)
         avoid_s = min(MAX_UNREACHABLE_AVOID_S, 2 * known.avoid_s) if known else 0.0
         avoid_s = avoid_s or FIRST_UNREACHABLE_AVOID_S
-        self._unreachable[member.address] = _Unreachable(boottime_s() + avoid_s, avoid_s)
+        self._unreachable[member.address] = _Avoidance(boottime_s() + avoid_s, avoid_s)
 
     def record_carried(self, member: Member) -> None:
         """Record that a gateway has carried a call, whatever the outcome."""
--- a/limeshelf/gateway/attempts.py
+++ b/limeshelf/gateway/attempts.py
@@ -15,7 +15,7 @@
 from limeshelf.admission.retry_rules import head_limit_s
 from limeshelf.calls.wire import SendContext
 from limeshelf.gateway.call_log import log_attempt
-from limeshelf.gateway.exchange import Exchange, WholeAnswer
+from limeshelf.gateway.exchange import Exchange
 from limeshelf.gateway.result_rules import (
     STATUS_SERVER_ERROR,
     Failed,
@@ -24,6 +24,7 @@
     excludes_replica,
     was_reached,
 )
+from limeshelf.gateway.results import WholeAnswer
 from limeshelf.replicas.health import Failure
 from limeshelf.util.clock import boottime_s
 from limeshelf.util.suspension import boot_timeout
@@ -32,8 +33,8 @@
     from limeshelf.calls.active_config import ActiveConfig
     from limeshelf.calls.wire import AnswerHead, CallWire
     from limeshelf.demand.meter import DemandMeter
-    from limeshelf.gateway.exchange import ReplicaResult
     from limeshelf.gateway.quarantine import QuarantineGuard
+    from limeshelf.gateway.results import ReplicaResult
     from limeshelf.gateway.selection import Selected
     from limeshelf.gateway.state import CallState
     from limeshelf.organisations.organisation import Organisation
--- a/limeshelf/gateway/call_log.py
+++ b/limeshelf/gateway/call_log.py
@@ -7,14 +7,7 @@
 
 from typing import TYPE_CHECKING
 
-from limeshelf.gateway.exchange import (
-    Broken,
-    Delivered,
-    NeverRan,
-    NotCarried,
-    NotSent,
-    WholeAnswer,
-)
+from limeshelf.gateway.results import Broken, Delivered, NeverRan, NotCarried, NotSent, WholeAnswer
 from limeshelf.metrics.event_log import log_request
 from limeshelf.util.clock import boottime_s
 
@@ -23,7 +16,7 @@
     from limeshelf.demand.waits import CallWaitEstimate
     from limeshelf.errors import NotRun
     from limeshelf.gateway.endings import Refuse
-    from limeshelf.gateway.exchange import AttemptResult
+    from limeshelf.gateway.results import AttemptResult
     from limeshelf.gateway.state import CallState
     from limeshelf.replicas.replica import Load, Replica
 
--- a/limeshelf/gateway/endings.py
+++ b/limeshelf/gateway/endings.py
@@ -13,7 +13,8 @@
 from limeshelf.admission import retry_after
 from limeshelf.admission.retry_rules import is_too_late, may_run_again
 from limeshelf.errors import NotRun, RefusalReason
-from limeshelf.gateway.exchange import (
+from limeshelf.gateway.result_rules import STATUS_SERVER_ERROR
+from limeshelf.gateway.results import (
     CarriedAnswer,
     Delivered,
     FailedElsewhere,
@@ -22,11 +23,10 @@
     NotSent,
     WholeAnswer,
 )
-from limeshelf.gateway.result_rules import STATUS_SERVER_ERROR
 
 if TYPE_CHECKING:
     from limeshelf.calls.routes import Route
-    from limeshelf.gateway.exchange import AttemptResult
+    from limeshelf.gateway.results import AttemptResult
 
 STATUS_UNAUTHORISED = 401
 STATUS_UNKNOWN_ROUTE = 404
--- a/limeshelf/gateway/forwarder.py
+++ b/limeshelf/gateway/forwarder.py
@@ -21,10 +21,10 @@
 from limeshelf.forwarding.targets import Wanted
 from limeshelf.forwarding.wire import ForwardWire
 from limeshelf.gateway.call_log import log_forwarded
-from limeshelf.gateway.exchange import (
+from limeshelf.gateway.exchange import Exchange
+from limeshelf.gateway.results import (
     CarriedAnswer,
     Delivered,
-    Exchange,
     FailedElsewhere,
     NeverRan,
     NotCarried,
@@ -40,7 +40,7 @@
     from limeshelf.calls.wire import CallWire
     from limeshelf.demand.meter import DemandMeter
     from limeshelf.forwarding.targets import ForwardTargets
-    from limeshelf.gateway.exchange import AttemptResult, ReplicaResult
+    from limeshelf.gateway.results import AttemptResult, ReplicaResult
     from limeshelf.gateway.state import CallState
     from limeshelf.membership.member import Member
 
--- a/limeshelf/gateway/quarantine.py
+++ b/limeshelf/gateway/quarantine.py
@@ -22,7 +22,7 @@
     from limeshelf.crashes.crash_detector import CrashDetector
     from limeshelf.crashes.crashing_parts import CrashingParts
     from limeshelf.crashes.quarantine import Quarantine, Quarantined
-    from limeshelf.gateway.exchange import ReplicaResult
+    from limeshelf.gateway.results import ReplicaResult
     from limeshelf.gateway.state import CallState
     from limeshelf.replicas.replica import Replica
 
--- a/limeshelf/gateway/result_rules.py
+++ b/limeshelf/gateway/result_rules.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from limeshelf.gateway.exchange import (
+from limeshelf.gateway.results import (
     Broken,
     Delivered,
     FailureCause,
@@ -24,7 +24,7 @@
 
 if TYPE_CHECKING:
     from limeshelf.calls.call import ModelNeed
-    from limeshelf.gateway.exchange import ReplicaResult
+    from limeshelf.gateway.results import ReplicaResult
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
 
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -10,7 +10,7 @@
 from limeshelf.calls.fingerprint import Fingerprint, fingerprint_of, part_fingerprints
 from limeshelf.gateway.endings import CallProgress
 from limeshelf.gateway.events import EventSplitter
-from limeshelf.gateway.exchange import (
+from limeshelf.gateway.results import (
     CarriedAnswer,
     Delivered,
     FailureCause,
@@ -27,7 +27,7 @@
     from limeshelf.calls.routes import Route, ServiceSpec
     from limeshelf.crashes.suspects import ReplicaCrash
     from limeshelf.gateway.answer import Answer
-    from limeshelf.gateway.exchange import AttemptResult
+    from limeshelf.gateway.results import AttemptResult
     from limeshelf.organisations.organisation import Organisation
     from limeshelf.organisations.usage import Reservation
 
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -27,6 +27,7 @@
 from limeshelf.forwarding.targets import ForwardTargets
 from limeshelf.gateway.access import AccessGuard
 from limeshelf.gateway.attempts import AttemptRunner
+from limeshelf.gateway.engine_reach import EngineReach
 from limeshelf.gateway.forwarder import Forwarder
 from limeshelf.gateway.frontend import HttpFrontend
 from limeshelf.gateway.limits import LimitGuard
@@ -262,6 +263,7 @@
         self.forwarder = Forwarder(
             wire, ForwardTargets(self.members), self.meter, self.metrics.observe_forwarded
         )
+        self.engine_reach = EngineReach(self.active_config, self.directory, self.forwarder)
         self.pipeline = Pipeline(
             wire,
             self.directory,
@@ -283,23 +285,6 @@
         self.metrics.observe_suspension()
         self.members.add_suspension(slept_s)
 
-    def is_cut_off(self) -> bool:
-        """Return whether other gateways reach replicas, and this one none that takes orders."""
-        return self.forwarder.was_carried_recently() and self.reaches_no_engine()
-
-    def reaches_no_engine(self) -> bool:
-        """Return whether this gateway can connect to none of the replicas that take orders."""
-        config = self.active_config.config
-        if config is None:
-            return False
-        replicas = [
-            replica
-            for service in config.services.values()
-            if service.engine is not None
-            for replica in self.directory.of_service(service.name)
-        ]
-        return bool(replicas) and all(replica.health.awaits_probe for replica in replicas)
-
     def config_age_s(self) -> float:
         """Return an upper bound on the time for which the configuration may be outdated.
 
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -127,7 +127,7 @@
             is_lost = components.leadership.store_is_unavailable
             await asyncio.sleep(jittered_s(LEASE_RETRY_S if is_lost else LEASE_STEP_S))
             self._update_gateway_count()
-            if components.is_cut_off():
+            if components.engine_reach.is_cut_off():
                 await self._hand_over_lease()
                 continue
             if components.leadership.term is None and not self._may_contend():
@@ -137,7 +137,7 @@
     def _may_contend(self) -> bool:
         """Return whether to try to acquire the lease, which is of no use without replicas."""
         may_contend = self.components.leader.may_contend()
-        return may_contend and not self.components.reaches_no_engine()
+        return may_contend and not self.components.engine_reach.reaches_none()
 
     async def _hand_over_lease(self) -> None:
         """Let another gateway lead, as this one reaches no replica."""
--- a/tests/gateway/test_call_log.py
+++ b/tests/gateway/test_call_log.py
@@ -11,7 +11,7 @@
 from limeshelf.calls.wire import AnswerHead
 from limeshelf.demand.waits import CallWaitEstimate
 from limeshelf.gateway import call_log
-from limeshelf.gateway.exchange import (
+from limeshelf.gateway.results import (
     AttemptResult,
     Broken,
     Delivered,
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -20,7 +20,7 @@
     decide_after_attempt,
     refuse_unavailable,
 )
-from limeshelf.gateway.exchange import (
+from limeshelf.gateway.results import (
     AttemptResult,
     Broken,
     Delivered,
--- a/tests/gateway/test_result_rules.py
+++ b/tests/gateway/test_result_rules.py
@@ -6,14 +6,6 @@
 import pytest
 
 from limeshelf.calls.call import ModelNeed
-from limeshelf.gateway.exchange import (
-    AttemptResult,
-    Broken,
-    Delivered,
-    FailureCause,
-    NeverRan,
-    NotSent,
-)
 from limeshelf.gateway.result_rules import (
     Failed,
     LacksModel,
@@ -25,6 +17,14 @@
     classify_for_replica,
     excludes_replica,
 )
+from limeshelf.gateway.results import (
+    AttemptResult,
+    Broken,
+    Delivered,
+    FailureCause,
+    NeverRan,
+    NotSent,
+)
 from limeshelf.platform.replicas import read_record
 from limeshelf.replicas.directory import ReplicaDirectory
 from limeshelf.replicas.health import Failure
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -13,7 +13,7 @@
 from limeshelf.dispatch.messages import Stage, VerdictKind
 from limeshelf.dispatch.rate_limiter import RatePermit
 from limeshelf.gateway.answer import Answer
-from limeshelf.gateway.exchange import Broken, Delivered, FailureCause, NeverRan, NotSent
+from limeshelf.gateway.results import Broken, Delivered, FailureCause, NeverRan, NotSent
 from limeshelf.gateway.selection import ReplicaSelector, Selected
 from limeshelf.gateway.state import CallState
 from limeshelf.platform.replicas import read_record
--- a/tests/gateway/test_unreachable_replicas.py
+++ b/tests/gateway/test_unreachable_replicas.py
@@ -90,7 +90,7 @@
             world.components(at).node.add_handler(ReplicaStates, handle)
         await world.cut_off(before, Cut.RESET)
         load = asyncio.create_task(_load(world, 2 * CONTACT_S))
-        await world.until(world.components(before).is_cut_off, limit_s=CONTACT_S)
+        await world.until(world.components(before).engine_reach.is_cut_off, limit_s=CONTACT_S)
         await world.until(lambda: leaders() and before not in leaders(), limit_s=TAKEN_OVER_S)
         # The others are told, so that none waits until the former claim to lead has expired.
         assert any(told)
