Names of one meaning, and one reset of connections for the tests

KeyDemand and ReplicaLoad stood for two classes each: KeyHistory in the account, ReportedLoad in the loads of replicas. Four places reset a connection of a test in the same lines: tests/support/resets.py. No behaviour changes; no check is loosened.

--- a/limeshelf/account/starved.py
+++ b/limeshelf/account/starved.py
@@ -57,8 +57,8 @@
 
 
 @attrs.define
-class KeyDemand:
-    """The demand for one key, from the log lines.
+class KeyHistory:
+    """What became of the calls for one key, from the log lines.
 
     :ivar calls: ids of the calls; each try of a caller has its own.
     :ivar asked_s: arrival times of the calls, one for each line, on the wall clock.
@@ -123,7 +123,7 @@
 
     began_s: float = float('inf')
     dropped_lines: int = 0
-    _keys: dict[DemandKey, KeyDemand] = attrs.field(factory=dict)
+    _keys: dict[DemandKey, KeyHistory] = attrs.field(factory=dict)
     _actions: dict[DemandKey, list[LogEvent]] = attrs.field(factory=dict)
 
     def add_all(self, events: Iterable[LogEvent]) -> None:
@@ -144,19 +144,19 @@
                 self._actions.setdefault(affected, []).append(event)
         elif event.name == 'attempt' or event.name in REFUSALS:
             for requested in {key, DemandKey(key.model)}:
-                _add_call(self._keys.setdefault(requested, KeyDemand()), event)
+                _add_call(self._keys.setdefault(requested, KeyHistory()), event)
 
-    def never_served(self) -> list[tuple[DemandKey, KeyDemand]]:
+    def never_served(self) -> list[tuple[DemandKey, KeyHistory]]:
         """Return the keys that were never served, those with the most calls first."""
         found = [(key, one) for key, one in self._reportable() if not one.served_s]
         return sorted(found, key=lambda item: (-len(item[1].calls), item[0]))
 
-    def served_late(self) -> list[tuple[DemandKey, KeyDemand]]:
+    def served_late(self) -> list[tuple[DemandKey, KeyHistory]]:
         """Return the keys that were served, those with the longest wait first."""
         found = [(key, one) for key, one in self._reportable() if one.served_s]
         return sorted(found, key=lambda item: (-item[1].longest_wait_s, item[0]))
 
-    def _reportable(self) -> list[tuple[DemandKey, KeyDemand]]:
+    def _reportable(self) -> list[tuple[DemandKey, KeyHistory]]:
         return [(key, one) for key, one in self._keys.items() if one.is_reportable]
 
     def actions_for(self, key: DemandKey) -> list[LogEvent]:
@@ -187,7 +187,7 @@
     return bool({key, DemandKey(key.model)} & set(_evicted_by(event)))
 
 
-def _add_call(demand: KeyDemand, event: LogEvent) -> None:
+def _add_call(demand: KeyHistory, event: LogEvent) -> None:
     fields = event.fields
     took_s = (fields.get('took_ms') or 0) / 1000
     waited_s = (fields.get('waited_ms') or 0) / 1000
--- a/limeshelf/account/starved_report.py
+++ b/limeshelf/account/starved_report.py
@@ -11,7 +11,7 @@
     from collections.abc import Sequence
 
     from limeshelf.account.lines import LogEvent, LogReader
-    from limeshelf.account.starved import FailureCount, KeyDemand, StarvedKeys
+    from limeshelf.account.starved import FailureCount, KeyHistory, StarvedKeys
 
 #: Maximum number of the leader's actions shown for one key, the earliest first.
 SHOWN_ACTIONS = 12
@@ -52,7 +52,7 @@
     return [*lines, *_served_late(starved)]
 
 
-def _never_served(key: DemandKey, demand: KeyDemand, starved: StarvedKeys) -> list[str]:
+def _never_served(key: DemandKey, demand: KeyHistory, starved: StarvedKeys) -> list[str]:
     first_s = min(demand.asked_s) - starved.began_s
     last_s = max(demand.asked_s) - starved.began_s
     lines = [f'{key}: {len(demand.calls)} calls from {first_s:.1f} to {last_s:.1f}']
@@ -104,7 +104,7 @@
     return lines
 
 
-def _late_rows(served: Sequence[tuple[DemandKey, KeyDemand]]) -> list[str]:
+def _late_rows(served: Sequence[tuple[DemandKey, KeyHistory]]) -> list[str]:
     return [
         f'  {one.longest_wait_s:7.1f} s {len(one.calls):6} {len(one.served_s):6}  {key}'
         for key, one in served
--- a/limeshelf/dispatch/selector.py
+++ b/limeshelf/dispatch/selector.py
@@ -35,7 +35,7 @@
     from limeshelf.replicas.starts import ReplicaStart
 
 #: Share of the slots of a replica that falls over from rejections that calls may take.
-BRITTLE_SLOTS_SHARE = 0.9
+REJECTION_LIMITED_SLOTS_SHARE = 0.9
 
 
 class HolderSelector:
@@ -166,7 +166,7 @@
     slots = replica.record.slots
     if replica.backpressure.rejections_per_s is None:
         return slots
-    return max(1, int(BRITTLE_SLOTS_SHARE * slots))
+    return max(1, int(REJECTION_LIMITED_SLOTS_SHARE * slots))
 
 
 def call_cost(prefill_ms: float, pause_ms: int, occupancy: Occupancy) -> float:
--- a/limeshelf/platform/headers.py
+++ b/limeshelf/platform/headers.py
@@ -64,7 +64,7 @@
 RATE_LIMIT = 'Server-Limit'
 #: Rejections a second, to all gateways together, beyond which the replica falls over; sent in each
 #: response while that is so.
-BRITTLE = 'Server-Brittle'
+REJECTION_LIMIT = 'Server-Brittle'
 #: Sent with the value :data:`LEAVING_VALUE` in each response of a replica that is leaving.
 LEAVING = 'Server-Leaving'
 LEAVING_VALUE = '1'
@@ -231,7 +231,7 @@
     :param fields: case-insensitive multi-dictionary of the response headers.
     """
     rate = fields.get(RATE_LIMIT)
-    rejections = fields.get(BRITTLE)
+    rejections = fields.get(REJECTION_LIMIT)
     leaving = fields.get(LEAVING, '').strip() == LEAVING_VALUE
     pause = fields.get(RETRY_AFTER) if status in REJECTION_STATUSES else None
     if rate is None and rejections is None and pause is None and not leaving:
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -31,7 +31,7 @@
     from collections.abc import Callable, Iterable
 
     from limeshelf.feeds.rows import Row
-    from limeshelf.replicas.loads import ReplicaLoad
+    from limeshelf.replicas.loads import ReportedLoad
     from limeshelf.replicas.record import ReplicaRecord, ReplicaReport
 
 
@@ -253,7 +253,7 @@
         replica.gone = was_gone
         return replica
 
-    def update_peer_loads(self, peer: str, loads: Iterable[ReplicaLoad]) -> None:
+    def update_peer_loads(self, peer: str, loads: Iterable[ReportedLoad]) -> None:
         """Replace the load of one peer at all replicas."""
         self._peer_loads.update(peer, loads)
 
@@ -261,7 +261,7 @@
         """Remove the load of a peer, which another peer now reports."""
         self._peer_loads.forget(peer)
 
-    def update_total_loads(self, loads: Iterable[ReplicaLoad]) -> None:
+    def update_total_loads(self, loads: Iterable[ReportedLoad]) -> None:
         """Replace the load of all peers by totals, which include this gateway."""
         self._peer_loads.update_totals(loads, self._own_load_at)
 
--- a/limeshelf/replicas/loads.py
+++ b/limeshelf/replicas/loads.py
@@ -21,7 +21,7 @@
 ALL_OTHER_GATEWAYS = '*'
 
 
-class ReplicaLoad(Protocol):
+class ReportedLoad(Protocol):
     """Calls in progress at a replica, and their tokens."""
 
     replica_id: str
@@ -41,7 +41,7 @@
 
     _by_peer: dict[str, _PeerReport] = attrs.field(factory=dict)
 
-    def update(self, peer: str, loads: Iterable[ReplicaLoad]) -> None:
+    def update(self, peer: str, loads: Iterable[ReportedLoad]) -> None:
         """Replace the load of one peer."""
         by_replica = {load.replica_id: Load(load.calls, load.tokens) for load in loads}
         self._by_peer[peer] = _PeerReport(boottime_s(), by_replica)
@@ -60,7 +60,7 @@
             report.by_replica.pop(replica_id, None)
 
     def update_totals(
-        self, loads: Iterable[ReplicaLoad], own_load_at: Callable[[str], Load]
+        self, loads: Iterable[ReportedLoad], own_load_at: Callable[[str], Load]
     ) -> None:
         """Replace the load of all peers by totals, which include this gateway.
 
--- a/limeshelf/replicas/notices.py
+++ b/limeshelf/replicas/notices.py
@@ -43,7 +43,7 @@
 
     RATE = 'rate'
     PAUSE = 'pause'
-    BRITTLE = 'brittle'
+    REJECTIONS = 'rejections'
     LEAVING = 'leaving'
 
 
@@ -172,13 +172,13 @@
                 self.count(NoticeKind.RATE)
         if now.rejections_per_s != before.rejections_per_s:
             log_change(
-                'replica_brittle',
+                'replica_rejection_limit',
                 replica=replica.replica_id,
                 rejections_per_s=now.rejections_per_s,
                 learned_by=source,
             )
             if now.rejections_per_s is not None:
-                self.count(NoticeKind.BRITTLE)
+                self.count(NoticeKind.REJECTIONS)
         if now.leaving and not before.leaving:
             self.count(NoticeKind.LEAVING)
         if now != before:
--- a/tests/dispatch/test_selector.py
+++ b/tests/dispatch/test_selector.py
@@ -96,10 +96,10 @@
 
 def test_replica_that_falls_over_from_rejections_keeps_a_slot_free() -> None:
     selector = selector_of('z1')
-    brittle = replica(selector, 'r0')
-    brittle.own_load.calls = 3
+    limited = replica(selector, 'r0')
+    limited.own_load.calls = 3
     assert chosen(selector) == 'r0'
-    brittle.backpressure.rejections.record(4.0, boottime_s())
+    limited.backpressure.rejections.record(4.0, boottime_s())
     assert chosen(selector) is None
 
 
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -5,8 +5,6 @@
 import asyncio
 import enum
 import resource
-import socket
-import struct
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -14,6 +12,7 @@
 
 from standins.users_platform.replica import ReplicaStandIn
 from tests.support.gateway import GatewayWorld
+from tests.support.resets import reset_connection
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -76,9 +75,7 @@
     async def _finish(self, writer: asyncio.StreamWriter) -> None:
         if self._end is End.RESET:
             await asyncio.sleep(0.05)
-            raw = writer.get_extra_info('socket')
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
-            writer.transport.abort()
+            reset_connection(writer)
             return
         while self._end is not End.CLOSE:
             writer.write(self._repeated)
--- a/tests/gateway/test_forwarded_calls.py
+++ b/tests/gateway/test_forwarded_calls.py
@@ -40,6 +40,12 @@
     def _use(self, number: int) -> None:
         self.port = int(self.gateway_settings(number).calls_address.rpartition(':')[2])
 
+    def slow_streams(self, *, event_s: float, events: int) -> None:
+        """Have replicas answer with so many events, and so long a pause before each."""
+        for replica in self.engines:
+            replica.event_s = event_s
+            replica.events = events
+
     async def isolate(self, *numbers: int) -> None:
         """Cut gateways off from all replicas, and wait until they know."""
         for number in numbers:
@@ -129,9 +135,7 @@
 def test_caller_that_leaves_ends_the_work_of_the_replica() -> None:
     async def scenario(world: _Fleet) -> None:
         await world.isolate(0)
-        for replica in world.engines:
-            replica.event_s = 0.2
-            replica.events = 1000
+        world.slow_streams(event_s=0.2, events=1000)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.5):
                 await world.stream(0, Limeshelf_Deadline_Ms='20000')
@@ -161,9 +165,7 @@
 def test_stream_is_resumed_when_the_gateway_that_carries_it_dies() -> None:
     async def scenario(world: _Fleet) -> None:
         await world.isolate(0)
-        for replica in world.engines:
-            replica.event_s = 0.05
-            replica.events = 20
+        world.slow_streams(event_s=0.05, events=20)
         call = asyncio.create_task(world.stream(0))
         await world.until(lambda: world.received())
         await asyncio.sleep(0.2)
@@ -223,9 +225,7 @@
 def test_planned_stop_of_the_gateway_that_carries_a_call_cuts_nothing_off() -> None:
     async def scenario(world: _Fleet) -> None:
         await world.isolate(0)
-        for replica in world.engines:
-            replica.event_s = 0.1
-            replica.events = 20
+        world.slow_streams(event_s=0.1, events=20)
         call = asyncio.create_task(world.stream(0, '/stream/x', Limeshelf_Deadline_Ms='10000'))
         await world.until(lambda: world.received())
         stopping = asyncio.create_task(world._gateways[1].drain())
--- a/tests/gateway/test_brittle_replica.py
+++ b/tests/gateway/test_rejection_limited_replica.py
@@ -13,7 +13,7 @@
 #: Time from which all gateways must heed the statement.
 CONTACT_S = 3.0
 LIMIT_PER_S = 2
-#: Times that the replicas of a service may fall over while they are brittle: a number, plus a
+#: Times that the replicas of a service may fall over while they state a limit: a number, plus a
 #: share of the number of replicas.
 FALLS = 2
 FALLS_SHARE = 0.1
@@ -31,7 +31,7 @@
     return falls
 
 
-def test_brittle_replicas_do_not_fall_over_under_more_load_than_they_bear() -> None:
+def test_replicas_do_not_fall_over_from_rejections_under_more_load_than_they_bear() -> None:
     async def scenario(world: FleetWorld) -> None:
         for replica in world.plain:
             replica.room = 8
--- a/tests/platform_soak/link.py
+++ b/tests/platform_soak/link.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import enum
-import socket
-import struct
+
+from tests.support.resets import reset_connection
 
 CHUNK_BYTES = 1 << 16
 DELAY_S = 0.15
@@ -26,13 +25,6 @@
     """One side closed the connection normally."""
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    raw = writer.get_extra_info('socket')
-    with contextlib.suppress(OSError):
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
-    writer.transport.abort()
-
-
 class Link:
     """Forwards connections to a target, subject to the current impairment."""
 
@@ -60,7 +52,7 @@
     def reset_all(self) -> None:
         """Reset every open connection."""
         for writer in list(self._writers):
-            _reset(writer)
+            reset_connection(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.impairment is Impairment.REFUSE:
@@ -82,8 +74,8 @@
         except* OSError:
             # A reset must be forwarded as a reset: a normal close marks a response without a
             # length as complete.
-            _reset(writer)
-            _reset(target_writer)
+            reset_connection(writer)
+            reset_connection(target_writer)
         finally:
             self._writers -= {writer, target_writer}
             writer.close()
--- a/tests/standalone/upstreams/test_broken_answers.py
+++ b/tests/standalone/upstreams/test_broken_answers.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 
 import pytest
 import uvloop
@@ -13,6 +11,7 @@
 from limeshelf.errors import ExchangeBroken
 from limeshelf.standalone.upstreams.http import open_session
 from limeshelf.standalone.upstreams.plain import HttpPlainClient, PlainCall
+from tests.support.resets import reset_connection
 
 WHOLE = b'HTTP/1.1 200 OK\r\nX-Some: value\r\nContent-Length: 2\r\n\r\nok'
 UNFRAMED = b'HTTP/1.1 200 OK\r\nX-Some: value\r\n\r\nhalf an ans'
@@ -28,9 +27,7 @@
         await writer.drain()
         if reset:
             await asyncio.sleep(0.05)
-            raw = writer.get_extra_info('socket')
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
-            writer.transport.abort()
+            reset_connection(writer)
         writer.close()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
--- a/tests/support/partition.py
+++ b/tests/support/partition.py
@@ -5,7 +5,6 @@
 import asyncio
 import enum
 import socket
-import struct
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
@@ -14,6 +13,7 @@
 from limeshelf.platform.replicas import read_record
 from limeshelf.programs import components
 from tests.support.fleet import FleetWorld
+from tests.support.resets import reset_connection
 
 if TYPE_CHECKING:
     from limeshelf.replicas.record import ReplicaRecord
@@ -76,7 +76,7 @@
             self._hang_connections()
         elif how is Cut.RESET:
             for writer in list(self._writers):
-                _reset(writer)
+                reset_connection(writer)
 
     def _hang_connections(self) -> None:
         """Listen with a full backlog, so that the opening packets of connections are dropped."""
@@ -96,7 +96,7 @@
         for filler in self._fillers:
             filler.close()
         for writer in list(self._writers):
-            _reset(writer)
+            reset_connection(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, _, port = self._target.rpartition(':')
@@ -132,14 +132,6 @@
     return bound
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    if writer.is_closing():
-        return
-    raw = writer.get_extra_info('socket')
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
-    writer.transport.abort()
-
-
 class PartitionedFleet(FleetWorld):
     """A fleet in which each gateway has its own way to each replica."""
 
