Review case 2 made anew for a small site: late calls after a herd kill

Why: the first script needed the bounds of the large site, and one gateway a data centre. The fault is the same: a gateway that has just started answers peers without the rows that were deleted before its start.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A replica's entry goes while the gateway that polls the store is started again."""
+"""A replica's entry goes while some of the gateways are started again."""
 
 from __future__ import annotations
 
@@ -26,20 +26,25 @@
 from standins.users_platform.replica import ReplicaStandIn
 
 SERVICE = 'app'
-REPLICAS = 3
+REPLICAS = 8
+GATEWAYS = 9
+#: The gateways that are killed at once: the first two of two of the three data centres.
+KILLED = (0, 1, 3, 4)
 #: ``DrainMs`` of the site.
-DRAIN_S = 4.0
+DRAIN_S = 2.0
 #: How long a replica serves on after its entry went: ``DrainMs`` and "a little longer (at times
 #: many seconds)".
 SERVES_ON_S = DRAIN_S + 6.0
 #: The platform starts a killed process again "after a short delay".
-RESTART_DELAY_S = 0.3
+RESTART_DELAY_S = 0.2
 #: The entry goes this long after the kill.
-GOES_AFTER_S = 0.4
-ROUNDS = 6
+GOES_AFTER_S = 0.5
+ROUNDS = 14
+#: Time from one kill to the next; longer than ``ContactMs`` after the killed gateways are back.
+ROUND_S = 6.5
 #: Longer than ``ContactMs`` of the site, so that all gateways are in touch before a round.
-SETTLE_S = 6.0
-CALLERS_PER_GATEWAY = 4
+SETTLE_S = 4.0
+CALLERS_PER_GATEWAY = 2
 PAUSE_S = (0.05, 0.25)
 
 
@@ -159,22 +164,24 @@
         await replica.crash()
 
 
-async def _play_round(deployment: Deployment, platform: Platform, kills: bool) -> None:
-    poller = deployment.gateways[0]
+async def _play_round(deployment: Deployment, platform: Platform, kills: bool) -> LeavingReplica:
+    """Kill some gateways; meanwhile the entry of a replica goes, which is returned."""
+    killed = [deployment.gateways[number] for number in KILLED] if kills else []
+    began_s = time.monotonic()
+    for gateway in killed:
+        deployment.record.add('kill', gateway.name)
+        gateway.signal(signal.SIGKILL)
+    for gateway in killed:
+        gateway.wait()
+    await asyncio.sleep(began_s + RESTART_DELAY_S - time.monotonic())
+    for gateway in killed:
+        gateway.start()
+        deployment.record.add('start', gateway.name)
+    await asyncio.sleep(began_s + GOES_AFTER_S - time.monotonic())
+    left = platform.remove_oldest()
     await platform.add()
-    await asyncio.sleep(SETTLE_S)
-    if kills:
-        deployment.record.add('kill', poller.name)
-        poller.signal(signal.SIGKILL)
-        assert poller.process is not None
-        poller.process.wait(5)
-    killed_s = time.monotonic()
-    await asyncio.sleep(RESTART_DELAY_S)
-    if kills:
-        poller.start()
-        deployment.record.add('start', poller.name)
-    await asyncio.sleep(killed_s + GOES_AFTER_S - time.monotonic())
-    await platform.end(platform.remove_oldest())
+    await asyncio.sleep(began_s + ROUND_S - time.monotonic())
+    return left
 
 
 async def _play(kills: bool) -> int:
@@ -183,7 +190,7 @@
         LeavingReplica(f'i-{number}', record) for number in range(1, REPLICAS + 1)
     ]
     async with Deployment(
-        record, {SERVICE: replicas}, _configuration(), known_within_ms=int(1000 * DRAIN_S)
+        record, {SERVICE: replicas}, _configuration(), GATEWAYS, int(1000 * DRAIN_S)
     ) as deployment:
         callers = Callers(deployment, record)
         tasks = [
@@ -192,17 +199,21 @@
             for one in range(CALLERS_PER_GATEWAY)
         ]
         platform = Platform(deployment, record)
+        await asyncio.sleep(SETTLE_S)
+        ends = []
         for _ in range(ROUNDS):
-            await _play_round(deployment, platform, kills)
+            left = await _play_round(deployment, platform, kills)
+            ends.append(asyncio.create_task(platform.end(left)))
+        await asyncio.gather(*ends)
         callers.ended = True
         await asyncio.gather(*tasks)
-    # The first gateway was killed; the others were left alone all the time.
-    touched = deployment.gateways[0].name
+    # These were killed; the others were left alone all the time.
+    touched = {deployment.gateways[number].name for number in KILLED}
     late = {
         replica.replica_id: [
             late_s
             for call_id, late_s in replica.late
-            if late_s > DRAIN_S and callers.gateway_of.get(call_id, touched) != touched
+            if late_s > DRAIN_S and callers.gateway_of.get(call_id) not in {None, *touched}
         ]
         for replica in platform.left
     }
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -128,6 +128,11 @@
         if self.process is not None and self.process.poll() is None:
             os.kill(self.process.pid, number)
 
+    def wait(self) -> None:
+        """Wait until this process has ended."""
+        if self.process is not None:
+            self.process.wait(10)
+
     def log_text(self) -> str:
         """Return what the process has written."""
         return self._log.read_text(errors='replace') if self._log.exists() else ''
@@ -191,8 +196,7 @@
         for gateway in self.gateways:
             gateway.signal(signal.SIGCONT)
             gateway.signal(signal.SIGKILL)
-            if gateway.process is not None:
-                gateway.process.wait(10)
+            gateway.wait()
         if self.caller is not None:
             await self.caller.close()
         for replica in [*self._others, *itertools.chain(*self.replicas.values())]:
