--- a/review/1/case.py
+++ b/review/1/case.py
@@ -30,7 +30,10 @@
 SOUND_S = 3.0
 ENGINE = 'lm'
 MODEL = 'm1'
-ADAPTERS = ('a1', 'a2', 'a3', 'a4', 'a5', 'a6')
+ADAPTERS = tuple(f'a{number}' for number in range(1, 11))
+#: Data centre of each replica. The first two are faulty, a share of 0.5; the site allows 0.6.
+DATA_CENTRES = ('z1', 'z2', 'z3', 'z3')
+FAULTY = 2
 LENGTH_S = 70.0
 CALLERS_PER_GATEWAY = 12
 PAUSE_S = (0.02, 0.15)
@@ -45,9 +48,12 @@
         copy comes late, when the next call has been sent on the connection.
     """
 
-    def __init__(self, replica_id: str, record: Record, sends_surplus: bool) -> None:
+    def __init__(
+        self, replica_id: str, data_centre: str, record: Record, sends_surplus: bool
+    ) -> None:
         super().__init__(replica_id, [MODEL], events=4)
         self.event_s = 0.02
+        self._data_centre = data_centre
         self._record = record
         self._sends_surplus = sends_surplus
         self._began_s = time.monotonic()
@@ -57,6 +63,10 @@
         self._uses: collections.Counter[str] = collections.Counter()
         self._unloading: set[str] = set()
 
+    def row(self, service: str, state: str = 'ready', beat: int = 1) -> dict[str, Any]:
+        """Return the row of the replica in the store."""
+        return {**super().row(service, state, beat), 'Zone': self._data_centre}
+
     @property
     def _is_faulty(self) -> bool:
         """Return whether this is a time in which surplus answers are added."""
@@ -199,8 +209,8 @@
 async def _play(is_faulty: bool) -> int:
     record = Record(Path(__file__).parent / 'record.txt')
     replicas = [
-        AdapterReplica('e-1', record, is_faulty),
-        AdapterReplica('e-2', record, False),
+        AdapterReplica(f'e-{number + 1}', data_centre, record, is_faulty and number < FAULTY)
+        for number, data_centre in enumerate(DATA_CENTRES)
     ]
     async with Deployment(record, {ENGINE: list(replicas)}, _configuration()) as deployment:
         callers = Callers(deployment, record)
@@ -223,7 +233,8 @@
     misdirected = sum(len(replica.received_calls) - len(replica.runs) for replica in replicas)
     summary = (
         f'calls {len(callers.answers)}, runs {sum(runs.values())}, not run {misdirected}, '
-        f'surplus answers {replicas[0].spoiled}; ran twice: {twice}; refused though run: {refused}'
+        f'surplus answers {sum(replica.spoiled for replica in replicas)}; '
+        f'ran twice: {twice}; refused though run: {refused}'
     )
     record.add('summary', summary)
     print(summary)
