Compare the id of every answer with status 421

What callers saw: calls that may run once ran at two replicas, or were refused with 503 though a replica had run them.

Cause: the id of an answer was not compared where its status is 421, so that a late surplus 421 to another call on the same connection counted as the call's own: not run. Beside it: a foreign answer without a body had given its connection back to the pool by the time it was rejected, so the answer that was still due met the next call.

Now an answer with another call's id belongs to no call, whatever its status, and closes its connection. A 421 without an id is left as it was. `attempt` lines name the id in `answer_id`.

--- a/limeshelf/gateway/call_log.py
+++ b/limeshelf/gateway/call_log.py
@@ -46,6 +46,7 @@
         replica=replica.replica_id,
         result=type(result).__name__,
         detail=_detail(result),
+        answer_id=result.answer_id if isinstance(result, Broken) else None,
         left_ms=int(state.left_s * 1000),
         waited_ms=int(state.waited_s * 1000),
         first_ms=int(time_to_head_s * 1000),
@@ -110,7 +111,7 @@
     """Return the HTTP status of the replica's answer; 0 without an answer."""
     if isinstance(result, WholeAnswer):
         return result.head.status
-    return result.status if isinstance(result, Delivered | NeverRan) else 0
+    return result.status if isinstance(result, Delivered | NeverRan | Broken) else 0
 
 
 def log_overloaded(state: CallState, expected_wait_s: float, copy_in_s: float | None) -> None:
--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -123,15 +123,15 @@
     ) -> ReplicaResult:
         head = self._wire.read_answer(response.status, response.headers)
         time_to_head_s = boottime_s() - started_s
-        if head.call_id != self._call.call_id and not head.misdirected:
-            return Broken(FailureCause.FOREIGN_ANSWER)
+        if not self._belongs_to_call(head):
+            return self._reject_foreign(head)
         if head.not_run:
             if head.call_id == self._call.call_id:
                 self._on_head(head)
             await self._drain_refusal(response, head)
             return NeverRan(True, head.misdirected, head.status)
         if not head.is_signed or head.encoded:
-            return Broken(FailureCause.FOREIGN_ANSWER)
+            return self._reject_foreign(head)
         self._on_head(head)
         if response.status == STATUS_OK and response.content_type == EVENT_STREAM:
             return await self._relay_stream(response, head, time_to_head_s)
@@ -140,6 +140,19 @@
         response.release()
         return WholeAnswer(head, body, time_to_head_s)
 
+    def _belongs_to_call(self, head: AnswerHead) -> bool:
+        """Return whether an answer is the one to this call, and not a surplus one to another.
+
+        Another replica that uses the address may leave out the id.
+        """
+        return head.call_id == self._call.call_id or (head.misdirected and head.call_id is None)
+
+    def _reject_foreign(self, head: AnswerHead) -> Broken:
+        if self._progress.connection is not None:
+            # The response may have released it already, while the call's own answer is still due.
+            self._progress.connection.close()
+        return Broken(FailureCause.FOREIGN_ANSWER, head.status, head.call_id)
+
     async def _drain_refusal(self, response: aiohttp.ClientResponse, head: AnswerHead) -> None:
         """Read a refusal to its end, so that its connection can be reused.
 
--- a/limeshelf/gateway/results.py
+++ b/limeshelf/gateway/results.py
@@ -86,9 +86,15 @@
 
 @dataclass(frozen=True)
 class Broken:
-    """The replica may have run the call, and gave no complete, valid answer."""
+    """The replica may have run the call, and gave no complete, valid answer.
+
+    :param status: HTTP status of an answer that is not valid; 0 without one.
+    :param answer_id: id of the call that this answer names; ``None`` if it names none.
+    """
 
     cause: FailureCause
+    status: int = 0
+    answer_id: str | None = None
 
 
 @dataclass(frozen=True)
--- a/limeshelf/replicas/connections.py
+++ b/limeshelf/replicas/connections.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from aiohttp.client_proto import ResponseHandler
     from aiohttp.connector import Connection
 
     from limeshelf.calls.call import Call
@@ -47,12 +48,17 @@
 
     :param may_send: called when the connection is ready, right before the first byte is sent,
         because the replica may have requested backpressure since it was selected.
-    :ivar connected: the call has been assigned a connection. Until then no byte of it has been
-        sent; afterwards some may have been.
+    :ivar connection: the connection to which the call has been assigned; ``None`` before. Until
+        then no byte of it has been sent; afterwards some may have been.
     """
 
     may_send: Callable[[], bool] = lambda: True
-    connected: bool = False
+    connection: ResponseHandler | None = None
+
+    @property
+    def connected(self) -> bool:
+        """Return whether some bytes of the call may have been sent."""
+        return self.connection is not None
 
 
 #: Progress of the send in the current task; aiohttp does not pass it to the connector.
@@ -77,7 +83,7 @@
         if not progress.may_send():
             connection.release()
             raise SendWithheld
-        progress.connected = True
+        progress.connection = connection.protocol
         return connection
 
 
