Do not bring back a row by an update that is older than the copy

What callers could see: calls sent to a replica whose entry has gone.

Cause: a gateway that reads a table whole does not know what was deleted before. An update that a peer sent earlier and that arrives later contains such a row, and the copy took it for new, although it is complete up to a later position. Nothing deletes the row afterwards.

Positions are compared within one era only; the rule for earlier eras is unchanged.

tests/feeds/test_table_copy.py:: test_late_update_does_not_bring_back_a_row_deleted_before_the_first_full_read fails before ('b' is back).

--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -124,7 +124,7 @@
         for row in rows:
             known = self._rows.get(row.key)
             if known is None:
-                if row.position.era < self.position.era and self._is_retention_over:
+                if self._was_dropped(row):
                     continue
             elif not self._replaces(row, known):
                 if row.position.era == self.position.era > known.position.era and not row.gone:
@@ -132,6 +132,13 @@
                 continue
             self._store_row(row, known)
 
+    def _was_dropped(self, row: Row) -> bool:
+        """Return whether a row that the copy does not have does not exist any more."""
+        if row.position.era == self.position.era:
+            # The copy is complete up to its position, so the row was deleted before that.
+            return row.position <= self.position
+        return row.position.era < self.position.era and self._is_retention_over
+
     def _replaces(self, row: Row, known: Row) -> bool:
         if row.position.era == known.position.era:
             return row.position > known.position
@@ -215,8 +222,8 @@
         era_changed = self._advance_era(page.position)
         if page.position >= self.position:
             self._delete_missing_rows(page)
-            self.position = page.position
         self.apply_rows(page.rows)
+        self.position = max(self.position, page.position)
         self.needs_full_read = False
         if era_changed:
             self._notify_restore_listeners()
--- a/tests/feeds/test_table_copy.py
+++ b/tests/feeds/test_table_copy.py
@@ -69,6 +69,14 @@
     assert not copy.needs_full_read
 
 
+def test_late_update_does_not_bring_back_a_row_deleted_before_the_first_full_read() -> None:
+    copy = copy_of(Row('a', b'1', make_position(5)))
+    late = [Row('a', b'1', make_position(5)), Row('b', b'1', make_position(6))]
+    continuity = copy.apply_update(late, make_position(0), make_position(6), 0.0)
+    assert continuity is Continuity.BEHIND
+    assert [row.key for row in copy.rows()] == ['a']
+
+
 def writer_version(value: bytes) -> tuple[int, ...]:
     """Return the number that the writer stored in a row; empty if there is none."""
     return (int(value),) if value.isdigit() else ()
