Answer with the whole table for positions that a copy has skipped

What callers saw: calls were sent to a replica for up to 8 s after its entry had gone (DRAIN), through gateways that nothing had touched, after others had been killed and had come back.

Cause: what a copy knows of deleted rows begins where it read the table whole: at the gateway's start, and again each time the store no longer had the changes. It nevertheless answered for any position, and peers whose position lay in between took the answer, and also its first update, for complete: they moved beyond the deletion, which no later answer brings.

Now a copy keeps which positions it has skipped. For a position in between it answers with all rows, and a copy deletes what such an update lacks. An update states from which position on its sender has skipped none, so that a copy in between asks; a gateway that learns the table from a peer at its start learns that peer's deletions too. An earlier release does not state it: its answers for a position are not taken for complete, its whole tables are. All tables go this way, revoked keys as well. At 4,200 replicas a whole table is some 1.3 MB (300 bytes a row, worked out); it goes to those that ask from a skipped position only. The first update of a gateway that polls has always contained the whole table.

--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -12,11 +12,12 @@
 
 import attrs
 
-from limeshelf.feeds.continuity import Continuity, continuity_of
+from limeshelf.feeds.continuity import Continuity, UpdateRange, continuity_of
 from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.restore_rule import RestoreRule
 from limeshelf.feeds.rows import Row
+from limeshelf.feeds.skipped_positions import SkippedPositions
 from limeshelf.metrics.event_log import log_change
 from limeshelf.util.clock import boottime_s
 
@@ -50,6 +51,7 @@
     :ivar confirmed_by: source of the confirmation of ``confirmed_s``, as in ``source``.
     :ivar needs_full_read: whether changes may be missing that the store no longer has, so that
         the whole table must be read to find which rows exist.
+    :ivar skipped: positions for which it cannot tell which rows were deleted since.
     :ivar restore_listeners: called with the copy after rows of a later era have been applied.
     """
 
@@ -69,6 +71,7 @@
         self.source = ''
         self.confirmed_by = ''
         self.needs_full_read = True
+        self.skipped = SkippedPositions()
         self.restore_listeners: list[Callable[[TableCopy], None]] = []
         self._rows: dict[str, Row] = {}
         self._listener = listener
@@ -161,41 +164,55 @@
         if known is not None and not known.gone and known.position.era == era:
             self._outdated_keys.add(row.key)
 
+    def update_range(self, after: Position) -> UpdateRange:
+        """Return the range of an update with the changes after a position.
+
+        It begins earlier, with all rows, where the copy cannot tell all changes after *after*.
+        """
+        start = BEGINNING if self.skipped.contains(after) else after
+        return UpdateRange(start, self.position, self.skipped.seen_from())
+
     def apply_update(
         self,
         rows: Iterable[Row],
-        after: Position,
-        upto: Position,
+        update: UpdateRange,
         age_s: float,
         confirmed_ms: int = 0,
         peer: str = '',
     ) -> Continuity:
         """Apply a peer's update, which contains the changes between two positions of the store.
 
-        :param after: position at which the update begins.
-        :param upto: position at which it ends.
+        :param update: these positions.
         :param age_s: time since the store confirmed the changes, in seconds.
         :param confirmed_ms: when it did, on the store's clock; 0 if the peer does not state it.
         :param peer: address of the peer.
         :return: how the update relates to the copy.
         """
         self.source = peer
-        continuity = continuity_of(after, upto, self.position)
+        continuity = continuity_of(update, self.position)
         if continuity is Continuity.CONTINUES:
-            if upto > self.position:
-                self.needs_full_read = False
-            era_changed = self._advance_era(upto)
-            self.apply_rows(rows)
-            self.position = upto
+            self._extend(list(rows), update)
             confirmed_s = boottime_s() - age_s
             self.record_confirmation(confirmed_s, confirmed_ms, peer)
             self.peer_confirmed_s = max(self.peer_confirmed_s, confirmed_s)
-            if era_changed:
-                self._notify_restore_listeners()
         else:
             self.apply_rows(rows)
         return continuity
 
+    def _extend(self, rows: list[Row], update: UpdateRange) -> None:
+        """Apply an update that leaves no gap."""
+        before = self.position
+        if update.upto > before:
+            self.needs_full_read = False
+        era_changed = self._advance_era(update.upto)
+        if update.is_whole:
+            self._delete_missing_rows({row.key for row in rows}, update.upto)
+        self.apply_rows(rows)
+        self.position = update.upto
+        self.skipped.add(before, min(update.seen_from, update.upto))
+        if era_changed:
+            self._notify_restore_listeners()
+
     def apply_changes(self, page: Page) -> bool:
         """Apply the changes after the known position, as the store answered them.
 
@@ -219,9 +236,11 @@
         if page.position.era < self.position.era:
             return False
         self.source = STORE
+        before = self.position
         era_changed = self._advance_era(page.position)
         if page.position >= self.position:
-            self._delete_missing_rows(page)
+            self._delete_missing_rows({row.key for row in page.rows}, page.position)
+            self.skipped.add(before, page.position)
         self.apply_rows(page.rows)
         self.position = max(self.position, page.position)
         self.needs_full_read = False
@@ -229,15 +248,21 @@
             self._notify_restore_listeners()
         return True
 
-    def _delete_missing_rows(self, page: Page) -> None:
-        present = {row.key for row in page.rows}
-        era = page.position.era
+    def _delete_missing_rows(self, present: set[str], position: Position) -> None:
+        """Delete the rows that did not exist at a position any more.
+
+        :param present: keys of the rows of its era that did.
+        """
         self._outdated_keys &= present
         missing = [
-            Row(row.key, b'', page.position, gone=True)
+            Row(row.key, b'', position, gone=True)
             for row in self.rows()
-            if row.key not in present and row.position.era == era and row.position <= page.position
+            if row.key not in present
+            and row.position.era == position.era
+            and row.position <= position
         ]
+        if missing and self.source != STORE:
+            log_change('deletions_missed', table=self.table, rows=len(missing), peer=self.source)
         self.apply_rows(missing)
 
     def _advance_era(self, position: Position) -> bool:
--- a/limeshelf/membership/row_conversion.py
+++ b/limeshelf/membership/row_conversion.py
@@ -3,15 +3,27 @@
 Messages from earlier releases contain no store era. Their positions count as era 0, the era of a
 store without eras. In a later era such versions would be ambiguous and count as out of date; a
 gateway that receives only such messages polls the store itself.
+
+An earlier release does not state either from which position on it knows all deletions. It answers
+for any position, so only its whole tables can be relied on.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+import attrs
+
+from limeshelf.feeds.continuity import UpdateRange
 from limeshelf.feeds.position import Position
 from limeshelf.feeds.rows import Row
-from limeshelf.membership.row_messages import NO_ERA, RowsQuery, TableRow, TableUpdate
+from limeshelf.membership.row_messages import (
+    NO_ERA,
+    NO_VERSION,
+    RowsQuery,
+    TableRow,
+    TableUpdate,
+)
 from limeshelf.util.clock import MS_PER_S
 
 if TYPE_CHECKING:
@@ -31,23 +43,47 @@
     ]
 
 
+def range_of_update(update: TableUpdate) -> UpdateRange:
+    """Return the positions that an update covers.
+
+    One of an earlier release that is no answer begins where its sender's own copy was complete.
+    """
+    after = position_from_message(update.after_era, update.after)
+    upto = position_from_message(update.upto_era, update.upto)
+    if update.seen_from == NO_VERSION:
+        covered = UpdateRange(after, upto, after)
+        return attrs.evolve(covered, seen_from=upto) if covered.is_whole else covered
+    return UpdateRange(after, upto, position_from_message(update.seen_from_era, update.seen_from))
+
+
+def may_lack_deletions(update: TableUpdate) -> bool:
+    """Return whether an answer to a query may lack rows that were deleted since.
+
+    That is so if an earlier release was asked for the changes after a position.
+    """
+    covered = range_of_update(update)
+    is_stated = update.seen_from != NO_VERSION
+    return not is_stated and not covered.is_whole and covered.upto > covered.after
+
+
 def update_from_copy(copy: TableCopy, after: Position) -> TableUpdate:
-    """Return an update with the changes of a copy after a position."""
+    """Return an update with at least the changes of a copy after a position."""
+    covered = copy.update_range(after)
     rows = [
         TableRow(row.key, row.value, row.position.version, row.gone, row.position.era)
-        for row in copy.rows_after(after)
+        for row in copy.rows_after(covered.after)
     ]
-    age_ms = int(copy.age_s * MS_PER_S)
-    upto = copy.position
     return TableUpdate(
         copy.table,
-        after.version,
-        upto.version,
-        age_ms,
+        covered.after.version,
+        covered.upto.version,
+        int(copy.age_s * MS_PER_S),
         rows,
         copy.confirmed_ms,
-        after.era,
-        upto.era,
+        covered.after.era,
+        covered.upto.era,
+        covered.seen_from.version,
+        covered.seen_from.era,
     )
 
 
--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -19,8 +19,9 @@
 from limeshelf.membership import receivers
 from limeshelf.membership.relays import RELAYS_PER_CENTRE
 from limeshelf.membership.row_conversion import (
-    position_from_message,
+    may_lack_deletions,
     query_for_positions,
+    range_of_update,
     requested_position,
     rows_from_update,
     update_from_copy,
@@ -192,6 +193,10 @@
                 # A table that only another release of the gateway uses.
                 continue
             after = copy.position
+            if envelope.message.asked_ms and may_lack_deletions(update):
+                copy.apply_rows(rows_from_update(update))
+                missing[update.table] = BEGINNING
+                continue
             continuity = self._apply_update(copy, update, envelope.sender)
             if continuity is Continuity.GAP:
                 missing[update.table] = copy.position
@@ -207,15 +212,10 @@
             self.node.send_all(addresses, TableUpdates(forwarded))
 
     def _apply_update(self, copy: TableCopy, update: TableUpdate, peer: str) -> Continuity:
-        upto = position_from_message(update.upto_era, update.upto)
-        self.clock.advance_era(upto.era)
+        covered = range_of_update(update)
+        self.clock.advance_era(covered.upto.era)
         return copy.apply_update(
-            rows_from_update(update),
-            position_from_message(update.after_era, update.after),
-            upto,
-            self._age_s(update),
-            update.confirmed_ms,
-            peer,
+            rows_from_update(update), covered, self._age_s(update), update.confirmed_ms, peer
         )
 
     def _age_s(self, update: TableUpdate) -> float:
--- a/limeshelf/membership/row_messages.py
+++ b/limeshelf/membership/row_messages.py
@@ -13,6 +13,8 @@
 
 #: Era in a message from a release that does not send eras.
 NO_ERA = -1
+#: Version in a message from a release that does not send it.
+NO_VERSION = -1
 
 
 class TableRow(msgspec.Struct, array_like=True):
@@ -42,6 +44,9 @@
         does not send it.
     :ivar after_era: store era of ``after``.
     :ivar upto_era: store era of ``upto``.
+    :ivar seen_from: store version from which on the sender knows all deletions;
+        :data:`NO_VERSION` from a release that does not send it.
+    :ivar seen_from_era: store era of ``seen_from``.
     """
 
     table: str
@@ -52,6 +57,8 @@
     confirmed_ms: int = 0
     after_era: int = NO_ERA
     upto_era: int = NO_ERA
+    seen_from: int = NO_VERSION
+    seen_from_era: int = NO_ERA
 
 
 @add_message('rows-query')
--- a/tests/feeds/test_late_configuration.py
+++ b/tests/feeds/test_late_configuration.py
@@ -31,7 +31,7 @@
 from limeshelf.feeds.store_backoff import StoreBackoff
 from limeshelf.feeds.table_copy import TableCopy
 from limeshelf.util.clock import boottime_s
-from tests.support.positions import make_position
+from tests.support.positions import make_position, make_range
 
 #: How long the store may hold a call for changes of the members, and of the configuration.
 MEMBERS_WAIT_S = 3.0
@@ -102,7 +102,7 @@
 
 def copy_updated_by_peer(table: str, rule: FollowRule) -> TableCopy:
     copy = TableCopy(table, lambda row: None, rule)
-    copy.apply_update([], make_position(0), make_position(1), 0.0)
+    copy.apply_update([], make_range(0, 1), 0.0)
     return copy
 
 
@@ -132,7 +132,7 @@
         # Peers still send updates, as they do to a gateway that is due; only the store is
         # unavailable.
         for copy in (members, config):
-            copy.apply_update([], make_position(0), make_position(1), 0.0)
+            copy.apply_update([], make_range(0, 1), 0.0)
         store.is_unavailable = False
         store.put('op')
         took_s = await until(lambda: config.rows(), MEMBERS_WAIT_S + 1.0)
--- a/tests/feeds/test_restored_store.py
+++ b/tests/feeds/test_restored_store.py
@@ -174,12 +174,13 @@
 
     def _send(self, sender: int, receiver: int, after: Position) -> None:
         copy = self.gateways[sender].copy
-        rows, upto = copy.rows_after(after), copy.position
+        covered = copy.update_range(after)
+        rows = copy.rows_after(covered.after)
         receiving_copy = self.gateways[receiver].copy
 
         def apply() -> None:
-            if receiving_copy.apply_update(rows, after, upto, 0.0) is Continuity.CONTINUES:
-                assert receiving_copy.position == upto
+            if receiving_copy.apply_update(rows, covered, 0.0) is Continuity.CONTINUES:
+                assert receiving_copy.position == covered.upto
 
         self.in_transit.append(apply)
 
--- a/tests/feeds/test_table_copy.py
+++ b/tests/feeds/test_table_copy.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from limeshelf.feeds.continuity import Continuity
+from limeshelf.feeds.continuity import Continuity, UpdateRange
 from limeshelf.feeds.follow_rule import FollowRule
+from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.restore_rule import RestoreRule
 from limeshelf.feeds.rows import Page, Row
 from limeshelf.feeds.table_copy import TableCopy
 from limeshelf.util.clock import boottime_s, virtual_clock
-from tests.support.positions import make_position
+from tests.support.positions import make_position, make_range
 
 
 def copy_of(*rows: Row) -> TableCopy:
@@ -35,14 +36,10 @@
     with virtual_clock() as clock:
         copy = copy_of()
         clock.advance(3.0)
-        assert (
-            copy.apply_update([], make_position(7), make_position(8), 1.0) is Continuity.CONTINUES
-        )
+        assert copy.apply_update([], make_range(7, 8), 1.0) is Continuity.CONTINUES
         assert (copy.position, copy.age_s) == (make_position(8), 1.0)
         # An older confirmation does not replace a newer one.
-        assert (
-            copy.apply_update([], make_position(7), make_position(8), 2.0) is Continuity.CONTINUES
-        )
+        assert copy.apply_update([], make_range(7, 8), 2.0) is Continuity.CONTINUES
         assert copy.age_s == 1.0
 
 
@@ -51,9 +48,7 @@
         copy = copy_of()
         clock.advance(3.0)
         assert (
-            copy.apply_update(
-                [Row('a', b'1', make_position(9))], make_position(8), make_position(9), 0.0
-            )
+            copy.apply_update([Row('a', b'1', make_position(9))], make_range(8, 9), 0.0)
             is Continuity.GAP
         )
         assert [row.key for row in copy.rows()] == ['a']
@@ -72,11 +67,15 @@
 def test_late_update_does_not_bring_back_a_row_deleted_before_the_first_full_read() -> None:
     copy = copy_of(Row('a', b'1', make_position(5)))
     late = [Row('a', b'1', make_position(5)), Row('b', b'1', make_position(6))]
-    continuity = copy.apply_update(late, make_position(0), make_position(6), 0.0)
-    assert continuity is Continuity.BEHIND
+    assert copy.apply_update(late, make_range(0, 6), 0.0) is Continuity.BEHIND
     assert [row.key for row in copy.rows()] == ['a']
 
 
+def whole_until(upto: Position) -> UpdateRange:
+    """Return the range of a peer's update with all rows."""
+    return UpdateRange(BEGINNING, upto, upto)
+
+
 def writer_version(value: bytes) -> tuple[int, ...]:
     """Return the number that the writer stored in a row; empty if there is none."""
     return (int(value),) if value.isdigit() else ()
@@ -118,8 +117,10 @@
         Page((Row('a', b'5', make_position(98, 1)),), make_position(99, 1))
     )
     assert not copy.needs_full_read
+    start = make_position(1, 1)
     assert (
-        copy.apply_update([], make_position(1, 1), make_position(99, 1), 0.0) is Continuity.BEHIND
+        copy.apply_update([], UpdateRange(start, make_position(99, 1), start), 0.0)
+        is Continuity.BEHIND
     )
     assert copy.position == make_position(42, 2)
     assert {row.key: row.value for row in copy.rows()}['a'] == b'6'
@@ -162,7 +163,7 @@
         assert [row.key for row in copy.rows()] == ['a']
         # A delayed update of a peer does not add it again either.
         copy.apply_update(
-            [Row('b', b'5', make_position(70, 1))], make_position(0), make_position(80, 1), 0.0
+            [Row('b', b'5', make_position(70, 1))], whole_until(make_position(80, 1)), 0.0
         )
         assert [row.key for row in copy.rows()] == ['a']
 
@@ -171,7 +172,7 @@
     copy = TableCopy('t', lambda row: None, FollowRule(), RestoreRule(writer_version))
     copy.apply_full_read(Page((Row('a', b'3', make_position(41, 2)),), make_position(42, 2)))
     copy.apply_update(
-        [Row('a', b'5', make_position(60, 1))], make_position(0), make_position(42, 2), 0.0
+        [Row('a', b'5', make_position(60, 1))], whole_until(make_position(42, 2)), 0.0
     )
     assert [row.value for row in copy.rows()] == [b'5']
 
@@ -180,7 +181,7 @@
     polling, other = copy_with_writer_versions(), copy_with_writer_versions()
     after = polling.position
     polling.apply_full_read(Page((Row('a', b'7', make_position(41, 2)),), make_position(42, 2)))
-    continuity = other.apply_update(polling.rows_after(after), after, polling.position, 0.0)
+    continuity = other.apply_update(polling.rows_after(after), polling.update_range(after), 0.0)
     assert continuity is Continuity.CONTINUES
     assert other.position == make_position(42, 2)
     assert {row.key: row.value for row in other.rows()}['a'] == b'7'
--- a/tests/membership/test_row_exchange.py
+++ b/tests/membership/test_row_exchange.py
@@ -18,7 +18,7 @@
 from limeshelf.membership.store_polling import OVERDUE_STEP_S
 from limeshelf.peers.codec import Envelope
 from limeshelf.util.clock import boottime_s, virtual_clock
-from tests.support.positions import make_position
+from tests.support.positions import make_position, make_range
 
 
 class Node:
@@ -81,7 +81,19 @@
 
 
 def update(after: int, upto: int, *rows: TableRow) -> Envelope:
-    return Envelope('g1', 'c1', TableUpdates([TableUpdate('t', after, upto, 0, list(rows))]))
+    sent = TableUpdate('t', after, upto, 0, list(rows), seen_from=after, seen_from_era=0)
+    return Envelope('g1', 'c1', TableUpdates([sent]))
+
+
+def update_of_earlier_release(
+    after: int, upto: int, *rows: TableRow, asked_ms: int = 0
+) -> Envelope:
+    """Return an update of a release that does not state from where on it knows all deletions.
+
+    :param asked_ms: greater than 0 for an answer to a query.
+    """
+    sent = TableUpdate('t', after, upto, 0, list(rows))
+    return Envelope('g1', 'c1', TableUpdates([sent], asked_ms))
 
 
 def test_update_sets_rows_and_position() -> None:
@@ -181,7 +193,7 @@
         gateway.members.record_message('g1', 'c1')
         gateway._handle_updates(update(0, 9))
         assert gateway.is_due()
-        gateway.copies['u'].apply_update([], make_position(0), make_position(9), 0.0)
+        gateway.copies['u'].apply_update([], make_range(0, 9), 0.0)
         assert not gateway.is_due()
 
 
@@ -203,7 +215,7 @@
         await asyncio.sleep(0.05)
         assert store.calls == 1
         for _ in range(8):
-            copy.apply_update([], make_position(7), make_position(7), 0.0)
+            copy.apply_update([], make_range(7, 7), 0.0)
             await asyncio.sleep(0.05)
         assert store.calls == 1
         await asyncio.sleep(0.6)
@@ -218,7 +230,7 @@
         gateway, other = exchange('g1', 'g2'), exchange('g2', 'g1')
         # The store's clock shows 5 s while this machine's clock shows 1,000 s.
         other.clock.record_answer(clock.now_s, 5.0)
-        other.copies['t'].apply_update([], make_position(0), make_position(9), 0.0, 5000)
+        other.copies['t'].apply_update([], make_range(0, 9), 0.0, 5000)
         node: Any = gateway.node
         gateway._query_random_peer()
         clock.advance(0.4)
@@ -285,3 +297,50 @@
             Envelope('g1', 'c1', TableUpdates([TableUpdate('t', 0, 9, 100, [], 4900)]))
         )
         assert abs(gateway.copies['t'].age_s - 0.1) < 0.001
+
+
+def test_gateway_that_has_just_started_answers_an_earlier_position_with_all_rows() -> None:
+    gateway = exchange('g1', 'g2')
+    gateway.copies['t'].apply_full_read(
+        Page((Row('a', b'1', make_position(3)),), make_position(9))
+    )
+    gateway._handle_query(Envelope('g2', 'c1', RowsQuery({'t': 5})))
+    node: Any = gateway.node
+    sent = node.sent[-1][1].words[0]
+    assert (sent.after, sent.upto, [row.key for row in sent.rows]) == (0, 9, ['a'])
+
+
+def test_deletions_known_to_a_peer_are_known_to_a_gateway_that_asks_it_at_its_start() -> None:
+    gateway = exchange('g2', 'g1', 'g3')
+    gateway._handle_updates(
+        update(0, 9, TableRow('a', b'1', 3, False), TableRow('b', b'1', 8, True))
+    )
+    gateway._handle_query(Envelope('g3', 'c1', RowsQuery({'t': 5})))
+    node: Any = gateway.node
+    sent = node.sent[-1][1].words[0]
+    assert (sent.after, sent.upto, [row.key for row in sent.rows]) == (5, 9, ['b'])
+
+
+def test_all_rows_of_a_peer_show_which_were_deleted() -> None:
+    gateway = exchange('g2', 'g1')
+    gateway._handle_updates(
+        update(0, 5, TableRow('a', b'1', 3, False), TableRow('b', b'1', 4, False))
+    )
+    gateway._handle_updates(update_of_earlier_release(0, 9, TableRow('a', b'1', 3, False)))
+    copy = gateway.copies['t']
+    assert (copy.position, [row.key for row in copy.rows()]) == (make_position(9), ['a'])
+
+
+def test_answer_of_an_earlier_release_for_a_position_is_not_taken_for_complete() -> None:
+    gateway = exchange('g2', 'g1')
+    gateway._handle_updates(
+        update(0, 5, TableRow('a', b'1', 3, False), TableRow('b', b'1', 4, False))
+    )
+    gateway._handle_updates(update_of_earlier_release(5, 9, asked_ms=1))
+    assert gateway.copies['t'].position == make_position(5)
+    node: Any = gateway.node
+    assert [(address, query.versions) for address, query in node.sent] == [('g1', {'t': 0})]
+    gateway._handle_updates(
+        update_of_earlier_release(0, 9, TableRow('a', b'1', 3, False), asked_ms=1)
+    )
+    assert [row.key for row in gateway.copies['t'].rows()] == ['a']
--- a/tests/organisations/test_strict_revocation.py
+++ b/tests/organisations/test_strict_revocation.py
@@ -20,7 +20,7 @@
 from limeshelf.organisations.access import AccessGranted, AccessRule, check_access
 from limeshelf.organisations.organisation import Organisation, Organisations, digest_of
 from limeshelf.util.clock import virtual_clock
-from tests.support.positions import make_position
+from tests.support.positions import make_position, make_range
 
 RULE = AccessRule(revoked_within_s=5.0)
 GATEWAYS = 3
@@ -104,9 +104,7 @@
         )
 
     def take_update(self, number: int, version: int, confirmed_ms: int) -> None:
-        self.gateways[number].copy.apply_update(
-            [], make_position(0), make_position(version), 0.0, confirmed_ms
-        )
+        self.gateways[number].copy.apply_update([], make_range(0, version), 0.0, confirmed_ms)
 
     @rule(asker=st.integers(0, GATEWAYS - 1), asked=st.integers(0, GATEWAYS - 1))
     def query(self, asker: int, asked: int) -> None:
