Send no call twice on one connection

What callers saw: calls that may run once ran twice, or were refused though they had run, with reason upstream_refused, while replicas refused many calls and spoilt answers.

Cause: a call that all replicas refused is held and sent to them again. Its id is the same in each attempt, so a surplus copy of the refusal of its first attempt, read on the same connection in its second one, passed for the answer to that one: not run.

Why it works: on a connection that never carried the call before, an answer with its id can only be the answer to this attempt. A connection keeps the ids of calls that were not served on it, 64 at most, and is closed then. A whole answer of 5xx counts too, since the call may be sent again.

--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -17,6 +17,7 @@
 
 from limeshelf.errors import SendWithheld
 from limeshelf.gateway.events import EventSplitter, EventTooLong
+from limeshelf.gateway.result_rules import STATUS_SERVER_ERROR
 from limeshelf.gateway.results import (
     Broken,
     Delivered,
@@ -76,7 +77,7 @@
         self._splitter = splitter
         self._on_first_event = on_first_event
         self._on_head = on_head
-        self._progress = SendProgress(may_send)
+        self._progress = SendProgress(call.call_id, may_send)
 
     async def run(self, context: SendContext, head_limit_s: float) -> ReplicaResult:
         """Send the call, and forward or return its answer.
@@ -125,6 +126,7 @@
         time_to_head_s = boottime_s() - started_s
         if not self._belongs_to_call(head):
             return self._reject_foreign(head)
+        self._record_unserved(head)
         if head.not_run:
             if head.call_id == self._call.call_id:
                 self._on_head(head)
@@ -147,6 +149,12 @@
         """
         return head.call_id == self._call.call_id or (head.misdirected and head.call_id is None)
 
+    def _record_unserved(self, head: AnswerHead) -> None:
+        """Keep a call that may be sent again off the connection of this attempt."""
+        connection = self._progress.connection
+        if connection is not None and (head.not_run or head.status >= STATUS_SERVER_ERROR):
+            connection.record_unserved(self._call.call_id)
+
     def _reject_foreign(self, head: AnswerHead) -> Broken:
         if self._progress.connection is not None:
             # The response may have released it already, while the call's own answer is still due.
--- a/limeshelf/replicas/connections.py
+++ b/limeshelf/replicas/connections.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from contextvars import ContextVar
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import aiohttp
 import attrs
@@ -18,12 +18,12 @@
 from limeshelf.util.connector import SingleCloseConnector
 from limeshelf.util.http import without_silent_retry
 from limeshelf.util.sockets import call_socket
-from limeshelf.util.strict_response import use_strict_responses
+from limeshelf.util.strict_response import StrictResponseHandler, use_strict_responses
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
-    from aiohttp.client_proto import ResponseHandler
     from aiohttp.connector import Connection
 
     from limeshelf.calls.call import Call
@@ -38,22 +38,47 @@
 IDLE_MARGIN_S = 1.0
 #: Shortest idle timeout, for a replica whose keep-alive time is below the margin.
 MIN_IDLE_S = 0.1
+#: A connection on which this many calls were not served is closed, so that it need not remember
+#: more of them.
+MAX_UNSERVED_CALLS = 64
 #: Headers that aiohttp would add; only the caller's own headers are forwarded.
 SKIPPED_HEADERS = frozenset({'User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type'})
 
 
+class CallConnection(StrictResponseHandler):
+    """One connection, which carries no call a second time.
+
+    A surplus copy of the answer to a call's first attempt carries the id of the call, so on this
+    connection it could not be told from the answer to a later attempt.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._unserved_ids: set[str] = set()
+
+    def record_unserved(self, call_id: str) -> None:
+        """Record that the answer to a call was one after which the call may be sent again."""
+        self._unserved_ids.add(call_id)
+
+    def may_carry(self, call_id: str) -> bool:
+        """Return whether a call may be sent on this connection."""
+        return call_id not in self._unserved_ids and len(self._unserved_ids) < MAX_UNSERVED_CALLS
+
+
 @attrs.define
 class SendProgress:
     """Progress of sending one call.
 
+    :param call_id: id of the call.
     :param may_send: called when the connection is ready, right before the first byte is sent,
         because the replica may have requested backpressure since it was selected.
     :ivar connection: the connection to which the call has been assigned; ``None`` before. Until
         then no byte of it has been sent; afterwards some may have been.
     """
 
+    call_id: str
     may_send: Callable[[], bool] = lambda: True
-    connection: ResponseHandler | None = None
+    connection: CallConnection | None = None
 
     @property
     def connected(self) -> bool:
@@ -78,12 +103,17 @@
 
         :raises SendWithheld: the call may no longer be sent.
         """
-        connection = await super().connect(*request, **limits)
         progress = _sending.get()
+        while True:
+            connection = await super().connect(*request, **limits)
+            protocol = cast('CallConnection', connection.protocol)
+            if protocol.may_carry(progress.call_id):
+                break
+            connection.close()
         if not progress.may_send():
             connection.release()
             raise SendWithheld
-        progress.connection = connection.protocol
+        progress.connection = protocol
         return connection
 
 
@@ -105,7 +135,7 @@
     def __init__(self, address: str, limit: int) -> None:
         self.address = address
         self._connector = ProgressConnector(call_socket, limit=limit, keepalive_timeout=MAX_IDLE_S)
-        use_strict_responses(self._connector)
+        use_strict_responses(self._connector, CallConnection)
         session = aiohttp.ClientSession(
             connector=self._connector,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
--- a/limeshelf/util/strict_response.py
+++ b/limeshelf/util/strict_response.py
@@ -52,7 +52,9 @@
         return super().is_connected() and not self._buffer and not self._tail
 
 
-def use_strict_responses(connector: aiohttp.TCPConnector) -> None:
-    """Let the new connections of *connector* be of :class:`StrictResponseHandler`."""
-    make: Any = functools.partial(StrictResponseHandler, loop=asyncio.get_running_loop())
+def use_strict_responses(
+    connector: aiohttp.TCPConnector, handler: type[StrictResponseHandler] = StrictResponseHandler
+) -> None:
+    """Let the new connections of *connector* be of the class *handler*."""
+    make: Any = functools.partial(handler, loop=asyncio.get_running_loop())
     connector._factory = make
--- a/tests/gateway/test_surplus_answers.py
+++ b/tests/gateway/test_surplus_answers.py
@@ -52,28 +52,47 @@
         return await super()._call(request, call_id)
 
 
-class SurplusWorld(GatewayWorld):
-    """A gateway in front of one faulty and one sound replica of a plain service."""
+class RepeatingReplica(ReplicaStandIn):
+    """Refuses the first attempt of a call, and sends a second copy of that with the next call."""
 
-    def __init__(self, surplus: Callable[[str | None, str], bytes]) -> None:
+    def __init__(self, replica_id: str, status: int, models: list[str] | None = None) -> None:
+        super().__init__(replica_id, models)
+        self.work_s = WORK_S
+        self._status = status
+        self._refused: set[str] = set()
+        self._copies: dict[object, bytes] = {}
+
+    async def _call(self, request: web.BaseRequest, call_id: str) -> web.StreamResponse:
+        assert request.transport is not None
+        request.transport.write(self._copies.pop(request.transport, b''))
+        if call_id not in self._refused:
+            self._refused.add(call_id)
+            self._copies[request.transport] = refusal(self._status, call_id)
+            return self._refusal(self._status, call_id)
+        return await super()._call(request, call_id)
+
+
+class ReplicaWorld(GatewayWorld):
+    """A gateway in front of one faulty replica of a plain service and maybe another one."""
+
+    def __init__(self, *plain: ReplicaStandIn) -> None:
         super().__init__()
-        self.faulty = SurplusReplica('p-1', surplus)
-        self.plain = [self.faulty, ReplicaStandIn('p-2')]
+        self.plain = list(plain)
 
     def runs(self) -> list[str]:
         """Return the ids of all calls that a replica has run, once for each run."""
         return [call_id for replica in self.plain for call_id in replica.runs]
 
 
-def run(scenario: Any, surplus: Callable[[str | None, str], bytes]) -> None:
+def run(scenario: Any, *plain: ReplicaStandIn) -> None:
     async def main() -> None:
-        async with SurplusWorld(surplus) as world:
+        async with ReplicaWorld(*plain) as world:
             await scenario(world)
 
     asyncio.run(main())
 
 
-async def call_until_surplus(world: SurplusWorld, path: str) -> dict[str, int]:
+async def call_until_surplus(world: ReplicaWorld, path: str) -> dict[str, int]:
     """Return the status of each call, until several could have met a surplus answer."""
     statuses = {}
     for number in range(12):
@@ -82,7 +101,7 @@
     return statuses
 
 
-def assert_promises_hold(world: SurplusWorld, statuses: dict[str, int]) -> None:
+def assert_promises_hold(world: ReplicaWorld, statuses: dict[str, int]) -> None:
     """Check that no call ran twice, and that none ran whose caller was told that it had not."""
     runs = world.runs()
     assert len(set(runs)) == len(runs), 'ran twice'
@@ -96,12 +115,14 @@
     def surplus(earlier: str | None, call_id: str) -> bytes:
         return refusal(status, earlier) if earlier is not None else b''
 
-    async def scenario(world: SurplusWorld) -> None:
+    faulty = SurplusReplica('p-1', surplus)
+
+    async def scenario(world: ReplicaWorld) -> None:
         statuses = await call_until_surplus(world, '/unsafe/x')
-        assert any(len(ids) > 1 for ids in world.faulty.calls_by_connection.values())
+        assert any(len(ids) > 1 for ids in faulty.calls_by_connection.values())
         assert_promises_hold(world, statuses)
 
-    run(scenario, surplus)
+    run(scenario, faulty, ReplicaStandIn('p-2'))
 
 
 @pytest.mark.parametrize('status', [421, 503])
@@ -110,9 +131,24 @@
     def surplus(earlier: str | None, call_id: str) -> bytes:
         return refusal(status, earlier) if earlier is not None else b''
 
-    async def scenario(world: SurplusWorld) -> None:
+    faulty = SurplusReplica('p-1', surplus)
+
+    async def scenario(world: ReplicaWorld) -> None:
         await call_until_surplus(world, '/unsafe/x')
-        met = [ids for ids in world.faulty.calls_by_connection.values() if len(ids) > 1]
+        met = [ids for ids in faulty.calls_by_connection.values() if len(ids) > 1]
         assert met and all(len(ids) == 2 for ids in met)
 
-    run(scenario, surplus)
+    run(scenario, faulty, ReplicaStandIn('p-2'))
+
+
+@pytest.mark.parametrize('status', [503, 429])
+def test_copy_of_a_refusal_says_nothing_of_a_later_attempt_of_the_same_call(status: int) -> None:
+    # The call was sent once more, or refused, although its second attempt ran.
+    faulty = RepeatingReplica('p-1', status)
+
+    async def scenario(world: ReplicaWorld) -> None:
+        statuses = await call_until_surplus(world, '/unsafe/x')
+        assert_promises_hold(world, statuses)
+        assert 200 in statuses.values()
+
+    run(scenario, faulty)
--- a/tests/replicas/test_connections.py
+++ b/tests/replicas/test_connections.py
@@ -93,7 +93,7 @@
         connections = CallConnections(await replica.start(), 1)
 
         async def send(call_id: str, limit_s: float, **options: Any) -> SendProgress:
-            progress = SendProgress(**options)
+            progress = SendProgress(call_id, **options)
             headers = [('Limeshelf-Attempt-Id', call_id)]
             call = Call(call_id, 'GET', 'h', '/x', (), b'', 0.0, None, None, None)
             with contextlib.suppress(TimeoutError):
