Replace a status that promises "not run" where the replica does not

What callers could see: 503 or 429 for a call that may run once and that a replica had run; they take it for a promise, and send it again.

Cause: a whole, signed answer of a replica went to the caller with its status, also a 503, 429 or 408 without the statement that the call did not run. Only that statement says so; for the caller these statuses do.

Now such an answer to a call that may not be repeated becomes a 502 of our own, without the replica's signature. Calls that may be repeated get the replica's answer as before.

tests/gateway/test_endings.py:: test_status_of_a_call_that_may_have_run_promises_nothing_to_its_caller fails before (the replica's answer was passed on) and passes now.

--- a/limeshelf/gateway/endings.py
+++ b/limeshelf/gateway/endings.py
@@ -34,6 +34,8 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
+#: Statuses that a caller takes for a promise that the call has not run and never will.
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 
 
 @dataclass(frozen=True)
@@ -103,14 +105,14 @@
     if isinstance(last, NeverRan | NotSent | NotCarried):
         return Retry()
     if isinstance(last, CarriedAnswer):
-        return ForwardAnswer(last.answer)
+        return _forward(progress, last.answer)
     if isinstance(last, FailedElsewhere):
         return _incomplete_ending(progress, is_too_late(progress.left_s))
     failed = not isinstance(last, WholeAnswer) or last.head.status >= STATUS_SERVER_ERROR
     if failed and may_run_again(progress.route, progress.runs, progress.left_s):
         return Retry()
     if isinstance(last, WholeAnswer) and not progress.answer_started:
-        return ForwardAnswer(last)
+        return _forward(progress, last)
     return _incomplete_ending(progress, is_too_late(progress.left_s))
 
 
@@ -138,13 +140,23 @@
     if progress.answer_started:
         return AbortAnswer()
     if isinstance(progress.last_result, WholeAnswer):
-        return ForwardAnswer(progress.last_result)
+        return _forward(progress, progress.last_result)
     if progress.runs:
         deadline_passed = refusal.outcome.reason is RefusalReason.DEADLINE_TOO_SHORT
         return _incomplete_ending(progress, deadline_passed)
     return refusal
 
 
+def _forward(progress: CallProgress, answer: WholeAnswer) -> ForwardAnswer | GatewayFailure:
+    """Return the ending of a call to which a replica gave a whole answer.
+
+    The replica did not state that the call has not run, so a status that promises it is replaced.
+    """
+    if answer.head.status in PROMISES_NOT_RUN and not progress.route.repeatable:
+        return GatewayFailure(STATUS_BAD_GATEWAY)
+    return ForwardAnswer(answer)
+
+
 def _incomplete_ending(
     progress: CallProgress, deadline_passed: bool
 ) -> AbortAnswer | GatewayFailure:
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -118,3 +118,22 @@
         progress(whole_answer(500), route=resumable, runs=2, answer_started=True)
     )
     assert ended == AbortAnswer()
+
+
+@pytest.mark.parametrize('status', [408, 429, 503])
+def test_status_of_a_call_that_may_have_run_promises_nothing_to_its_caller(status: int) -> None:
+    # A replica's 503 without a statement that the call did not run was passed on.
+    unsafe = make_route(kind=CallKind.UNSAFE)
+    ending = decide_after_attempt(progress(whole_answer(status), route=unsafe))
+    assert ending == GatewayFailure(502)
+    late = refuse_unavailable(
+        progress(whole_answer(status), route=unsafe), RefusalReason.DEADLINE_TOO_SHORT
+    )
+    assert late == GatewayFailure(502)
+
+
+@pytest.mark.parametrize('status', [400, 404, 500, 502, 504])
+def test_other_statuses_of_a_replica_are_passed_on(status: int) -> None:
+    unsafe = make_route(kind=CallKind.UNSAFE)
+    answer = whole_answer(status)
+    assert decide_after_attempt(progress(answer, route=unsafe)) == ForwardAnswer(answer)
