Give each order to a replica a connection of its own

What operators could see: a load that was sent is taken for refused, or a leader takes a surplus 412 for the sign that it has been replaced and gives its term up.

Answers to orders name no order, so no comparison of ids can help. Polls and the store's client also kept connections on which surplus bytes had arrived.

Now each order is sent on a new connection, and the other connections of the adapter are dropped when they hold surplus bytes, as those of calls are.

--- a/limeshelf/platform/orders.py
+++ b/limeshelf/platform/orders.py
@@ -1,8 +1,9 @@
 """HTTP client for orders to replicas and for their status reports.
 
 Owns its own connections, separate from those of calls, so that an order never queues
-behind a call. Relies on :mod:`limeshelf.platform.replicas` to decode reports. Retries
-nothing: :mod:`limeshelf.orders.attempts` decides how to continue after a failure.
+behind a call. Each order has a connection of its own. Relies on
+:mod:`limeshelf.platform.replicas` to decode reports. Retries nothing:
+:mod:`limeshelf.orders.attempts` decides how to continue after a failure.
 """
 
 from __future__ import annotations
@@ -40,7 +41,7 @@
 REPORT_TIMEOUT_S = 0.5
 #: An idle connection is closed after this time.
 KEEPALIVE_S = 3.0
-#: Connections to one replica: one for an order and one for a concurrent report.
+#: Connections to one replica for concurrent reports, and as many for concurrent orders.
 CONNECTIONS_PER_REPLICA = 2
 
 STATUS_OK = 200
@@ -80,15 +81,18 @@
         self, on_notice: Callable[[str, ReplicaNotice], None] = lambda replica_id, notice: None
     ) -> None:
         self._on_notice = on_notice
-        self._session: aiohttp.ClientSession | None = None
+        self._report_session: aiohttp.ClientSession | None = None
+        self._order_session: aiohttp.ClientSession | None = None
 
     async def report(self, address: str, replica_id: str) -> ReplicaReport:
         """Return a replica's report.
 
         :raises ReplicaUnresponsive: no valid report arrived before the timeout.
         """
+        if self._report_session is None:
+            self._report_session = _open_replica_session()
         status, body = await self._call(
-            'GET', address, '/report', replica_id, None, REPORT_TIMEOUT_S
+            self._report_session, 'GET', address, '/report', replica_id, None, REPORT_TIMEOUT_S
         )
         if status != STATUS_OK:
             raise ReplicaUnresponsive(replica_id)
@@ -113,11 +117,18 @@
             fencing_token=order.fence,
             adapter=order.adapter,
         )
-        status, _ = await self._call('POST', address, '/order', replica_id, body, ORDER_TIMEOUT_S)
+        if self._order_session is None:
+            # Answers to orders name no order, so only a connection of its own shows that one is
+            # not a surplus answer to an earlier order.
+            self._order_session = _open_replica_session(reuses_connections=False)
+        status, _ = await self._call(
+            self._order_session, 'POST', address, '/order', replica_id, body, ORDER_TIMEOUT_S
+        )
         return ReplicaOrderAnswer(_OUTCOME_BY_STATUS.get(status, OrderOutcome.REJECTED), status)
 
     async def _call(
         self,
+        session: aiohttp.ClientSession,
         method: str,
         address: str,
         path: str,
@@ -132,7 +143,7 @@
             headers['Content-Type'] = 'application/json'
         try:
             async with asyncio.timeout(timeout_s):
-                async with self._get_session().request(
+                async with session.request(
                     method, f'http://{address}{path}', data=data, headers=headers
                 ) as response:
                     if response.status != STATUS_MISDIRECTED:
@@ -141,14 +152,18 @@
         except (TimeoutError, aiohttp.ClientError, OSError):
             raise ReplicaUnresponsive(replica_id) from None
 
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = open_session(
-                CONNECT_TIMEOUT_S, KEEPALIVE_S, reset_on_close_socket, CONNECTIONS_PER_REPLICA
-            )
-        return self._session
-
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._report_session, self._order_session):
+            if session is not None:
+                await session.close()
+
+
+def _open_replica_session(*, reuses_connections: bool = True) -> aiohttp.ClientSession:
+    return open_session(
+        CONNECT_TIMEOUT_S,
+        KEEPALIVE_S,
+        reset_on_close_socket,
+        CONNECTIONS_PER_REPLICA,
+        reuses_connections=reuses_connections,
+    )
--- a/limeshelf/platform/sessions.py
+++ b/limeshelf/platform/sessions.py
@@ -12,6 +12,7 @@
 
 from limeshelf.util.connector import SingleCloseConnector
 from limeshelf.util.http import without_silent_retry
+from limeshelf.util.strict_response import use_strict_responses
 
 if TYPE_CHECKING:
     import socket
@@ -23,6 +24,8 @@
     keepalive_s: float,
     make_socket: Callable[[Any], socket.socket],
     limit_per_host: int = 0,
+    *,
+    reuses_connections: bool = True,
 ) -> aiohttp.ClientSession:
     """Return a session that never retries a request by itself.
 
@@ -32,10 +35,16 @@
     :param keepalive_s: time after which an idle connection is closed, in seconds.
     :param make_socket: creates the socket of a new connection.
     :param limit_per_host: maximum number of connections to one address; 0 for no limit.
+    :param reuses_connections: whether a connection carries several requests. On one that carries a
+        single request, no surplus answer to another request can arrive.
     """
     connector = SingleCloseConnector(
-        make_socket, limit=0, limit_per_host=limit_per_host, keepalive_timeout=keepalive_s
+        make_socket,
+        limit=0,
+        limit_per_host=limit_per_host,
+        **({'keepalive_timeout': keepalive_s} if reuses_connections else {'force_close': True}),
     )
+    use_strict_responses(connector)
     session = aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
