Let streams go on only at the software version that began them

Cause: the version in a replica's row was read nowhere, nor was `Resumes`, the id of the attempt that brought the first event.

Now the first event binds a stream that may go on elsewhere to the version of its replica. Later attempts exclude all others, with the dispatcher, a carrying gateway and after the grant. When its caller takes it up, the gateway looks the origin up: in its own records, or at six gateways of three data centres that follow from the id of the stream. These get the record before the first event goes out; while a service has one version nothing is sent, and what began before the second one appears is recorded then. Where nobody knows the origin and there are several versions, the stream is refused, not guessed; with one version it goes on as before. Weighed: telling all gateways (at 350 each hears 6,800 streams a second); asking the one that began it (it is the one that is gone); a version that follows from the id (wrong as soon as versions or shares change). Six records a stream are some 13 KB a second and gateway at 350 gateways with 20 streams a second each, while two versions serve (worked out).

Open: a stream whose model is held at other versions only is refused, also while replicas of its own version serve; placement does not know versions.

--- a/limeshelf/calls/call.py
+++ b/limeshelf/calls/call.py
@@ -70,6 +70,8 @@
     :param caller_timeout_s: time-out of the caller, in seconds; ``None`` if it stated none.
     :param model_need: ``None`` for a call to a plain service.
     :param last_event_id: id of the last event that the caller received, when it resumes a stream.
+    :param resumes: id of the attempt that brought the first event of that stream; ``None`` if the
+        caller does not state it.
     :param key: digest of the caller's key; ``None`` without one, or for a malformed one.
     :param stated_tokens: tokens of the prompt plus the largest number to generate, which count
         against the organisation's limit; ``None`` where the caller states none.
@@ -87,6 +89,12 @@
     last_event_id: str | None
     key: KeyDigest | None = attrs.field(default=None, repr=False)
     stated_tokens: int | None = None
+    resumes: str | None = None
+
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the attempt that brought the first event of its stream."""
+        return self.resumes or self.call_id
 
     @property
     def path(self) -> str:
--- a/limeshelf/errors.py
+++ b/limeshelf/errors.py
@@ -26,6 +26,10 @@
     OVER_LIMIT = 'over_limit'
     LIMIT_UNKNOWN = 'limit_unknown'
     QUARANTINED = 'quarantined'
+    #: A stream may go on at the software version that began it only, which nobody knows...
+    STREAM_ORIGIN_UNKNOWN = 'stream_origin_unknown'
+    #: ...or of which no replica serves what the call needs.
+    STREAM_VERSION_GONE = 'stream_version_gone'
 
 
 class MayHaveRunReason(enum.StrEnum):
--- a/limeshelf/forwarding/messages.py
+++ b/limeshelf/forwarding/messages.py
@@ -20,7 +20,9 @@
     :param caller_timeout_ms: time-out that the caller stated when the call arrived; ``None`` if it
         stated none.
     :param runs: number of replicas that ran the call or may have run it.
-    :param excluded: ids of replicas that refused or failed the call.
+    :param excluded: ids of replicas that refused or failed the call, or at which its stream must
+        not go on.
+    :param version: software version at which its stream must go on; ``None`` for any.
     """
 
     service: str
@@ -29,6 +31,7 @@
     caller_timeout_ms: int | None
     runs: int
     excluded: list[str]
+    version: str | None = None
 
 
 @attrs.frozen
--- a/limeshelf/gateway/attempts.py
+++ b/limeshelf/gateway/attempts.py
@@ -37,6 +37,7 @@
     from limeshelf.gateway.results import ReplicaResult
     from limeshelf.gateway.selection import Selected
     from limeshelf.gateway.state import CallState
+    from limeshelf.gateway.stream_binding import StreamBinder
     from limeshelf.organisations.organisation import Organisation
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.notices import NoticeHandler
@@ -58,6 +59,7 @@
     quarantine: QuarantineGuard
     notices: NoticeHandler
     demand: DemandMeter
+    binder: StreamBinder
 
     async def run(
         self, state: CallState, selected: Selected, organisation: Organisation | None
@@ -131,6 +133,7 @@
             self.pool.check(replica)
 
     def _report_first_event(self, state: CallState, selected: Selected) -> None:
+        self.binder.record_first_event(state, selected.replica)
         selected.report_first_event()
         self.quarantine.record_first_event(state)
         self.demand.record_served(state.call, state.service)
--- a/limeshelf/gateway/call_log.py
+++ b/limeshelf/gateway/call_log.py
@@ -46,6 +46,8 @@
         replica=replica.replica_id,
         result=type(result).__name__,
         detail=_detail(result),
+        version=replica.record.version,
+        bound_version=state.version,
         answer_id=result.answer_id if isinstance(result, Broken) else None,
         left_ms=int(state.left_s * 1000),
         waited_ms=int(state.waited_s * 1000),
--- a/limeshelf/gateway/forwarder.py
+++ b/limeshelf/gateway/forwarder.py
@@ -163,6 +163,7 @@
         caller_timeout_ms=int(timeout_s * MS_PER_S) if timeout_s is not None else None,
         runs=state.runs,
         excluded=sorted(state.excluded - state.unreached),
+        version=state.version,
     )
 
 
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -56,6 +56,7 @@
     from limeshelf.gateway.quarantine import QuarantineGuard
     from limeshelf.gateway.selection import ReplicaSelector
     from limeshelf.gateway.steps import StepChooser
+    from limeshelf.gateway.stream_binding import StreamBinder
     from limeshelf.organisations.access import AccessGranted
     from limeshelf.replicas.directory import ReplicaDirectory
 
@@ -81,6 +82,7 @@
         quarantine: QuarantineGuard,
         forwarder: Forwarder,
         steps: StepChooser,
+        binder: StreamBinder,
     ) -> None:
         self._directory = directory
         self._selector = selector
@@ -93,6 +95,7 @@
         self._quarantine = quarantine
         self._forwarder = forwarder
         self._steps = steps
+        self._binder = binder
         self._carried_answer = CarriedAnswerSender(wire, active_config)
         self._waiting: set[asyncio.Task[object]] = set()
         self._stopping = False
@@ -136,6 +139,7 @@
         state.is_forwarded = True
         state.runs = received.forwarded.runs
         state.excluded.update(received.forwarded.excluded)
+        state.version = received.forwarded.version
         left_s = received.left_s - ANSWER_MARGIN_S
         state.deadline_s = min(state.deadline_s, boottime_s() + left_s)
         ending = await self._run_attempts(state)
@@ -174,6 +178,9 @@
 
     async def _run_attempts(self, state: CallState) -> Ending:
         while True:
+            unbound = await self._binder.bind(state)
+            if unbound is not None:
+                return unbound
             selected = await self._select_unless_stopped(state)
             if not isinstance(selected, Selected | ForwardTo):
                 return selected
--- a/limeshelf/gateway/selection.py
+++ b/limeshelf/gateway/selection.py
@@ -70,7 +70,17 @@
     replicas: tuple[Replica, ...]
 
 
-Selection = Selected | NoCapacity | NoHolder | Unreachable
+@attrs.frozen
+class NoVersion:
+    """No replica of the software version that began the stream serves what the call needs.
+
+    :param is_gone: whether none of that version serves at all.
+    """
+
+    is_gone: bool
+
+
+Selection = Selected | NoCapacity | NoHolder | Unreachable | NoVersion
 
 
 @attrs.frozen
@@ -84,6 +94,9 @@
 
     async def select(self, state: CallState) -> Selection:
         """Return the replica for the next attempt of a call, or why there is none."""
+        no_version = self._no_version(state)
+        if no_version is not None:
+            return no_version
         candidates = self._candidates(state)
         if candidates and not any(_is_reached(state, replica) for replica in candidates):
             return Unreachable(tuple(candidates))
@@ -92,10 +105,36 @@
             return await self._select_dispatched(state, need)
         return await self._select_routed(state)
 
+    def _no_version(self, state: CallState) -> NoVersion | None:
+        """Return that no replica may go on with the stream of a call; ``None`` if one may."""
+        if state.version is None:
+            return None
+        need = _dispatched_need(state)
+        serving = [
+            replica
+            for replica in self.directory.of_service(state.service.name)
+            if replica.record.version == state.version
+        ]
+        if any(need is None or replica.holds(need.model, need.adapter) for replica in serving):
+            return None
+        return NoVersion(is_gone=not serving)
+
+    def _of_other_versions(self, state: CallState) -> set[str]:
+        """Return the replicas at which the stream of a call must not go on."""
+        if state.version is None:
+            return set()
+        need = _dispatched_need(state)
+        return {
+            replica.replica_id
+            for replica in self.directory.of_service(state.service.name)
+            if replica.record.version != state.version
+            and (need is None or replica.holds(need.model, need.adapter))
+        }
+
     def _candidates(self, state: CallState) -> list[Replica]:
         """Return the replicas that could run a call and did not refuse or fail it."""
         need = _dispatched_need(state)
-        refused = state.excluded - state.unreached
+        refused = (state.excluded - state.unreached) | self._of_other_versions(state)
         return [
             replica
             for replica in self.directory.of_service(state.service.name)
@@ -109,7 +148,7 @@
 
         Skips rate-limited replicas that have no permit for it in time.
         """
-        excluded = set(state.excluded)
+        excluded = state.excluded | self._of_other_versions(state)
         next_permits_s = []
         while (
             chosen := self.plain_selector.choose(state.service, frozenset(excluded))
@@ -131,13 +170,14 @@
         if isinstance(answered, NoCapacity | NoHolder):
             return answered
         replica = self.directory.get(answered.replica_id)
-        if replica is not None and replica.takes_calls:
+        if replica is not None and replica.takes_calls and _may_go_on_at(state, replica):
             has_permit = answered.has_permit or await self._acquire_permit(
                 state, replica, answered
             )
             if has_permit or replica.backpressure.rate_per_s is None:
                 return Selected(replica, answered, has_permit)
-        # The dispatcher does not know yet that the replica leaves, or there is no permit for it.
+        # The dispatcher does not know yet that the replica leaves, or knows one of another version
+        # that is unknown here, or there is no permit for it.
         answered.report_ended()
         state.record_excluded(answered.replica_id, reached=True)
         return NoHolder()
@@ -166,7 +206,9 @@
             objective_s=state.route.objective_s - waited_s,
             left_s=min(state.left_s, first_event_timeout_left_s(state.route, waited_s)),
             pause_s=state.route.pause_s,
-            excluded=frozenset(state.excluded | self._unusable_here(state)),
+            excluded=frozenset(
+                state.excluded | self._unusable_here(state) | self._of_other_versions(state)
+            ),
             is_caller_retry=state.is_caller_retry,
         )
 
@@ -179,6 +221,10 @@
         }
 
 
+def _may_go_on_at(state: CallState, replica: Replica) -> bool:
+    return state.version is None or replica.record.version == state.version
+
+
 def _dispatched_need(state: CallState) -> ModelNeed | None:
     """Return the need of a call whose replica the dispatcher selects; ``None`` for others."""
     return state.call.model_need if state.service.engine is not None else None
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from limeshelf.admission.wait_limits import is_retry
+from limeshelf.calls.call import CallKind
 from limeshelf.calls.fingerprint import Fingerprint, fingerprint_of, part_fingerprints
 from limeshelf.gateway.endings import CallProgress
 from limeshelf.gateway.events import EventSplitter
@@ -66,6 +67,7 @@
     :ivar waited_s: time from its arrival to the latest send, in seconds.
     :ivar fingerprint: identifies its content; the same for each retry of the caller.
     :ivar parts: fingerprints of the parts of its prompt, without the last one.
+    :ivar version: software version at which its stream must go on; ``None`` while any will do.
     :ivar begun: that its latest attempt has begun to be answered; ``None`` before.
     """
 
@@ -93,6 +95,12 @@
         lambda self: part_fingerprints(self.call), takes_self=True
     )
     begun: BegunAnswer | None = None
+    version: str | None = None
+
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Return whether its stream may go on at another replica."""
+        return self.route.kind is CallKind.STREAM and self.route.repeatable
 
     def begin_attempt(self) -> None:
         """Count an attempt that starts now."""
--- a/limeshelf/gateway/steps.py
+++ b/limeshelf/gateway/steps.py
@@ -21,7 +21,7 @@
 from limeshelf.errors import RefusalReason
 from limeshelf.gateway.call_log import log_no_replica, log_overloaded
 from limeshelf.gateway.endings import refuse_unavailable
-from limeshelf.gateway.selection import Selected, Unreachable
+from limeshelf.gateway.selection import NoVersion, Selected, Unreachable
 
 if TYPE_CHECKING:
     from limeshelf.admission.retry_budget import RetryBudgets
@@ -59,6 +59,12 @@
             return self._refuse_overloaded(state, selection.wait_s)
         if isinstance(selection, Selected):
             return self._use_replica(state, selection)
+        if isinstance(selection, NoVersion):
+            # A version that is gone does not come back while the caller waits.
+            retry_after_s = state.left_s if selection.is_gone else None
+            return refuse_unavailable(
+                state.progress(), RefusalReason.STREAM_VERSION_GONE, retry_after_s
+            )
         if isinstance(selection, Unreachable):
             step = self._forward_or_refuse(state, selection)
             if step is not None:
--- a/limeshelf/platform/headers.py
+++ b/limeshelf/platform/headers.py
@@ -34,6 +34,8 @@
 LENGTH_HINT = 'Limeshelf-Length-Hint'
 #: Id of the last event of the stream that the client has received.
 LAST_EVENT = 'Last-Event-Id'
+#: Id of the caller's attempt that brought the first event of a stream that it resumes.
+RESUMES = 'Resumes'
 #: Not an instance in the sense of this project: the id of the intended replica, which stays
 #: the same when the replica restarts.
 EXPECT_INSTANCE = 'Limeshelf-Expect-Instance'
--- a/limeshelf/platform/replicas.py
+++ b/limeshelf/platform/replicas.py
@@ -61,6 +61,8 @@
     #: stops at short notice.
     remaining_ms: float | None = None
     models: list[_LoadedModel] = []
+    #: Of the replica's software; a model has a version of its weights.
+    version: Any = ''
     #: Start time in Unix milliseconds; the only name in lower case.
     born: Any = msgspec.field(name='born', default=None)
 
@@ -179,6 +181,7 @@
         holdings=_holdings(row.models),
         heartbeat_number=row.seq_no,
         born_ms=_born_ms(row.born),
+        version=row.version if isinstance(row.version, str) else '',
     )
 
 
--- a/limeshelf/platform/wire.py
+++ b/limeshelf/platform/wire.py
@@ -58,6 +58,7 @@
             last_event_id=fields.get(headers.LAST_EVENT),
             key=headers.read_key_digest(fields.getall(headers.AUTHORIZATION, [])),
             stated_tokens=headers.read_stated_tokens(fields),
+            resumes=fields.get(headers.RESUMES),
         )
 
     def send_headers(self, call: Call, context: SendContext) -> list[tuple[str, str]]:
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -35,6 +35,7 @@
 from limeshelf.gateway.quarantine import QuarantineGuard
 from limeshelf.gateway.selection import ReplicaSelector
 from limeshelf.gateway.steps import StepChooser
+from limeshelf.gateway.stream_binding import StreamBinder
 from limeshelf.lease.leadership import Leadership
 from limeshelf.membership.crash_exchange import CrashExchange
 from limeshelf.membership.digest_exchange import DigestExchange
@@ -65,6 +66,7 @@
 from limeshelf.replicas.notices import NoticeHandler
 from limeshelf.replicas.pool import ConnectionPool
 from limeshelf.routing.plain_selector import PlainReplicaSelector
+from limeshelf.streams.exchange import StreamExchange
 from limeshelf.util.clock import MS_PER_S
 from limeshelf.util.suspension import SuspensionWatch
 
@@ -228,6 +230,7 @@
             self.placement,
             self.changes,
         )
+        self.streams = StreamExchange(self.node, self.members, self.directory)
         self.rows = RowExchange(self.node, self.members, self.store_clock)
         config_rows = ConfigRows(self.active_config, self.directory)
         self.followers = follow_tables(
@@ -257,8 +260,16 @@
         guard = QuarantineGuard(
             Quarantine(self.suspects), self.crash_detector, CrashingParts(self.suspects)
         )
+        binder = StreamBinder(self.streams, self.active_config)
         attempts = AttemptRunner(
-            wire, self.directory, self.pool, self.active_config, guard, self.notices, self.meter
+            wire,
+            self.directory,
+            self.pool,
+            self.active_config,
+            guard,
+            self.notices,
+            self.meter,
+            binder,
         )
         self.forwarder = Forwarder(
             wire, ForwardTargets(self.members), self.meter, self.metrics.observe_forwarded
@@ -276,6 +287,7 @@
             guard,
             self.forwarder,
             StepChooser(self.meter, self.budgets, self.forwarder, self.pool),
+            binder,
         )
         self.frontend = HttpFrontend(self.pipeline, wire, self.metrics, self.members.has_host)
 
@@ -313,6 +325,7 @@
         self.dispatch.start()
         self.permits.start()
         self.notice_exchange.start()
+        self.streams.start()
 
     async def close(self) -> None:
         """Close all connections."""
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -86,6 +86,7 @@
         self.tasks.supervise(components.digests.run, 'digests')
         self.tasks.supervise(components.states.run, 'states')
         self.tasks.supervise(components.rows.run, 'rows')
+        self.tasks.supervise(components.streams.run, 'streams')
         self.tasks.supervise(components.suspension.run, 'suspension')
         self.tasks.supervise(components.crashes.run, 'crashes')
         self.tasks.supervise(components.notice_exchange.run, 'notices')
--- a/limeshelf/replicas/record.py
+++ b/limeshelf/replicas/record.py
@@ -26,6 +26,7 @@
     :param slots: number of calls that the replica runs concurrently.
     :param leaving: the replica accepts no new calls.
     :param leaves_in_s: time until the replica is gone; ``None`` if not stated.
+    :param version: version of its software, not of the weights; empty if not stated.
     :param heartbeat_number: number of the heartbeat since the start; a row with a lower number is
         outdated.
     :param born_ms: start time in milliseconds since 1970, by the clock of its machine; ``None``
@@ -42,6 +43,7 @@
     holdings: tuple[Holding, ...]
     heartbeat_number: int
     born_ms: int | None = None
+    version: str = ''
 
 
 @attrs.frozen
--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -141,6 +141,7 @@
 
     :param replica_id: calls that expect another id are answered with 421.
     :param events: number of events in a complete stream.
+    :ivar version: version of its software, in its row.
     :ivar born_ms: start time in its row and reports; ``None`` leaves it out.
     :ivar restarts: number of restarts.
     :ivar restart_times_s: times of the restarts on the clock of the event loop.
@@ -172,6 +173,7 @@
         self.peak_models = len(self.models)
         self.peak_adapters = 0
         self.address = ''
+        self.version = 'v1'
         self.born_ms: int | None = None
         self.restarts = 0
         self.restart_times_s: list[float] = []
@@ -251,7 +253,7 @@
             'Service': service,
             'Address': self.address,
             'Zone': 'z1',
-            'Version': 'v1',
+            'Version': self.version,
             'Slots': 8,
             'State': state,
             'SeqNo': beat - self._first_beat,
--- a/tests/docs/test_named_things.py
+++ b/tests/docs/test_named_things.py
@@ -93,7 +93,7 @@
 #: Packages of the users' platform whose modules decide.
 DECIDING = (
     'admission', 'crashes', 'demand', 'dispatch', 'feeds', 'forwarding', 'gateway', 'lease',
-    'membership', 'orders', 'organisations', 'placement', 'replicas', 'routing',
+    'membership', 'orders', 'organisations', 'placement', 'replicas', 'routing', 'streams',
 )  # fmt: skip
 #: Figures of these time or bound the applying code; no rule goes by them.
 NO_RULE = {
