--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -13,6 +13,7 @@
 import attrs
 
 from limeshelf.feeds.continuity import Continuity, UpdateRange, continuity_of
+from limeshelf.feeds.earlier_rows import EarlierRows
 from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.restore_rule import RestoreRule
@@ -76,11 +77,7 @@
         self._rows: dict[str, Row] = {}
         self._listener = listener
         self._restore_rule = restore_rule or RestoreRule()
-        self._era_began_s = 0.0
-        self._may_have_earlier_rows = False
-        # Keys that exist in the current era of the store, but with an older row than the one
-        # that is kept from an earlier era.
-        self._outdated_keys: set[str] = set()
+        self._earlier_rows = EarlierRows(self._restore_rule.retention_s)
 
     @property
     def age_s(self) -> float:
@@ -111,7 +108,7 @@
     def is_in_current_era(self, key: str) -> bool:
         """Return whether a row exists in the known era of the store, even if it is outdated."""
         row = self._rows.get(key)
-        return key in self._outdated_keys or (
+        return key in self._earlier_rows.outdated_keys or (
             row is not None and not row.gone and row.position.era == self.position.era
         )
 
@@ -131,7 +128,7 @@
                     continue
             elif not self._replaces(row, known):
                 if row.position.era == self.position.era > known.position.era and not row.gone:
-                    self._outdated_keys.add(row.key)
+                    self._earlier_rows.outdated_keys.add(row.key)
                 continue
             self._store_row(row, known)
 
@@ -140,7 +137,7 @@
         if row.position.era == self.position.era:
             # The copy is complete up to its position, so the row was deleted before that.
             return row.position <= self.position
-        return row.position.era < self.position.era and self._is_retention_over
+        return row.position.era < self.position.era and self._earlier_rows.is_retention_over
 
     def _replaces(self, row: Row, known: Row) -> bool:
         if row.position.era == known.position.era:
@@ -151,19 +148,9 @@
         if row.gone and known is not None and not row.value:
             row = attrs.evolve(row, value=known.value)
         self._rows[row.key] = row
-        self._track_era(row, known)
+        self._earlier_rows.record_stored(row, known, self.position.era)
         self._listener(row)
 
-    def _track_era(self, row: Row, known: Row | None) -> None:
-        """Record whether a row that is stored is of the current era of the store."""
-        era = self.position.era
-        if row.position.era >= era:
-            self._outdated_keys.discard(row.key)
-            return
-        self._may_have_earlier_rows = True
-        if known is not None and not known.gone and known.position.era == era:
-            self._outdated_keys.add(row.key)
-
     def update_range(self, after: Position) -> UpdateRange:
         """Return the range of an update with the changes after a position.
 
@@ -253,7 +240,7 @@
 
         :param present: keys of the rows of its era that did.
         """
-        self._outdated_keys &= present
+        self._earlier_rows.outdated_keys &= present
         missing = [
             Row(row.key, b'', position, gone=True)
             for row in self.rows()
@@ -273,14 +260,13 @@
         before = self.position
         if position.era <= before.era and before != BEGINNING:
             return False
-        self._era_began_s = boottime_s()
-        self._may_have_earlier_rows = True
+        self._earlier_rows.begin_era()
         if before == BEGINNING:
             return False
         self.position = Position(position.era)
         # The store's clock may be reset with the era.
         self.confirmed_ms = 0
-        self._outdated_keys.clear()
+        self._earlier_rows.outdated_keys.clear()
         log_change(
             'table_returned',
             table=self.table,
@@ -296,20 +282,16 @@
         for listener in self.restore_listeners:
             listener(self)
 
-    @property
-    def _is_retention_over(self) -> bool:
-        return boottime_s() - self._era_began_s > self._restore_rule.retention_s
-
     def drop_lost_rows(self) -> None:
         """Drop rows of earlier eras that were not written again within the retention period."""
-        if not self._may_have_earlier_rows or not self._is_retention_over:
+        if not self._earlier_rows.are_due_to_be_dropped():
             return
         era = self.position.era
-        self._may_have_earlier_rows = bool(self._outdated_keys)
+        outdated_keys = self._earlier_rows.outdated_keys
         lost = [
             Row(row.key, b'', self.position, gone=True)
             for row in self.rows()
-            if row.position.era < era and row.key not in self._outdated_keys
+            if row.position.era < era and row.key not in outdated_keys
         ]
         if lost:
             log_change('rows_not_written_again', table=self.table, era=era, rows=len(lost))
