Close the connection of an answer without an id before reading its body

Found at the closing read: while the body was read, the connection could be released and assigned to another call, which the close would have broken. The body of such an answer is not needed.

--- a/limeshelf/gateway/exchange.py
+++ b/limeshelf/gateway/exchange.py
@@ -128,11 +128,11 @@
             return self._reject_foreign(head)
         self._record_unserved(head)
         if head.not_run:
-            if head.call_id == self._call.call_id:
-                self._on_head(head)
-            await self._drain_refusal(response, head)
             if head.call_id is None:
                 self._close_connection()
+            else:
+                self._on_head(head)
+                await self._drain_refusal(response, head)
             return NeverRan(True, head.misdirected, head.status)
         if not head.is_signed or head.encoded:
             return self._reject_foreign(head)
@@ -164,9 +164,9 @@
         return Broken(FailureCause.FOREIGN_ANSWER, head.status, head.call_id)
 
     def _close_connection(self) -> None:
-        """Close the connection, although the response may have released it already.
+        """Close the connection at once, before another call is assigned to it.
 
-        An answer without a body releases it with its head.
+        An answer without a body has released it with its head.
         """
         if self._progress.connection is not None:
             self._progress.connection.close()
