--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -9,7 +9,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from limeshelf.admission.retry_budget import RetryBudgets, RetryRule
+from limeshelf.admission.retry_budget import RetryBudgets
 from limeshelf.calls.active_config import ActiveConfig
 from limeshelf.crashes.crash_detector import CrashDetector
 from limeshelf.crashes.crashing_parts import CrashingParts
@@ -53,8 +53,6 @@
 from limeshelf.metrics.event_log import log_change
 from limeshelf.metrics.prometheus import GatewayMetrics
 from limeshelf.orders.sender import OrderSender
-from limeshelf.organisations.access import AccessRule
-from limeshelf.organisations.limits import LimitRule
 from limeshelf.placement.service import PlacementService
 from limeshelf.platform.configuration import CONFIG_TABLE
 from limeshelf.platform.orders import ReplicaOrderClient
@@ -62,6 +60,7 @@
 from limeshelf.platform.store import StoreClient
 from limeshelf.platform.wire import PlatformWire
 from limeshelf.programs.followed_tables import ConfigRows, follow_tables
+from limeshelf.programs.rules import access_rule, limit_rule, retry_rule
 from limeshelf.replicas.directory import ReplicaDirectory
 from limeshelf.replicas.notices import NoticeHandler
 from limeshelf.replicas.pool import ConnectionPool
@@ -76,28 +75,6 @@
     from limeshelf.util.tasks import TaskSet
 
 
-def retry_rule(settings: GatewaySettings) -> RetryRule:
-    """Return the limit on retries of all gateways together from the settings."""
-    retries = settings.retries
-    return RetryRule(retries.ratio, retries.slack, retries.window_s)
-
-
-def access_rule(settings: GatewaySettings) -> AccessRule:
-    """Return the time limit for the revocation of keys from the settings."""
-    return AccessRule(settings.organisations.revoked_within_s)
-
-
-def limit_rule(settings: GatewaySettings) -> LimitRule:
-    """Return the tolerance for exceeding the limits of organisations from the settings."""
-    organisations = settings.organisations
-    return LimitRule(
-        organisations.limit_window_s,
-        organisations.limit_overrun,
-        organisations.limit_slack,
-        len({*settings.data_centres, settings.data_centre}),
-    )
-
-
 class GatewayComponents:
     """All components of one gateway, connected to each other.
 
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -23,7 +23,8 @@
 from limeshelf.metrics.event_log import event_log, log_change
 from limeshelf.metrics.prometheus import MetricsServer
 from limeshelf.peers.node import PeerNode
-from limeshelf.programs.components import GatewayComponents, access_rule, retry_rule
+from limeshelf.programs.components import GatewayComponents
+from limeshelf.programs.rules import access_rule, retry_rule
 from limeshelf.programs.settings_watch import SettingsWatch
 from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
 from limeshelf.util.backoff import jittered_s
