Record the new messages between gateways, and keep the frame without the new fields

What was recorded before is read as before; the frame of updates without the fields stands in a test of its own.

--- a/tests/forms/test_messages.py
+++ b/tests/forms/test_messages.py
@@ -23,13 +23,14 @@
 import limeshelf.dispatch.messages
 import limeshelf.membership.messages
 import limeshelf.membership.row_messages
-import limeshelf.standalone.messages  # noqa: F401
+import limeshelf.standalone.messages
+import limeshelf.streams.messages  # noqa: F401
 from limeshelf.membership.row_conversion import (
     position_from_message,
     requested_position,
     rows_from_update,
 )
-from limeshelf.membership.row_messages import NO_ERA
+from limeshelf.membership.row_messages import NO_ERA, NO_VERSION
 from limeshelf.peers.codec import Envelope, decode, encode
 from limeshelf.peers.messages import message_classes
 from tests.support.positions import make_position
@@ -137,6 +138,14 @@
     '722d32c40066c3ce00011d28ab646174615f63656e747265a27a31a46b696e64ab7461626c652d77'
     '6f726473a673656e646572ad31302e302e302e313a37303031'
 )
+#: Updates of the release that did not say from where on it knows all deletions.
+UPDATES_WITHOUT_SEEN_FROM = (
+    '84a4626f647984a861736b65645f6d73cda028a973746f72655f65726103a873746f72655f6d73ce'
+    '00011f1ca5776f7264739198a7736572766572735a660f9295a3722d31c4107b2253657276696365'
+    '223a226c6d227d65c20395a3722d32c4107b2253657276696365223a226c6d227d66c303ce00011d'
+    '280203ab646174615f63656e747265a27a31a46b696e64ab7461626c652d776f726473a673656e64'
+    '6572ad31302e302e302e313a37303031'
+)
 #: Frames of the release that did not tell since when calls are served or wait.
 DIGEST_WITHOUT_AGES = (
     '84a4626f64798ca761646472657373ad31302e302e302e313a37303031ae636f6e6669675f766572'
@@ -221,6 +230,13 @@
     assert {entry.rejections_known_ms_ago for entry in message.notices} == {None}
 
 
+def test_updates_of_a_gateway_that_does_not_say_from_where_on_it_knows_all_deletions() -> None:
+    message = decode(bytes.fromhex(UPDATES_WITHOUT_SEEN_FROM)).message
+    (update,) = message.words
+    assert (update.seen_from, update.seen_from_era) == (NO_VERSION, NO_ERA)
+    assert (update.after, update.upto, len(update.rows)) == (90, 102, 2)
+
+
 def test_verdict_of_a_dispatcher_that_gives_no_turns() -> None:
     message = decode(bytes.fromhex(OLD_VERDICT)).message
     assert (message.replica_id, message.has_turn) == ('r-1', False)
