Look for second versions twice a second, and forget old ones

The history of versions scanned all replicas whenever it was asked, four times a second at most, and kept each version for good. Now it is refreshed twice a second, when a stream begins at an unknown version, and when one is resumed; what has gone for long is dropped.

--- a/limeshelf/streams/exchange.py
+++ b/limeshelf/streams/exchange.py
@@ -16,7 +16,7 @@
 from limeshelf.streams.messages import StreamAnswer, StreamQuery, StreamRecord, StreamsBegun
 from limeshelf.streams.recorders import recorders
 from limeshelf.streams.records import StreamOrigin, StreamRecords
-from limeshelf.streams.versions import SCAN_INTERVAL_S, VersionHistory
+from limeshelf.streams.versions import VersionHistory
 from limeshelf.util.identifiers import new_id
 
 if TYPE_CHECKING:
@@ -28,6 +28,10 @@
     from limeshelf.replicas.directory import ReplicaDirectory
 
 
+#: Interval between two looks for services that have got a second version.
+CHECK_INTERVAL_S = 0.5
+
+
 @attrs.frozen
 class UnknownOrigin:
     """Nobody knows where a stream began, and there are several versions."""
@@ -54,10 +58,11 @@
         """Send the records of services that get a second version; runs until cancelled."""
         while True:
             self.check_versions()
-            await asyncio.sleep(SCAN_INTERVAL_S)
+            await asyncio.sleep(CHECK_INTERVAL_S)
 
     def check_versions(self) -> None:
         """Send the records of the services that have got a second version."""
+        self.versions.refresh()
         mixed = {name for name in self.versions.services() if self._is_mixed(name)}
         for service in mixed - self._mixed:
             self._send([*self.records.of_service(service)])
@@ -68,6 +73,8 @@
 
     def record(self, stream_id: str, origin: StreamOrigin) -> None:
         """Record where a stream has begun, before its first event goes out."""
+        if origin.version not in self.versions.lately(origin.service):
+            self.versions.refresh()
         self.versions.record(origin.service, origin.version)
         self.records.add(stream_id, origin)
         if self._is_mixed(origin.service):
@@ -94,6 +101,7 @@
         :return: ``None`` if no replica of the service is known.
         """
         known = self.records.get(stream_id) if stream_id is not None else None
+        self.versions.refresh()
         versions = set(self.versions.lately(service))
         if known is not None or (len(versions) == 1 and self.versions.is_complete):
             return known or StreamOrigin(service, versions.pop())
@@ -132,6 +140,7 @@
         record = None
         if origin is not None:
             record = StreamRecord(query.stream_id, origin.service, origin.version)
+        self.versions.refresh()
         versions = {name: sorted(self.versions.lately(name)) for name in query.services}
         self._node.send(envelope.sender, StreamAnswer(query.query_id, record, versions))
 
--- a/limeshelf/streams/versions.py
+++ b/limeshelf/streams/versions.py
@@ -16,8 +16,6 @@
 #: How long a version counts after its last replica has gone, and how long a record of a stream is
 #: kept. A stream that began at it can be resumed meanwhile; callers wait 30 s at most.
 VERSION_MEMORY_S = 60.0
-#: Interval between two looks at all replicas.
-SCAN_INTERVAL_S = 0.25
 
 
 class VersionHistory:
@@ -27,7 +25,6 @@
         self._directory = directory
         self._seen_s: dict[str, dict[str, float]] = {}
         self._started_s = boottime_s()
-        self._scanned_s = -SCAN_INTERVAL_S
 
     @property
     def is_complete(self) -> bool:
@@ -35,12 +32,13 @@
         return boottime_s() - self._started_s > VERSION_MEMORY_S
 
     def lately(self, service: str) -> frozenset[str]:
-        """Return the versions of a service at which streams may have begun."""
-        now_s = boottime_s()
-        if now_s - self._scanned_s >= SCAN_INTERVAL_S:
-            self._scan(now_s)
+        """Return the versions of a service at which streams may have begun.
+
+        Those of replicas that were found since the last :meth:`refresh` may be missing.
+        """
+        oldest_s = boottime_s() - VERSION_MEMORY_S
         seen_s = self._seen_s.get(service, {})
-        return frozenset(v for v, at_s in seen_s.items() if now_s - at_s <= VERSION_MEMORY_S)
+        return frozenset(version for version, at_s in seen_s.items() if at_s >= oldest_s)
 
     def record(self, service: str, version: str) -> None:
         """Record that a replica of a version serves now."""
@@ -50,7 +48,14 @@
         """Return the services of which any version is known."""
         return list(self._seen_s)
 
-    def _scan(self, now_s: float) -> None:
-        self._scanned_s = now_s
-        for replica in self._directory.all():
-            self.record(replica.record.service, replica.record.version)
+    def refresh(self) -> None:
+        """Record the versions of all replicas, and forget those that have gone for long."""
+        serving = {
+            (replica.record.service, replica.record.version) for replica in self._directory.all()
+        }
+        for service, version in serving:
+            self.record(service, version)
+        for service, seen_s in self._seen_s.items():
+            versions = self.lately(service)
+            for version in seen_s.keys() - versions:
+                del seen_s[version]
