Hold a bound stream while its model may come back at its version

Now it ends at once only where it surely cannot go on: other versions serve and either none of its own does, or the model is held, but at others only.

tests/gateway/test_selection.py:: test_bound_stream_waits_only_for_what_may_come fails on the commit before for an engine without the model and for no engine at all.

--- a/limeshelf/gateway/selection.py
+++ b/limeshelf/gateway/selection.py
@@ -106,18 +106,20 @@
         return await self._select_routed(state)
 
     def _no_version(self, state: CallState) -> NoVersion | None:
-        """Return that no replica may go on with the stream of a call; ``None`` if one may."""
+        """Return that no replica will go on with the stream of a call; ``None`` if one may.
+
+        While nobody holds the model, the leader may load it at a replica of the right version.
+        """
         if state.version is None:
             return None
         need = _dispatched_need(state)
-        serving = [
-            replica
-            for replica in self.directory.of_service(state.service.name)
-            if replica.record.version == state.version
-        ]
-        if any(need is None or replica.holds(need.model, need.adapter) for replica in serving):
+        serving = self.directory.of_service(state.service.name)
+        of_version = [replica for replica in serving if replica.record.version == state.version]
+        if len(of_version) == len(serving) or any(_holds(replica, need) for replica in of_version):
+            return None
+        if of_version and not any(_holds(replica, need) for replica in serving):
             return None
-        return NoVersion(is_gone=not serving)
+        return NoVersion(is_gone=not of_version)
 
     def _of_other_versions(self, state: CallState) -> set[str]:
         """Return the replicas at which the stream of a call must not go on."""
@@ -127,8 +129,7 @@
         return {
             replica.replica_id
             for replica in self.directory.of_service(state.service.name)
-            if replica.record.version != state.version
-            and (need is None or replica.holds(need.model, need.adapter))
+            if replica.record.version != state.version and _holds(replica, need)
         }
 
     def _candidates(self, state: CallState) -> list[Replica]:
@@ -140,7 +141,7 @@
             for replica in self.directory.of_service(state.service.name)
             if replica.replica_id not in refused
             and not replica.backpressure.is_paused
-            and (need is None or replica.holds(need.model, need.adapter))
+            and _holds(replica, need)
         ]
 
     async def _select_routed(self, state: CallState) -> Selection:
@@ -230,6 +231,10 @@
     return state.call.model_need if state.service.engine is not None else None
 
 
+def _holds(replica: Replica, need: ModelNeed | None) -> bool:
+    return need is None or replica.holds(need.model, need.adapter)
+
+
 def _is_reached(state: CallState, replica: Replica) -> bool:
     return not replica.health.awaits_probe and replica.replica_id not in state.unreached
 
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -14,7 +14,7 @@
 from limeshelf.dispatch.rate_limiter import RatePermit
 from limeshelf.gateway.answer import Answer
 from limeshelf.gateway.results import Broken, Delivered, FailureCause, NeverRan, NotSent
-from limeshelf.gateway.selection import ReplicaSelector, Selected
+from limeshelf.gateway.selection import NoVersion, ReplicaSelector, Selected
 from limeshelf.gateway.state import CallState
 from limeshelf.platform.replicas import read_record
 from limeshelf.replicas.directory import ReplicaDirectory
@@ -214,3 +214,53 @@
     state.begin_attempt()
     state.record_result(NotSent(FailureCause.WITHHELD))
     assert (state.sends, state.refusals, state.runs) == (0, 0, 0)
+
+
+def directory_of(*replicas: tuple[str, str]) -> ReplicaDirectory:
+    """Return a directory of engines, each with its version and the model that it holds."""
+    directory = ReplicaDirectory(read_record)
+    for number, (version, model) in enumerate(replicas):
+        holdings = (Holding(model),) if model else ()
+        directory.apply_record(
+            ReplicaRecord(
+                f'r{number}',
+                'lm',
+                f'lm:{number}',
+                'z1',
+                4,
+                False,
+                None,
+                holdings,
+                1,
+                None,
+                version,
+            )
+        )
+    return directory
+
+
+@pytest.mark.parametrize(
+    ('replicas', 'expected'),
+    [
+        # One version: the model is loaded again, or its replicas come back.
+        ([], None),
+        ([('v1', '')], None),
+        ([('v1', 'm')], None),
+        # Two versions.
+        ([('v1', 'm'), ('v2', 'm')], None),
+        ([('v1', ''), ('v2', '')], None),
+        ([('v1', ''), ('v2', 'm')], NoVersion(is_gone=False)),
+        ([('v2', 'm')], NoVersion(is_gone=True)),
+        ([('v2', '')], NoVersion(is_gone=True)),
+    ],
+)
+def test_bound_stream_waits_only_for_what_may_come(
+    replicas: list[tuple[str, str]], expected: NoVersion | None
+) -> None:
+    # A stream whose only replica had crashed was cut off though its model was being loaded.
+    directory = directory_of(*replicas)
+    plain = PlainReplicaSelector(directory, 'z1')
+    node = FakeNode(VerdictKind.ABSENT)
+    selector = ReplicaSelector(directory, plain, client_of(node), FakePermits())  # type: ignore[arg-type]
+    assert selector._no_version(state_of(ENGINE, NEED, version='v1')) == expected
+    assert selector._no_version(state_of(ENGINE, NEED)) is None
