--- a/tests/gateway/test_surplus_answers.py
+++ b/tests/gateway/test_surplus_answers.py
@@ -8,6 +8,7 @@
 import pytest
 from aiohttp import web
 
+from limeshelf.gateway import call_log
 from standins.users_platform.replica import ReplicaStandIn
 from tests.support.gateway import GatewayWorld
 
@@ -142,6 +143,29 @@
     run(scenario, faulty, sound_replica())
 
 
+def test_attempt_line_names_the_call_of_a_foreign_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    def surplus(earlier: str | None, call_id: str) -> bytes:
+        return refusal(421, earlier) if earlier is not None else b''
+
+    lines: list[tuple[str, dict[str, Any]]] = []
+    monkeypatch.setattr(
+        call_log, 'log_request', lambda event, **fields: lines.append((event, fields))
+    )
+    faulty = SurplusReplica('p-1', surplus)
+
+    async def scenario(world: ReplicaWorld) -> None:
+        await make_calls(world, '/unsafe/x', faulty.has_reused_connection)
+
+    run(scenario, faulty, sound_replica())
+    foreign = [
+        fields for event, fields in lines if event == 'attempt' and fields['answer_id'] is not None
+    ]
+    assert foreign
+    for fields in foreign:
+        assert (fields['detail'], fields['status']) == ('foreign_answer', 421)
+        assert [fields['answer_id'], fields['request']] in faulty.calls_by_connection.values()
+
+
 @pytest.mark.parametrize('status', [421, 503])
 def test_connection_with_a_foreign_answer_carries_no_further_call(status: int) -> None:
     # The answer to the first call, still due, then met the next call.
