Count the outcome of a forwarded call only where the answer names the call

What callers could see: a call that may have run was taken for one that had not, so it was sent again or refused.

Cause: the outcome that another gateway states was taken from any answer on the connection, before the id in the answer was compared.

Now "not run" counts only for an answer that passed that comparison; any other one leaves the call as one that may have run.

tests/gateway/test_forward_results.py:: test_refusal_of_another_call_says_nothing_of_a_forwarded_one fails before. The tests of forwarded calls and of unreachable replicas pass.

--- a/limeshelf/gateway/forwarder.py
+++ b/limeshelf/gateway/forwarder.py
@@ -170,10 +170,13 @@
 def _result_of(result: ReplicaResult, wire: ForwardWire) -> AttemptResult:
     """Return what the result of the exchange with another gateway means for the call."""
     if wire.outcome is not None:
-        if wire.outcome.kind is OutcomeKind.NOT_RUN:
-            refusal = wire.outcome.refusal()
-            return NotCarried(refusal, is_final=refusal.reason not in RETRIED_REASONS)
-        return FailedElsewhere()
+        if wire.outcome.kind is not OutcomeKind.NOT_RUN:
+            return FailedElsewhere()
+        if not isinstance(result, NeverRan):
+            # The answer names another call, so this one may have run.
+            return result
+        refusal = wire.outcome.refusal()
+        return NotCarried(refusal, is_final=refusal.reason not in RETRIED_REASONS)
     if isinstance(result, NeverRan) and not result.reached:
         return NotCarried(NotRun(RefusalReason.UPSTREAM_UNREACHABLE), is_unreachable=True)
     if isinstance(result, WholeAnswer):
