--- a/limeshelf/streams/exchange.py
+++ b/limeshelf/streams/exchange.py
@@ -2,7 +2,8 @@
 
 While the replicas of a service have one version, records stay with the gateway where the stream
 began, and nothing is sent. When a second version appears, those that it has are sent as well.
-Messages may be lost, and a recorder may be gone: then nobody knows, and nothing is guessed.
+Messages may be lost, and recorders may have ended. The origin of a stream is then unknown, and the
+stream is not continued while there are several versions.
 """
 
 from __future__ import annotations
--- a/limeshelf/streams/recorders.py
+++ b/limeshelf/streams/recorders.py
@@ -2,8 +2,9 @@
 
 Any gateway derives them from the id of the stream and the members that it knows, so that the one
 where a stream is resumed finds what the one where it began has recorded. They are in three data
-centres: whoever began the stream may be gone, and a data centre may be cut off. Whether a member
-is active does not count, since gateways of other data centres do not know that of all.
+centres: the gateway where the stream began may have ended, and a data centre may be cut off.
+Whether a member is active does not count, since gateways of other data centres do not know that
+of all.
 """
 
 from __future__ import annotations
