--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -19,12 +19,14 @@
     :ivar silent: accept calls and never answer.
     :ivar lose_answers: apply transactions and close the connection without an answer.
     :ivar late_s: apply transactions after this delay and never answer; 0 is off.
+    :ivar answer_delay_s: carry out every call and send its answer this much later; 0 is off.
     """
 
     status: int = 0
     silent: bool = False
     lose_answers: bool = False
     late_s: float = 0.0
+    answer_delay_s: float = 0.0
 
 
 @attrs.define
@@ -143,6 +145,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         answer = await self._answer_call(request)
+        if self.faults.answer_delay_s:
+            await asyncio.sleep(self.faults.answer_delay_s)
         if self.era is not None:
             answer.headers['Store-Era'] = str(self.era)
         return answer
