--- a/limeshelf/gateway/call_log.py
+++ b/limeshelf/gateway/call_log.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from limeshelf.gateway.results import Broken, Delivered, NeverRan, NotCarried, NotSent, WholeAnswer
 from limeshelf.metrics.event_log import log_request
-from limeshelf.util.clock import boottime_s
+from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
     from limeshelf.calls.call import Call
@@ -174,10 +175,16 @@
 
 
 def log_refused(
-    call: Call, refusal: Refuse, config_version: int | None, organisation: str = ''
+    call: Call,
+    refusal: Refuse,
+    config_version: int | None,
+    config_age_s: float,
+    organisation: str = '',
 ) -> None:
     """Log the refusal of a call that did not run.
 
+    :param config_age_s: time for which the configuration may have been outdated, in seconds;
+        infinite where not known.
     :param organisation: holder of the call's key; empty where not known.
     """
     outcome = refusal.outcome
@@ -188,5 +195,6 @@
         reason=outcome.reason,
         retry_after_s=outcome.retry_after_s,
         config=config_version,
+        config_age_ms=int(config_age_s * MS_PER_S) if math.isfinite(config_age_s) else None,
         organisation=organisation,
     )
--- a/limeshelf/gateway/final_answer.py
+++ b/limeshelf/gateway/final_answer.py
@@ -23,6 +23,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from limeshelf.calls.active_config import ActiveConfig
     from limeshelf.calls.call import Call
     from limeshelf.calls.wire import CallWire
@@ -33,10 +35,14 @@
 
 @attrs.frozen
 class FinalAnswerSender:
-    """Sends final answers."""
+    """Sends final answers.
+
+    :param config_age_s: returns for how long the configuration may have been outdated, in seconds.
+    """
 
     wire: CallWire
     active_config: ActiveConfig
+    config_age_s: Callable[[], float]
 
     async def send(
         self,
@@ -76,7 +82,8 @@
     async def _send_refusal(
         self, call: Call, refusal: Refuse, answer: Answer, organisation: Organisation | None
     ) -> None:
-        log_refused(call, refusal, self._version, organisation.name if organisation else '')
+        name = organisation.name if organisation else ''
+        log_refused(call, refusal, self._version, self.config_age_s(), name)
         headers = self.wire.refusal_headers(
             call.call_id,
             refusal.outcome.retry_after_s,
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -89,14 +89,14 @@
         self._attempts = attempts
         self._demand = demand
         self._active_config = active_config
-        self._final_answer = FinalAnswerSender(wire, active_config)
+        self._final_answer = FinalAnswerSender(wire, active_config, access.config_age_s)
         self._access = access
         self._limits = limits
         self._quarantine = quarantine
         self._forwarder = forwarder
         self._steps = steps
         self._binder = binder
-        self._carried_answer = CarriedAnswerSender(wire, active_config)
+        self._carried_answer = CarriedAnswerSender(wire, active_config, access.config_age_s)
         self._waiting: set[asyncio.Task[object]] = set()
         self._stopping = False
 
