Wait for late answers of the store beside new calls, and lose none

What callers saw: with a store whose answers take longer than 1.2 s, no gateway that starts serves (503 for ever), and no change comes into force at running ones: 404 on added routes.

Cause: each call to the store ended 1.2 s after its wait, head and body together, and was begun anew with the same limit; what it answered was thrown away. One time limit made slow into gone for ever: reads, the feed, the lease, the row of the gateway and of quarantined calls alike.

Evidence: tests/platform_soak/test_slow_store.py, six gateway processes, the store answers 1.5, 3 and 5 s late.

Why this mend: a call counts as failed when no byte came for a limit that follows what recent answers took (1.2 s at least, as before; a table on a narrow link makes progress), so that a silent store is left as soon as it was. Its answer is received all the same, at most two of a kind, and applied: positions and the store's clock tell how old it is. Probes go on beside it at the same rate. The wait for a connection is as short as before (0.6 s) in the same way.

A shutdown waits for the release of the lease as long as before, 1.2 s.

--- a/limeshelf/errors.py
+++ b/limeshelf/errors.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 from dataclasses import dataclass, field
+from typing import Any
 
 
 class RefusalReason(enum.StrEnum):
@@ -165,6 +167,20 @@
     service: str
 
 
+@dataclass(eq=False)
+class AnswerLate(PlatformUnknown):
+    """A platform operation has taken too long so far.
+
+    :param answer: ends with the operation's result or error, if its answer still arrives;
+        cancelled if it is not waited for any more.
+    """
+
+    answer: asyncio.Task[Any] = field(repr=False)
+
+    def __str__(self) -> str:
+        return f'service={self.service!r}'
+
+
 @dataclass(frozen=True)
 class Problem:
     """One error in a JSON document.
--- a/limeshelf/feeds/follower.py
+++ b/limeshelf/feeds/follower.py
@@ -11,7 +11,7 @@
 import random
 from typing import TYPE_CHECKING, Protocol
 
-from limeshelf.errors import PlatformUnavailable, PlatformUnknown
+from limeshelf.errors import AnswerLate, PlatformUnavailable, PlatformUnknown
 from limeshelf.feeds.position import Position
 from limeshelf.feeds.rows import HistoryGone
 from limeshelf.feeds.store_backoff import StoreBackoff
@@ -115,17 +115,26 @@
                 # it did or not.
                 copy.needs_full_read = True
                 continue
-            if page is None:
-                self._unusable_answers += 1
-                continue
-            if copy.position.era > after.era:
-                self._unusable_answers = self._full_reads_before_retry = 0
-            copy.record_confirmation(page.answered_s, page.as_of_ms)
-            self._log_reached()
-            self._on_page(copy, after)
-            if page.rows:
+            self._record_answer(page, after)
+            if page is not None and page.rows:
                 await asyncio.sleep(copy.follow_rule.batch_delay_s)
 
+    def _record_answer(self, page: Page | None, after: Position) -> None:
+        """Record an answer that was applied, and pass it on.
+
+        :param page: ``None`` if it did not continue the copy.
+        :param after: position of the copy before it was applied.
+        """
+        copy = self.copy
+        if page is None:
+            self._unusable_answers += 1
+            return
+        if copy.position.era > after.era:
+            self._unusable_answers = self._full_reads_before_retry = 0
+        copy.record_confirmation(page.answered_s, page.as_of_ms)
+        self._log_reached()
+        self._on_page(copy, after)
+
     async def _pause_before_full_read(self) -> None:
         """Pause if the last answers did not continue the copy, to prevent a busy loop."""
         if self._unusable_answers > 1 and self.copy.needs_full_read:
@@ -142,19 +151,45 @@
         :return: the answer; ``None`` if it does not continue the copy.
         """
         copy = self.copy
-        if copy.needs_full_read:
-            page = await self._store.read(copy.table)
-            is_newest = copy.apply_full_read(page)
-            if self._full_reads_before_retry:
-                self._full_reads_before_retry -= 1
-                copy.needs_full_read = True
-            return page if is_newest else None
-        page = await self._store.changes(copy.table, copy.position, wait_s)
-        if not copy.apply_changes(page):
-            copy.needs_full_read = True
-            return None
+        is_full_read = copy.needs_full_read
+        apply = self._apply_full_read if is_full_read else self._apply_changes
+        try:
+            if is_full_read:
+                page = await self._store.read(copy.table)
+            else:
+                page = await self._store.changes(copy.table, copy.position, wait_s)
+        except AnswerLate as late:
+            late.answer.add_done_callback(lambda answer: self._handle_late(answer, apply))
+            raise
+        return page if apply(page) else None
+
+    def _apply_full_read(self, page: Page) -> bool:
+        """Apply a full read; return whether it is of the newest known era."""
+        is_newest = self.copy.apply_full_read(page)
+        if self._full_reads_before_retry:
+            self._full_reads_before_retry -= 1
+            self.copy.needs_full_read = True
+        return is_newest
+
+    def _apply_changes(self, page: Page) -> bool:
+        """Apply changes; return whether they continue the copy."""
+        if not self.copy.apply_changes(page):
+            self.copy.needs_full_read = True
+            return False
         self._unusable_answers = 0
-        return page
+        return True
+
+    def _handle_late(self, answer: asyncio.Task[Page], apply: Callable[[Page], bool]) -> None:
+        """Apply an answer that arrived after its call counted as failed."""
+        if answer.cancelled() or answer.exception() is not None:
+            # The client has logged it; a later call has followed this one already.
+            return
+        after = self.copy.position
+        page = answer.result()
+        if not apply(page):
+            return
+        self._record_answer(page, after)
+        self._backoff.record_answer()
 
     def _handle_history_gone(self) -> None:
         """Read the whole table next; if history is missing repeatedly, do so several times."""
--- a/limeshelf/feeds/store_backoff.py
+++ b/limeshelf/feeds/store_backoff.py
@@ -69,6 +69,10 @@
             self._failures += 1
             self._last_failure_s = boottime_s()
             raise
+        self.record_answer()
+
+    def record_answer(self) -> None:
+        """Record that the store has answered; pauses end."""
         self._failures = 0
 
     async def _pause(self, spread_s: Callable[[], float]) -> None:
@@ -79,7 +83,7 @@
         """
         end_s = self._last_failure_s + equal_jitter_s(self._failures, RETRY_BASE_S, RETRY_LIMIT_S)
         spread_ratio = random.random()
-        while True:
+        while self._failures:
             left_s = end_s + spread_ratio * spread_s() - boottime_s()
             if left_s <= 0.0:
                 return
--- a/limeshelf/platform/sessions.py
+++ b/limeshelf/platform/sessions.py
@@ -26,6 +26,7 @@
     limit_per_host: int = 0,
     *,
     reuses_connections: bool = True,
+    trace_configs: list[aiohttp.TraceConfig] | None = None,
 ) -> aiohttp.ClientSession:
     """Return a session that never retries a request by itself.
 
@@ -37,6 +38,7 @@
     :param limit_per_host: maximum number of connections to one address; 0 for no limit.
     :param reuses_connections: whether a connection carries several requests. On one that carries a
         single request, no surplus answer to another request can arrive.
+    :param trace_configs: notified of the progress of requests.
     """
     connector = SingleCloseConnector(
         make_socket,
@@ -49,5 +51,6 @@
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
         cookie_jar=aiohttp.DummyCookieJar(),
+        trace_configs=trace_configs,
     )
     return without_silent_retry(session)
--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -12,9 +12,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import enum
-from typing import TYPE_CHECKING
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import msgspec
@@ -23,6 +23,7 @@
 from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.rows import ConditionFailed, Page, Row
 from limeshelf.feeds.store_clock import StoreClock
+from limeshelf.platform.late_calls import LateCalls, Progress
 from limeshelf.platform.sessions import open_session
 from limeshelf.platform.store_era import ERA_HEADER, StoreEra
 from limeshelf.platform.store_messages import (
@@ -42,10 +43,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Timeout of a response, in addition to the time for which the request asks the store to wait.
-RESPONSE_TIMEOUT_S = 1.2
-#: Timeout for opening a connection.
-CONNECT_TIMEOUT_S = 0.6
+#: Timeout for opening a connection, after the time within which a call counts as late.
+CONNECT_TIMEOUT_S = 10.0
 #: An idle connection is closed after this time.
 KEEPALIVE_S = 20.0
 
@@ -80,6 +79,7 @@
         self._count_call = count_call
         self._clock = clock or StoreClock()
         self._era = StoreEra(self._clock.advance_era)
+        self._late_calls = LateCalls(STORE)
         self._session: aiohttp.ClientSession | None = None
 
     def change_address(self, address: str) -> None:
@@ -92,6 +92,11 @@
 
         Each page is consistent in itself; the position is the lowest of all pages.
         """
+        progress = Progress(self._late_calls.limit)
+        kind = f'{StoreOperation.READ} {table}'
+        return await self._late_calls.wait(self._read(table, progress), progress, kind)
+
+    async def _read(self, table: str, progress: Progress) -> Page:
         rows: list[Row] = []
         position = BEGINNING
         answered_s = 0.0
@@ -103,7 +108,7 @@
                 query['From'] = start
             sent_s = boottime_s()
             self._count_call(StoreOperation.READ, table)
-            response = await self._call('GET', '/rows-get', query)
+            response = await self._call('GET', '/rows-get', progress, query)
             page = decode_rows(response, table)
             if response.more and not page:
                 # The next page starts after the last readable row of this one, and there is none.
@@ -123,10 +128,17 @@
 
     async def changes(self, table: str, after: Position, wait_s: float) -> Page:
         """Return the changes after a position, waiting up to *wait_s* for the first one."""
+        progress = Progress(self._late_calls.limit)
+        call = self._changes(table, after, wait_s, progress)
+        return await self._late_calls.wait(call, progress, f'{StoreOperation.FOLLOW} {table}')
+
+    async def _changes(
+        self, table: str, after: Position, wait_s: float, progress: Progress
+    ) -> Page:
         query = {'table': table, 'after': str(after.version), 'WaitMs': str(int(wait_s * 1000))}
         sent_s = boottime_s()
         self._count_call(StoreOperation.FOLLOW, table)
-        response = await self._call('GET', '/rows-feed', query, wait_s=wait_s)
+        response = await self._call('GET', '/rows-feed', progress, query, wait_s=wait_s)
         answered_s = self._answered_s(sent_s, response)
         now_ms = int(response.now_ms)
         return Page(decode_rows(response, table), response.position, now_ms, answered_s, now_ms)
@@ -152,7 +164,8 @@
         conditions = self._conditions(table, key, expected)
         put = Put(table, UNNAMED_PARTITION, key, value)
         self._count_call(StoreOperation.WRITE, table)
-        response = await self._transact(Transaction(conditions, put=[put], drop=[]))
+        transaction = Transaction(conditions, put=[put], drop=[])
+        response = await self._transact(transaction, f'{StoreOperation.WRITE} {table}')
         return response.position
 
     def _conditions(self, table: str, key: str, expected: Position | None) -> list[RowCondition]:
@@ -168,11 +181,14 @@
         conditions = self._conditions(table, key, expected)
         drop = RowKey(table, UNNAMED_PARTITION, key)
         self._count_call(StoreOperation.WRITE, table)
-        await self._transact(Transaction(conditions, put=[], drop=[drop]))
+        transaction = Transaction(conditions, put=[], drop=[drop])
+        await self._transact(transaction, f'{StoreOperation.WRITE} {table}')
 
-    async def _transact(self, transaction: Transaction) -> StoreResponse:
+    async def _transact(self, transaction: Transaction, kind: str) -> StoreResponse:
         sent_s = boottime_s()
-        response = await self._call('POST', '/rows-tx', body=transaction)
+        progress = Progress(self._late_calls.limit)
+        call = self._call('POST', '/rows-tx', progress, body=transaction)
+        response = await self._late_calls.wait(call, progress, kind)
         if response.now_ms and not self._is_from_earlier_era(response):
             self._clock.record_answer(sent_s, response.now_ms / MS_PER_S)
         return response
@@ -181,19 +197,28 @@
         self,
         method: str,
         path: str,
+        progress: Progress,
         query: dict[str, str] | None = None,
         body: Transaction | None = None,
         wait_s: float = 0.0,
     ) -> StoreResponse:
         data = None if body is None else msgspec.json.encode(body)
         headers = {'Content-Type': 'application/json'} if data is not None else {}
+        progress.wait_s = wait_s
+        progress.begin_request()
         try:
-            async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S):
-                async with self._get_session().request(
-                    method, self._base_url + path, params=query, data=data, headers=headers
-                ) as response:
-                    era = self._era.observe(response.headers.get(ERA_HEADER))
-                    return read_response(response.status, await response.read(), era, query)
+            async with self._get_session().request(
+                method,
+                self._base_url + path,
+                params=query,
+                data=data,
+                headers=headers,
+                trace_request_ctx=progress,
+            ) as response:
+                progress.record_head()
+                era = self._era.observe(response.headers.get(ERA_HEADER))
+                received = await _read_body(response, progress)
+                return read_response(response.status, received, era, query)
         except aiohttp.ClientConnectorError:
             raise PlatformUnavailable(STORE) from None
         except (TimeoutError, aiohttp.ClientError, OSError):
@@ -201,10 +226,39 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = open_session(CONNECT_TIMEOUT_S, KEEPALIVE_S, keepalive_socket)
+            self._session = open_session(
+                CONNECT_TIMEOUT_S,
+                KEEPALIVE_S,
+                keepalive_socket,
+                trace_configs=[_trace_connecting()],
+            )
         return self._session
 
     async def close(self) -> None:
         """Close the connections."""
+        self._late_calls.close()
         if self._session is not None:
             await self._session.close()
+
+
+async def _read_body(response: aiohttp.ClientResponse, progress: Progress) -> bytes:
+    body = bytearray()
+    async for part in response.content.iter_any():
+        progress.record_part()
+        body += part
+    return bytes(body)
+
+
+def _trace_connecting() -> aiohttp.TraceConfig:
+    """Return a configuration that records in a call's progress when a connection is opened."""
+
+    async def begin(_: aiohttp.ClientSession, context: SimpleNamespace, __: Any) -> None:
+        context.trace_request_ctx.begin_connecting()
+
+    async def end(_: aiohttp.ClientSession, context: SimpleNamespace, __: Any) -> None:
+        context.trace_request_ctx.record_connected()
+
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_start.append(begin)
+    config.on_connection_create_end.append(end)
+    return config
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -36,6 +36,8 @@
 #: Time between failing readiness and refusing calls during a graceful shutdown, in which the
 #: load balancer detects the change.
 BALANCER_NOTICE_S = 2.9
+#: Longest time for which a shutdown waits for the store to free the lease, which ends by itself.
+HAND_OVER_TIMEOUT_S = 1.2
 #: Share of the grace period after which running calls are abandoned, so that the process exits
 #: before it is killed.
 DRAIN_GRACE_SHARE = 0.93
@@ -175,7 +177,12 @@
 
     async def _hand_over_duties(self) -> None:
         """Free the lease, and tell the other gateways; the store may take a while to answer."""
-        await self.components.leadership.release()
+        fence = self.components.leadership.fence
+        try:
+            async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
+                await self.components.leadership.release()
+        except TimeoutError:
+            log_change('lease_not_released', fence=fence, cause='TimeoutError')
         self.components.registration.announce_leaving()
 
     async def stop(self, exception: Exception | None = None) -> None:
--- /dev/null
+++ b/tests/platform_soak/test_slow_store.py
@@ -0,0 +1,112 @@
+"""Tests that a store whose answers take long delays changes, but keeps nothing away for ever.
+
+Each gateway is a process of its own. Every call to the store is carried out, and its answer comes
+later than the gateways expect of a sound store.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import pytest
+
+from tests.platform_soak.callers import Callers
+from tests.platform_soak.world import World
+
+Scenario = Callable[['SlowStoreFixture'], Awaitable[None]]
+GATEWAYS = 6
+START_LIMIT_S = 20.0
+#: The users' bound from the return of all machines until service is back.
+RECOVERY_LIMIT_S = 12.0
+#: The users' bound for a change, and by how much an unstable store may stretch it.
+CHANGE_LIMIT_S = 2.0
+STRETCH_S = 6.0
+#: Answers of the store take this much longer, and whether calls need keys: these are refused
+#: once the store's latest word on them is older than the time for revocation.
+DELAYS_S = ((1.5, True), (3.0, True), (5.0, False))
+POLL_S = 0.1
+
+
+class SlowStoreFixture:
+    """A deployment and the operations of the scenarios on it."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.callers = Callers(world, seed=1)
+
+    async def call_each(self, session: aiohttp.ClientSession, kind: str, key: str) -> list[int]:
+        """Call each gateway on a route; return the statuses."""
+        calls = [self.callers.call(session, one.ip, kind, key) for one in self.world.gateways]
+        return [record.status for record in await asyncio.gather(*calls)]
+
+    async def until_ready(self) -> None:
+        async with asyncio.timeout(START_LIMIT_S):
+            while len(await self.callers.ready_gateways()) < len(self.world.gateways):
+                await asyncio.sleep(POLL_S)
+
+    async def until_each_serves(self, kind: str, key: str, limit_s: float) -> list[int]:
+        """Call each gateway until all serve a route, or until the limit.
+
+        :return: the statuses of the last calls.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
+        async with aiohttp.ClientSession(auto_decompress=False) as session:
+            while True:
+                statuses = await self.call_each(session, kind, key)
+                if set(statuses) == {200} or loop.time() > end_s:
+                    return statuses
+                await asyncio.sleep(POLL_S)
+
+
+def run(scenario: Scenario, *, needs_keys: bool = True) -> None:
+    async def run_scenario() -> None:
+        world = World(GATEWAYS, needs_keys=needs_keys)
+        fixture = SlowStoreFixture(world)
+        try:
+            await world.start()
+            await fixture.until_ready()
+            await scenario(fixture)
+        finally:
+            await fixture.callers.stop()
+            await world.close()
+
+    asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize(('delay_s', 'needs_keys'), DELAYS_S)
+def test_gateways_that_start_while_the_store_is_slow_come_to_serve(
+    delay_s: float, needs_keys: bool
+) -> None:
+    async def scenario(fixture: SlowStoreFixture) -> None:
+        world = fixture.world
+        world.store.faults.answer_delay_s = delay_s
+        for gateway in world.gateways:
+            gateway.signal(signal.SIGKILL)
+        for gateway in world.gateways:
+            assert gateway.process is not None
+            gateway.process.wait(5)
+            gateway.start()
+        key = fixture.callers.newest_key()
+        statuses = await fixture.until_each_serves('safe', key, RECOVERY_LIMIT_S)
+        assert statuses == [200] * GATEWAYS
+
+    run(scenario, needs_keys=needs_keys)
+
+
+@pytest.mark.parametrize(('delay_s', 'needs_keys'), DELAYS_S)
+def test_changes_come_into_force_while_the_store_is_slow(delay_s: float, needs_keys: bool) -> None:
+    async def scenario(fixture: SlowStoreFixture) -> None:
+        world = fixture.world
+        world.store.faults.answer_delay_s = delay_s
+        for _ in range(2):
+            world.configure()
+            kind, key = f'only{world.version}', fixture.callers.newest_key()
+            limit_s = CHANGE_LIMIT_S + STRETCH_S
+            statuses = await fixture.until_each_serves(kind, key, limit_s)
+            assert statuses == [200] * GATEWAYS
+
+    run(scenario, needs_keys=needs_keys)
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -111,9 +111,11 @@
     """A complete deployment on loopback.
 
     :param gateways: number of gateways, spread over three data centres.
+    :param needs_keys: whether calls need the keys of organisations.
     """
 
-    def __init__(self, gateways: int) -> None:
+    def __init__(self, gateways: int, *, needs_keys: bool = True) -> None:
+        self._needs_keys = needs_keys
         self.store = StoreStandIn(era=1)
         self.plain = [ReplicaStandIn(f'p-{n}') for n in range(3)]
         models_by_engine = [['m1', 'm2'], ['m1'], ['m2', 'm3'], ['m1', 'm3']]
@@ -176,7 +178,9 @@
             route('moved', 'safe', target),
         )
         document['Services'].append({'Name': DESK, 'MaxConns': 50})
-        document['Tenants'] = self.keys.change()
+        organisations = self.keys.change()
+        if self._needs_keys:
+            document['Tenants'] = organisations
         self._document = document
         self.changed_s = asyncio.get_running_loop().time()
         self.moves.append(Move(self.version, target, self.changed_s))
