Answer 404 only from a configuration that is known to be current

What callers saw: 404 on a route that was there, from gateways that had logged table_stale: a caller that is told so does not come back.

Cause: a missing route was answered 404 however old the copy of the configuration was, or with a newer one at hand that could not be read.

--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -50,6 +50,7 @@
     from limeshelf.gateway.access import AccessGuard
     from limeshelf.gateway.answer import Answer
     from limeshelf.gateway.attempts import AttemptRunner
+    from limeshelf.gateway.config_freshness import ConfigFreshness
     from limeshelf.gateway.endings import Ending
     from limeshelf.gateway.forwarder import Forwarder
     from limeshelf.gateway.limits import LimitGuard
@@ -77,6 +78,7 @@
         attempts: AttemptRunner,
         demand: DemandMeter,
         active_config: ActiveConfig,
+        freshness: ConfigFreshness,
         access: AccessGuard,
         limits: LimitGuard,
         quarantine: QuarantineGuard,
@@ -89,14 +91,15 @@
         self._attempts = attempts
         self._demand = demand
         self._active_config = active_config
-        self._final_answer = FinalAnswerSender(wire, active_config, access.config_age_s)
+        self._freshness = freshness
+        self._final_answer = FinalAnswerSender(wire, active_config, freshness.age_s)
         self._access = access
         self._limits = limits
         self._quarantine = quarantine
         self._forwarder = forwarder
         self._steps = steps
         self._binder = binder
-        self._carried_answer = CarriedAnswerSender(wire, active_config, access.config_age_s)
+        self._carried_answer = CarriedAnswerSender(wire, active_config, freshness.age_s)
         self._waiting: set[asyncio.Task[object]] = set()
         self._stopping = False
 
@@ -184,7 +187,8 @@
             return _not_ready(RefusalReason.STARTING)
         route = config.route_for(call.host, call.path)
         if route is None:
-            return Refuse(STATUS_UNKNOWN_ROUTE, NotRun(RefusalReason.UNKNOWN_ROUTE))
+            unknown = Refuse(STATUS_UNKNOWN_ROUTE, NotRun(RefusalReason.UNKNOWN_ROUTE))
+            return self._freshness.checked(unknown)
         admitted = self._access.check(call, route)
         if isinstance(admitted, Refuse):
             return admitted
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -28,6 +28,7 @@
 from limeshelf.gateway.access import AccessGuard
 from limeshelf.gateway.attempts import AttemptRunner
 from limeshelf.gateway.buffer_budget import BufferBudget
+from limeshelf.gateway.config_freshness import ConfigFreshness
 from limeshelf.gateway.engine_reach import EngineReach
 from limeshelf.gateway.forwarder import Forwarder
 from limeshelf.gateway.frontend import HttpFrontend
@@ -235,6 +236,11 @@
             self.directory, settings.data_centre, lambda: self.pool.gateways
         )
         selector = ReplicaSelector(self.directory, plain, self.dispatch_client, self.permits)
+        self.freshness = ConfigFreshness(
+            self.active_config,
+            self._config_copy_age_s,
+            self.rows.copies[CONFIG_TABLE].follow_rule.stale_after_s,
+        )
         self.access = AccessGuard(self.active_config, self.config_age_s, access_rule(settings))
         guard = QuarantineGuard(
             Quarantine(self.suspects), self.crash_detector, CrashingParts(self.suspects)
@@ -261,6 +267,7 @@
             attempts,
             self.meter,
             self.active_config,
+            self.freshness,
             self.access,
             LimitGuard(self.limits),
             guard,
@@ -292,6 +299,13 @@
             return math.inf
         return self.store_clock.age_upper_bound_s(self.rows.copies[CONFIG_TABLE].confirmed_ms)
 
+    def _config_copy_age_s(self) -> float:
+        """Return :meth:`config_age_s`, or an estimate where the store states no time."""
+        copy = self.rows.copies[CONFIG_TABLE]
+        if copy.confirmed_ms or self.active_config.is_superseded:
+            return self.config_age_s()
+        return copy.age_s
+
     def add_seeds(self, settings: GatewaySettings) -> None:
         """Add the gateways listed in the settings, so that a start without the store works."""
         for seed in settings.seeds:
--- a/tests/platform_soak/test_slow_store.py
+++ b/tests/platform_soak/test_slow_store.py
@@ -27,6 +27,10 @@
 #: Answers of the store take this much longer, and whether calls need keys: these are refused
 #: once the store's latest word on them is older than the time for revocation.
 DELAYS_S = ((1.5, True), (3.0, True), (5.0, False))
+#: How long the store is silent before a change, and how long gateways are called after it.
+OLD_COPY_S = 3.0
+#: Statuses by which a caller takes its call for wrong, and does not send it again.
+FINAL_REFUSALS = (400, 401, 403, 404, 413, 431)
 POLL_S = 0.1
 
 
@@ -110,3 +114,29 @@
             assert statuses == [200] * GATEWAYS
 
     run(scenario, needs_keys=needs_keys)
+
+
+def test_added_routes_are_not_answered_404_from_an_old_copy() -> None:
+    async def scenario(fixture: SlowStoreFixture) -> None:
+        world, loop = fixture.world, asyncio.get_running_loop()
+        world.store.faults.silent = True
+        await asyncio.sleep(OLD_COPY_S)
+        world.configure()
+        # From here on, a copy from before the change is older than any change may take.
+        await asyncio.sleep(CHANGE_LIMIT_S)
+        key, newest = fixture.callers.newest_key(), f'only{world.version}'
+        seen: set[int] = set()
+        async with aiohttp.ClientSession(auto_decompress=False) as session:
+            end_s = loop.time() + OLD_COPY_S
+            while loop.time() < end_s:
+                for kind in (newest, 'safe'):
+                    seen.update(await fixture.call_each(session, kind, key))
+                await asyncio.sleep(POLL_S)
+            assert not seen & set(FINAL_REFUSALS), seen
+            world.store.faults.silent = False
+            assert await fixture.until_each_serves(newest, key, STRETCH_S) == [200] * GATEWAYS
+            # A route that never existed is refused for good as soon as the copy is fresh again.
+            await asyncio.sleep(CHANGE_LIMIT_S)
+            assert await fixture.call_each(session, 'never', key) == [404] * GATEWAYS
+
+    run(scenario)
