Answer 401 only from a configuration that is known to be current

What callers saw: 401 for a key that a confirmed change had added, from 2 s after the change until the configuration was 0.9 of the time for revocation old; only then came 503.

Cause: the age of the configuration was held against the time for revocation alone, which bounds for how long a key that is gone may still be accepted, not how soon a new one must be known.

--- a/limeshelf/gateway/access.py
+++ b/limeshelf/gateway/access.py
@@ -11,6 +11,7 @@
 
 from limeshelf.admission import retry_after
 from limeshelf.errors import NotRun, RefusalReason
+from limeshelf.gateway.config_freshness import config_too_old
 from limeshelf.gateway.endings import STATUS_UNAUTHORISED, STATUS_UNAVAILABLE, Refuse
 from limeshelf.organisations.access import AccessGranted, Denial, check_access
 
@@ -20,6 +21,7 @@
     from limeshelf.calls.active_config import ActiveConfig
     from limeshelf.calls.call import Call
     from limeshelf.calls.routes import Route
+    from limeshelf.gateway.config_freshness import ConfigFreshness
     from limeshelf.organisations.access import AccessRule
 
 
@@ -33,6 +35,7 @@
     """
 
     active_config: ActiveConfig
+    freshness: ConfigFreshness
     config_age_s: Callable[[], float]
     rule: AccessRule
 
@@ -54,11 +57,10 @@
             config_age_s=self.config_age_s(),
             rule=self.rule,
         )
-        return checked if isinstance(checked, AccessGranted) else _refusal_of(checked)
+        return checked if isinstance(checked, AccessGranted) else self._refusal_of(checked)
 
-
-def _refusal_of(denial: Denial) -> Refuse:
-    if denial is Denial.UNKNOWN_KEY:
-        return Refuse(STATUS_UNAUTHORISED, NotRun(RefusalReason.UNKNOWN_KEY))
-    outcome = NotRun(RefusalReason.CONFIG_TOO_OLD, retry_after.CONFIG_TOO_OLD_RETRY_AFTER_S)
-    return Refuse(STATUS_UNAVAILABLE, outcome)
+    def _refusal_of(self, denial: Denial) -> Refuse:
+        if denial is Denial.CONFIG_TOO_OLD:
+            return config_too_old()
+        unknown = Refuse(STATUS_UNAUTHORISED, NotRun(RefusalReason.UNKNOWN_KEY))
+        return self.freshness.checked(unknown)
--- a/limeshelf/gateway/config_freshness.py
+++ b/limeshelf/gateway/config_freshness.py
@@ -39,7 +39,10 @@
 
     def checked(self, refusal: Refuse) -> Refuse:
         """Return a final refusal, or the one to retry if the configuration may be outdated."""
-        if not self.is_outdated:
-            return refusal
-        outcome = NotRun(RefusalReason.CONFIG_TOO_OLD, retry_after.CONFIG_TOO_OLD_RETRY_AFTER_S)
-        return Refuse(STATUS_UNAVAILABLE, outcome)
+        return config_too_old() if self.is_outdated else refusal
+
+
+def config_too_old() -> Refuse:
+    """Return the refusal of a call for which the configuration may be outdated."""
+    outcome = NotRun(RefusalReason.CONFIG_TOO_OLD, retry_after.CONFIG_TOO_OLD_RETRY_AFTER_S)
+    return Refuse(STATUS_UNAVAILABLE, outcome)
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -241,7 +241,9 @@
             self._config_copy_age_s,
             self.rows.copies[CONFIG_TABLE].follow_rule.stale_after_s,
         )
-        self.access = AccessGuard(self.active_config, self.config_age_s, access_rule(settings))
+        self.access = AccessGuard(
+            self.active_config, self.freshness, self.config_age_s, access_rule(settings)
+        )
         guard = QuarantineGuard(
             Quarantine(self.suspects), self.crash_detector, CrashingParts(self.suspects)
         )
--- a/tests/platform_soak/test_slow_store.py
+++ b/tests/platform_soak/test_slow_store.py
@@ -31,6 +31,8 @@
 OLD_COPY_S = 3.0
 #: Statuses by which a caller takes its call for wrong, and does not send it again.
 FINAL_REFUSALS = (400, 401, 403, 404, 413, 431)
+#: Calls that the store holds when it falls silent end within this time.
+HELD_S = 1.1
 POLL_S = 0.1
 
 
@@ -140,3 +142,27 @@
             assert await fixture.call_each(session, 'never', key) == [404] * GATEWAYS
 
     run(scenario)
+
+
+def test_added_keys_are_not_answered_401_from_an_old_copy() -> None:
+    async def scenario(fixture: SlowStoreFixture) -> None:
+        world, loop = fixture.world, asyncio.get_running_loop()
+        world.store.faults.silent = True
+        await asyncio.sleep(HELD_S)
+        world.configure()
+        await asyncio.sleep(CHANGE_LIMIT_S)
+        seen: set[int] = set()
+        async with aiohttp.ClientSession(auto_decompress=False) as session:
+            end_s = loop.time() + OLD_COPY_S
+            while loop.time() < end_s:
+                seen.update(await fixture.call_each(session, 'safe', fixture.callers.newest_key()))
+                await asyncio.sleep(POLL_S)
+            assert not seen & set(FINAL_REFUSALS), seen
+            world.store.faults.silent = False
+            key = fixture.callers.newest_key()
+            assert await fixture.until_each_serves('safe', key, STRETCH_S) == [200] * GATEWAYS
+            await asyncio.sleep(CHANGE_LIMIT_S)
+            statuses = await fixture.call_each(session, 'safe', 'secret-of-nobody')
+            assert statuses == [401] * GATEWAYS
+
+    run(scenario)
