Refuse requests over a limit for good only by a current configuration

What callers saw: 413 and 431 for requests that a confirmed change allows, from gateways whose copy of the configuration was older than any change may take; and by our own defaults from gateways that knew no configuration yet.

--- a/limeshelf/gateway/body.py
+++ b/limeshelf/gateway/body.py
@@ -31,6 +31,8 @@
 STATUS_BAD_REQUEST = 400
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_BODY_TOO_LARGE = 413
+#: Statuses of requests over a limit of the configuration.
+LIMIT_STATUSES = frozenset({STATUS_HEAD_TOO_LARGE, STATUS_BODY_TOO_LARGE})
 
 
 @dataclass(frozen=True)
--- a/limeshelf/gateway/caller_server.py
+++ b/limeshelf/gateway/caller_server.py
@@ -24,6 +24,7 @@
     :param limits: returns the current limits; ``None`` before the first configuration.
     :param budget: memory for the requests and answers of all connections.
     :param max_connections: connections beyond which unused ones are closed.
+    :param are_limits_outdated: returns whether a newer configuration may have raised the limits.
     :param options: options of each connection, under the library's names.
     """
 
@@ -33,6 +34,7 @@
         limits: Callable[[], ClientLimits | None],
         budget: BufferBudget,
         max_connections: int,
+        are_limits_outdated: Callable[[], bool] = lambda: False,
         **options: Any,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
@@ -40,6 +42,7 @@
         self._slowdown = Slowdown()
         self._max_connections = max_connections
         self._limits = limits
+        self._are_limits_outdated = are_limits_outdated
         self._options = options
 
     def __call__(self) -> CallerConnection:
@@ -49,6 +52,7 @@
             self._limits,
             self._budget.open_share(),
             self._slowdown,
+            self._are_limits_outdated,
             loop=asyncio.get_running_loop(),
             **self._options,
         )
--- a/limeshelf/gateway/connection.py
+++ b/limeshelf/gateway/connection.py
@@ -85,9 +85,11 @@
     :param limits: returns the current limits; ``None`` before the first configuration.
     :param buffers: memory that its requests and their answers hold.
     :param slowdown: decides on the pauses of this and other connections.
+    :param are_limits_outdated: returns whether a newer configuration may have raised the limits.
     """
 
     __slots__ = (
+        '_are_limits_outdated',
         '_body',
         '_current_limits',
         '_first_request_timer',
@@ -111,6 +113,7 @@
         limits: Callable[[], ClientLimits | None],
         buffers: BufferShare,
         slowdown: Slowdown,
+        are_limits_outdated: Callable[[], bool],
         **options: Any,
     ) -> None:
         current = limits()
@@ -119,6 +122,7 @@
         self._current_limits = limits
         self.buffers = buffers
         self._slowdown = slowdown
+        self._are_limits_outdated = are_limits_outdated
         self._first_request_timer: asyncio.TimerHandle | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._pause_timer: asyncio.TimerHandle | None = None
@@ -220,7 +224,8 @@
         self._parse(piece)
         is_too_large = self._head_bytes > self._max_header_bytes + UNCOUNTED_HEAD_BYTES
         if is_too_large and self._reading is _Reading.HEAD and not self._input_closed:
-            self._refuse_head(STATUS_HEAD_TOO_LARGE)
+            is_outdated = self._are_limits_outdated()
+            self._refuse_head(STATUS_UNAVAILABLE if is_outdated else STATUS_HEAD_TOO_LARGE)
         self._slow_down(lines)
 
     def _parse(self, data: bytes) -> None:
--- a/limeshelf/gateway/frontend.py
+++ b/limeshelf/gateway/frontend.py
@@ -19,7 +19,7 @@
 from limeshelf.forwarding.messages import ForwardOutcome
 from limeshelf.forwarding.wire import outcome_field, read_forwarded_call
 from limeshelf.gateway.answer import CallerDisconnected, HttpAnswer
-from limeshelf.gateway.body import RejectedRequest, check_head, read_body
+from limeshelf.gateway.body import LIMIT_STATUSES, RejectedRequest, check_head, read_body
 from limeshelf.gateway.caller_server import CallerServer
 from limeshelf.gateway.endings import STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE
 from limeshelf.metrics.event_log import log_change, log_request
@@ -31,6 +31,7 @@
     from limeshelf.calls.routes import ClientLimits
     from limeshelf.calls.wire import CallWire
     from limeshelf.gateway.buffer_budget import BufferBudget
+    from limeshelf.gateway.config_freshness import ConfigFreshness
     from limeshelf.gateway.pipeline import Pipeline
     from limeshelf.metrics.prometheus import GatewayMetrics
 
@@ -72,6 +73,7 @@
         is_gateway_host: Callable[[str], bool],
         budget: BufferBudget,
         max_connections: int,
+        freshness: ConfigFreshness,
     ) -> None:
         self.phase = GatewayPhase.STARTING
         self.requests_in_flight = 0
@@ -81,6 +83,7 @@
         self._is_gateway_host = is_gateway_host
         self._budget = budget
         self._max_connections = max_connections
+        self._freshness = freshness
         self._servers: list[web.Server] = []
         self._runners: list[web.ServerRunner] = []
         self._active_connections: set[object] = set()
@@ -101,6 +104,7 @@
             self._limits,
             self._budget,
             self._max_connections,
+            lambda: self._freshness.is_outdated,
             access_log=None,
             auto_decompress=False,
             lingering_time=LINGER_TIMEOUT_S,
@@ -161,7 +165,7 @@
         limits = self._limits()
         rejected = check_head(request, limits)
         if rejected is not None:
-            return self._status_response(None, rejected.status)
+            return self._reject(None, rejected)
         try:
             call = self._wire.read_call(
                 request.method, request.raw_path, request.headers, arrived_s
@@ -171,7 +175,7 @@
             return self._status_response(None, error.status)
         body = await read_body(request, limits, self._pipeline.time_left_s(call))
         if isinstance(body, RejectedRequest):
-            return self._status_response(call.call_id, body.status, body.retry_after_s)
+            return self._reject(call.call_id, body)
         call = attrs.evolve(call, body=body)
         if self.phase is GatewayPhase.DRAINING:
             return self._status_response(
@@ -222,6 +226,14 @@
         headers = [*self._wire.refusal_headers(call_id, None), outcome_field(outcome)]
         return web.Response(status=STATUS_UNAVAILABLE, headers=dict(headers))
 
+    def _reject(self, call_id: str | None, rejected: RejectedRequest) -> web.Response:
+        """Answer a request over a limit, which a newer configuration may have raised."""
+        if rejected.status in LIMIT_STATUSES and self._freshness.is_outdated:
+            rejected = RejectedRequest(
+                STATUS_UNAVAILABLE, retry_after.CONFIG_TOO_OLD_RETRY_AFTER_S
+            )
+        return self._status_response(call_id, rejected.status, rejected.retry_after_s)
+
     def _status_response(
         self, call_id: str | None, status: int, retry_after_s: float | None = None
     ) -> web.Response:
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -284,6 +284,7 @@
             self.members.has_host,
             self.buffers,
             settings.machine.caller_connections,
+            self.freshness,
         )
 
     def _handle_resume(self, slept_s: float) -> None:
