Serve requests whose target is in absolute form

What callers saw: 404 for POST http://host/path, a form that a server must accept (RFC 9112, 3.2.2).

The authority of the target takes precedence over the Host field, also towards the replica; path and query stay byte for byte. Two fields Host are as before.

--- a/limeshelf/platform/wire.py
+++ b/limeshelf/platform/wire.py
@@ -13,12 +13,15 @@
 from limeshelf.errors import InvalidRequest
 from limeshelf.forwarding.wire import BETWEEN_GATEWAYS
 from limeshelf.platform import headers
+from limeshelf.platform.request_target import read_target
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from multidict import MultiMapping
 
+HOST = 'Host'
+
 
 class PlatformWire:
     """Implements :class:`limeshelf.calls.wire.CallWire`."""
@@ -28,7 +31,7 @@
     ) -> Call:
         """Return the call in the head of a request, without its body.
 
-        :param target: path and query exactly as received.
+        :param target: target of the request line exactly as received.
         :param fields: case-insensitive multi-dictionary of the request's headers.
         :param arrived_s: arrival time on the monotonic clock.
         :raises InvalidRequest: a header is missing or malformed.
@@ -37,8 +40,9 @@
         if not call_id:
             raise InvalidRequest(headers.CALL_ID, 'missing')
         connection_options = headers.read_connection_options(fields.getall('Connection', []))
+        read = read_target(target, fields.get(HOST, ''))
         forwarded = tuple(
-            (name, value)
+            (name, read.authority if name.lower() == HOST.lower() else value)
             for name, value in fields.items()
             if headers.is_forwarded(name, connection_options)
         )
@@ -46,8 +50,8 @@
         return Call(
             call_id=call_id,
             method=method,
-            host=fields.get('Host', '').partition(':')[0],
-            target=target,
+            host=read.host,
+            target=read.origin_form,
             headers=forwarded,
             body=b'',
             arrived_s=arrived_s,
