Probe a store beside a slow answer after 3 s at most

The users count a gateway as in touch 4 s after the store's last disruption.

Evidence: the new test (answers 6 s late, then at once; a change must arrive within 4 s) failed with a limit of 10 s and holds with 3 s. Reads need no longer one, since their late answers count; writes keep 10 s. A lease cannot be read by a store that takes over 3 s for each answer; leases last 2.4 s.

--- a/limeshelf/platform/late_calls.py
+++ b/limeshelf/platform/late_calls.py
@@ -23,8 +23,11 @@
 
 #: Time without a byte from the store after which a call counts as failed, at least...
 MIN_SILENCE_S = 1.2
-#: ...and at most.
-MAX_SILENCE_S = 10.0
+#: ...and at most, for reads: the content of a late answer counts, and a store that is sound again
+#: answers a new call at once...
+MAX_READ_SILENCE_S = 3.0
+#: ...and for writes, whose late answers only show how long to wait.
+MAX_WRITE_SILENCE_S = 10.0
 #: Share of the limit within which a connection should be open. Opening one takes the other end's
 #: operating system only, however busy its programs are.
 CONNECT_SHARE = 0.5
@@ -47,10 +50,9 @@
     def __init__(self) -> None:
         self._recent_s = 0.0
 
-    @property
-    def limit_s(self) -> float:
-        """Return the limit, in seconds."""
-        return min(MAX_SILENCE_S, max(MIN_SILENCE_S, SILENCE_MARGIN * self._recent_s))
+    def limit_s(self, max_s: float) -> float:
+        """Return the limit, in seconds, which is at most *max_s*."""
+        return min(max_s, max(MIN_SILENCE_S, SILENCE_MARGIN * self._recent_s))
 
     def record(self, silence_s: float) -> None:
         """Record the silence before an answer, in seconds."""
@@ -61,10 +63,12 @@
 class Progress:
     """When a call last received something from the store.
 
+    :param max_silence_s: largest limit, in seconds.
     :ivar wait_s: for how long the store may hold the request that is sent next, in seconds.
     """
 
     limit: SilenceLimit
+    max_silence_s: float = MAX_READ_SILENCE_S
     wait_s: float = 0.0
     _heard_s: float = attrs.field(factory=boottime_s)
     _share: float = 1.0
@@ -98,7 +102,7 @@
     @property
     def left_s(self) -> float:
         """Return how much longer the store may send nothing, in seconds."""
-        return self._heard_s + self._share * self.limit.limit_s - boottime_s()
+        return self._heard_s + self._share * self.limit.limit_s(self.max_silence_s) - boottime_s()
 
 
 @attrs.define(eq=False)
--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -23,7 +23,7 @@
 from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.rows import ConditionFailed, Page, Row
 from limeshelf.feeds.store_clock import StoreClock
-from limeshelf.platform.late_calls import LateCalls, Progress
+from limeshelf.platform.late_calls import MAX_WRITE_SILENCE_S, LateCalls, Progress
 from limeshelf.platform.sessions import open_session
 from limeshelf.platform.store_era import ERA_HEADER, StoreEra
 from limeshelf.platform.store_messages import (
@@ -186,7 +186,7 @@
 
     async def _transact(self, transaction: Transaction, kind: str) -> StoreResponse:
         sent_s = boottime_s()
-        progress = Progress(self._late_calls.limit)
+        progress = Progress(self._late_calls.limit, MAX_WRITE_SILENCE_S)
         call = self._call('POST', '/rows-tx', progress, body=transaction)
         response = await self._late_calls.wait(call, progress, kind)
         if response.now_ms and not self._is_from_earlier_era(response):
--- a/tests/platform/test_late_calls.py
+++ b/tests/platform/test_late_calls.py
@@ -144,3 +144,19 @@
 
 def store_address(client: StoreClient) -> str:
     return client._base_url.removeprefix('http://')
+
+
+def test_follower_that_waits_for_a_slow_answer_finds_a_store_that_is_sound_again() -> None:
+    async def scenario(store: StoreStandIn, client: StoreClient) -> None:
+        copy = _copy()
+        store.faults.answer_delay_s = 6.0
+        follower = asyncio.create_task(TableFollower(copy, client).run())
+        await until(lambda: copy.confirmed_s, 10.0)
+        await asyncio.sleep(1.0)
+        store.faults.answer_delay_s = 0.0
+        store.put('t', 'new', VALUE)
+        # The users count a gateway as in touch again after this time.
+        await until(lambda: copy.rows(), 4.0)
+        follower.cancel()
+
+    with_store(scenario)
