--- a/tests/platform_soak/faults.py
+++ b/tests/platform_soak/faults.py
@@ -136,7 +136,13 @@
 async def cut_store(faults: FaultInjector) -> None:
     """Impair the store connections of two gateways."""
     impairment = faults.random.choice(
-        [Impairment.SILENT, Impairment.ONE_WAY, Impairment.REFUSE, Impairment.DELAY]
+        [
+            Impairment.SILENT,
+            Impairment.ONE_WAY,
+            Impairment.REFUSE,
+            Impairment.DELAY,
+            Impairment.LONG_DELAY,
+        ]
     )
     sampled = faults.random.sample(faults.world.gateways, 2)
     await faults.impair([one.link for one in sampled], impairment)
@@ -144,19 +150,22 @@
 
 @strike
 async def store_fails(faults: FaultInjector) -> None:
-    """Make the store unavailable, lose responses, delay writes or lose its history."""
+    """Make the store unavailable or slow, lose responses, delay writes or lose its history."""
     switches = faults.world.store.faults
-    kind = faults.random.choice(['down', 'silent', 'lose', 'late', 'forget'])
+    kind = faults.random.choice(['down', 'silent', 'slow', 'lose', 'late', 'forget'])
+    # Up to well past the time after which a gateway counts a call to the store as failed.
+    switches.answer_delay_s = faults.random.uniform(0.5, 6.0) if kind == 'slow' else 0.0
     switches.status = 503 if kind == 'down' else 0
     switches.silent = kind == 'silent'
     switches.lose_answers = kind == 'lose'
-    switches.late_s = 1.0 if kind == 'late' else 0.0
+    switches.late_s = faults.random.uniform(0.5, 6.0) if kind == 'late' else 0.0
     if kind == 'forget':
         faults.world.store.forget_history()
     else:
         faults.world.record_fault(STORE)
     await faults.sleep_fault_duration()
     switches.status, switches.silent, switches.lose_answers, switches.late_s = 0, False, False, 0.0
+    switches.answer_delay_s = 0.0
     faults.world.record_fault(STORE)
 
 
--- a/tests/platform_soak/link.py
+++ b/tests/platform_soak/link.py
@@ -9,6 +9,8 @@
 
 CHUNK_BYTES = 1 << 16
 DELAY_S = 0.15
+#: Longer than any limit of a gateway for one answer of a sound store or replica.
+LONG_DELAY_S = 1.6
 
 
 class Impairment(enum.StrEnum):
@@ -16,6 +18,7 @@
 
     NONE = 'none'
     DELAY = 'delay'
+    LONG_DELAY = 'long_delay'
     SILENT = 'silent'
     ONE_WAY = 'one_way'
     REFUSE = 'refuse'
@@ -87,6 +90,8 @@
         while data := await source.read(CHUNK_BYTES):
             if self.impairment is Impairment.DELAY:
                 await asyncio.sleep(DELAY_S)
+            elif self.impairment is Impairment.LONG_DELAY:
+                await asyncio.sleep(LONG_DELAY_S)
             while self.impairment is Impairment.SILENT or (
                 is_response and self.impairment is Impairment.ONE_WAY
             ):
