Bound the bytes of an answer of the store, and the time of a call that makes progress

An answer over 16 MB is given up (the store's pages have 1 MB); a call counts as failed 10 s after its wait though its answer is arriving, and another one is made beside it. Two tests, endless and dribbling, hold; against the code before they were not run (they set limits that it has not).

--- a/limeshelf/platform/late_calls.py
+++ b/limeshelf/platform/late_calls.py
@@ -28,6 +28,8 @@
 MAX_READ_SILENCE_S = 3.0
 #: ...and for writes, whose late answers only show how long to wait.
 MAX_WRITE_SILENCE_S = 10.0
+#: Time after which a call counts as failed although its answer is arriving.
+MAX_CALL_S = 10.0
 #: Share of the limit within which a connection should be open. Opening one takes the other end's
 #: operating system only, however busy its programs are.
 CONNECT_SHARE = 0.5
@@ -70,6 +72,7 @@
     limit: SilenceLimit
     max_silence_s: float = MAX_READ_SILENCE_S
     wait_s: float = 0.0
+    _started_s: float = attrs.field(factory=boottime_s)
     _heard_s: float = attrs.field(factory=boottime_s)
     _share: float = 1.0
 
@@ -101,8 +104,10 @@
 
     @property
     def left_s(self) -> float:
-        """Return how much longer the store may send nothing, in seconds."""
-        return self._heard_s + self._share * self.limit.limit_s(self.max_silence_s) - boottime_s()
+        """Return how much longer the call may take if nothing arrives meanwhile, in seconds."""
+        silent_until_s = self._heard_s + self._share * self.limit.limit_s(self.max_silence_s)
+        end_s = self._started_s + self.wait_s + MAX_CALL_S
+        return min(silent_until_s, end_s) - boottime_s()
 
 
 @attrs.define(eq=False)
@@ -128,7 +133,7 @@
         :param progress: updated by the call.
         :param kind: calls of one kind supersede each other: once one is answered, late ones that
             began before it are given up.
-        :raises AnswerLate: nothing arrived for too long; the answer may still arrive.
+        :raises AnswerLate: it has taken too long; the answer may still arrive.
         """
         started_s = boottime_s()
         task = asyncio.create_task(call)
--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -23,6 +23,7 @@
 from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.rows import ConditionFailed, Page, Row
 from limeshelf.feeds.store_clock import StoreClock
+from limeshelf.metrics.event_log import log_change
 from limeshelf.platform.late_calls import MAX_WRITE_SILENCE_S, LateCalls, Progress
 from limeshelf.platform.sessions import open_session
 from limeshelf.platform.store_era import ERA_HEADER, StoreEra
@@ -45,6 +46,8 @@
 
 #: Timeout for opening a connection, after the time within which a call counts as late.
 CONNECT_TIMEOUT_S = 10.0
+#: Largest body of an answer; the store's pages have 1 MB.
+MAX_ANSWER_BYTES = 16 << 20
 #: An idle connection is closed after this time.
 KEEPALIVE_S = 20.0
 
@@ -246,6 +249,9 @@
     async for part in response.content.iter_any():
         progress.record_part()
         body += part
+        if len(body) > MAX_ANSWER_BYTES:
+            log_change('store_answer_too_large', received_bytes=len(body))
+            raise PlatformUnknown(STORE)
     return bytes(body)
 
 
--- a/tests/platform/test_late_calls.py
+++ b/tests/platform/test_late_calls.py
@@ -7,13 +7,16 @@
 from typing import Any
 
 import pytest
+from aiohttp import web
 
-from limeshelf.errors import AnswerLate
+from limeshelf.errors import AnswerLate, PlatformUnknown
 from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.follower import TableFollower
 from limeshelf.feeds.position import BEGINNING
 from limeshelf.feeds.table_copy import TableCopy
 from limeshelf.lease.leadership import Leadership
+from limeshelf.platform import late_calls
+from limeshelf.platform import store as store_module
 from limeshelf.platform.store import StoreClient
 from limeshelf.util.clock import boottime_s
 from standins.users_platform.store import StoreStandIn
@@ -160,3 +163,29 @@
         follower.cancel()
 
     with_store(scenario)
+
+
+@pytest.mark.parametrize(('part', 'pause_s'), [(b'x' * 65536, 0.0), (b'x', 0.1)])
+def test_answer_without_end_is_given_up(monkeypatch: Any, part: bytes, pause_s: float) -> None:
+    monkeypatch.setattr(store_module, 'MAX_ANSWER_BYTES', 1 << 20)
+    monkeypatch.setattr(late_calls, 'MAX_CALL_S', 1.0)
+
+    async def answer(request: web.BaseRequest) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while True:
+            await response.write(part)
+            await asyncio.sleep(pause_s)
+
+    async def scenario() -> None:
+        runner = web.ServerRunner(web.Server(answer), shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        client = StoreClient(f'127.0.0.1:{runner.addresses[0][1]}')
+        async with asyncio.timeout(3.0):
+            with pytest.raises(PlatformUnknown):
+                await client.read('t')
+        await client.close()
+        await runner.cleanup()
+
+    asyncio.run(scenario())
