Do not apply changes requested in an earlier era of the store

The stand-in labelled a late answer with the era at its end instead of that of its content; it states the latter now.

Why this mend: a page continues the copy only if it was requested in the era that the copy has when it arrives; otherwise the table is read whole.

--- a/limeshelf/feeds/follower.py
+++ b/limeshelf/feeds/follower.py
@@ -151,13 +151,19 @@
         :return: the answer; ``None`` if it does not continue the copy.
         """
         copy = self.copy
+        after = copy.position
         is_full_read = copy.needs_full_read
-        apply = self._apply_full_read if is_full_read else self._apply_changes
+
+        def apply(page: Page) -> bool:
+            return (
+                self._apply_full_read(page) if is_full_read else self._apply_changes(page, after)
+            )
+
         try:
             if is_full_read:
                 page = await self._store.read(copy.table)
             else:
-                page = await self._store.changes(copy.table, copy.position, wait_s)
+                page = await self._store.changes(copy.table, after, wait_s)
         except AnswerLate as late:
             late.answer.add_done_callback(lambda answer: self._handle_late(answer, apply))
             raise
@@ -171,9 +177,14 @@
             self.copy.needs_full_read = True
         return is_newest
 
-    def _apply_changes(self, page: Page) -> bool:
-        """Apply changes; return whether they continue the copy."""
-        if not self.copy.apply_changes(page):
+    def _apply_changes(self, page: Page, after: Position) -> bool:
+        """Apply changes; return whether they continue the copy.
+
+        They do not if the copy has gone over to another era since they were requested.
+
+        :param after: position after which they were requested.
+        """
+        if after.era != self.copy.position.era or not self.copy.apply_changes(page):
             self.copy.needs_full_read = True
             return False
         self._unusable_answers = 0
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -145,10 +145,10 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         answer = await self._answer_call(request)
-        if self.faults.answer_delay_s:
-            await asyncio.sleep(self.faults.answer_delay_s)
         if self.era is not None:
             answer.headers['Store-Era'] = str(self.era)
+        if self.faults.answer_delay_s:
+            await asyncio.sleep(self.faults.answer_delay_s)
         return answer
 
     async def _answer_call(self, request: web.BaseRequest) -> web.StreamResponse:
