--- a/limeshelf/gateway/connection.py
+++ b/limeshelf/gateway/connection.py
@@ -63,8 +63,10 @@
 #: Longest line of a request.
 MAX_LINE_BYTES = 1 << 16
 HEAD_END = b'\r\n\r\n'
-#: Largest number of header fields: as many of the shortest ones as any head may hold.
-MAX_FIELDS = DEFAULT_MAX_HEADER_BYTES // 4
+#: Shortest header field: a name of one byte, a colon and the end of the line.
+MIN_FIELD_BYTES = 4
+#: Largest number of header fields, which no head within the limit of bytes reaches.
+MAX_FIELDS = DEFAULT_MAX_HEADER_BYTES // MIN_FIELD_BYTES
 #: Memory that a parsed header field takes beyond its bytes.
 FIELD_MEMORY_BYTES = 300
 
--- a/limeshelf/platform/headers.py
+++ b/limeshelf/platform/headers.py
@@ -18,6 +18,7 @@
 
     from limeshelf.organisations.organisation import KeyDigest
 
+HOST = 'Host'
 #: Identifies one attempt of a caller; a retry by the caller has a different id. A replica
 #: echoes it, which shows to which call its response belongs.
 CALL_ID = 'Limeshelf-Attempt-Id'
--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -44,7 +44,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Timeout for opening a connection, after the time within which a call counts as late.
+#: Timeout for opening a connection; its call counts as late long before.
 CONNECT_TIMEOUT_S = 10.0
 #: Largest body of an answer; the store's pages have 1 MB.
 MAX_ANSWER_BYTES = 16 << 20
--- a/limeshelf/platform/wire.py
+++ b/limeshelf/platform/wire.py
@@ -20,8 +20,6 @@
 
     from multidict import MultiMapping
 
-HOST = 'Host'
-
 
 class PlatformWire:
     """Implements :class:`limeshelf.calls.wire.CallWire`."""
@@ -40,9 +38,9 @@
         if not call_id:
             raise InvalidRequest(headers.CALL_ID, 'missing')
         connection_options = headers.read_connection_options(fields.getall('Connection', []))
-        read = read_target(target, fields.get(HOST, ''))
+        read = read_target(target, fields.get(headers.HOST, ''))
         forwarded = tuple(
-            (name, read.authority if name.lower() == HOST.lower() else value)
+            (name, read.authority if name.lower() == headers.HOST.lower() else value)
             for name, value in fields.items()
             if headers.is_forwarded(name, connection_options)
         )
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -18,25 +18,13 @@
 from limeshelf.platform.store import StoreClient
 from standins.users_platform.store import StoreStandIn
 from tests.support.positions import make_position
+from tests.support.store import with_store
 
 
 def encoded(value: str) -> str:
     return base64.b64encode(value.encode()).decode()
 
 
-def with_store(scenario: Any) -> None:
-    async def run() -> None:
-        store = StoreStandIn()
-        client = StoreClient(await store.start())
-        try:
-            await scenario(store, client)
-        finally:
-            await client.close()
-            await store.close()
-
-    asyncio.run(run())
-
-
 def test_follower_applies_changes_and_deletions() -> None:
     async def scenario(store: StoreStandIn, client: StoreClient) -> None:
         store.put('t', 'a', encoded('1'))
--- a/tests/platform/test_late_calls.py
+++ b/tests/platform/test_late_calls.py
@@ -21,25 +21,13 @@
 from limeshelf.util.clock import boottime_s
 from standins.users_platform.store import StoreStandIn
 from tests.support.narrow_link import NarrowLink
+from tests.support.store import with_store
 
 #: How long a silent store may keep a call, as before its answers were waited for any longer.
 LEFT_WITHIN_S = 1.6
 VALUE = base64.b64encode(b'v' * 3000).decode()
 
 
-def with_store(scenario: Any) -> None:
-    async def run() -> None:
-        store = StoreStandIn()
-        client = StoreClient(await store.start())
-        try:
-            await scenario(store, client)
-        finally:
-            await client.close()
-            await store.close()
-
-    asyncio.run(run())
-
-
 async def until(condition: Any, limit_s: float) -> None:
     async with asyncio.timeout(limit_s):
         while not condition():
