Do not count a crash as coincident with that of a replica that appeared after it

What was seen: tests/placement/test_deadly_load.py ended four replicas where three may, 0.61 s apart (KNOWN-RED). Cause, one that gives it: crashes count as coincident if they are detected within 0.5 s of each other. A lost load whose replica still accepts connections is confirmed only when a replacement has its address, up to 0.25 s later, and the replacement's own crash is confirmed at once; two crashes 0.6 s apart are then detected almost together, count as one, and one more load is ordered. Mend: a replica that was detected after another was interrupted ran at that time, so no single partition explains both. That the listed failure went this way is suspected, not shown: the entry stays.

--- a/limeshelf/crashes/crash_detector.py
+++ b/limeshelf/crashes/crash_detector.py
@@ -66,6 +66,7 @@
 
     :ivar interrupted: these calls and loads.
     :ivar interrupted_parts: parts of the prompts of these calls that may have caused a crash.
+    :ivar first_interrupted_s: time of the first interruption, on the boot clock.
     :ivar interrupted_s: time of the latest interruption, on the boot clock.
     :ivar has_lost_connection: whether a connection broke. A lost load does not show that, since
         the replica may be behind a partition that drops packets.
@@ -76,7 +77,8 @@
     """
 
     replica: Replica
-    interrupted_s: float
+    first_interrupted_s: float
+    interrupted_s: float = 0.0
     interrupted: set[Fingerprint] = attrs.field(factory=set)
     interrupted_parts: set[Fingerprint] = attrs.field(factory=set)
     has_lost_connection: bool = False
@@ -85,6 +87,20 @@
     is_coincident: bool = False
     check: asyncio.Task[None] | None = None
 
+    def may_coincide_with(self, other: _WatchedStart) -> bool:
+        """Return whether both starts may have crashed at the same time.
+
+        They have not if one of them was detected only after the other had been interrupted: it
+        was running at that time.
+        """
+        detected_apart_s = abs(other.crash_detected_s - self.crash_detected_s)
+        return (
+            other.has_crashed
+            and detected_apart_s <= COINCIDENCE_WINDOW_S
+            and self.replica.known_start.known_since_s <= other.first_interrupted_s
+            and other.replica.known_start.known_since_s <= self.first_interrupted_s
+        )
+
 
 class CrashDetector:
     """Watches replicas at which calls were interrupted, and detects crashes.
@@ -203,12 +219,7 @@
 
         Gateways may detect different crashes; the mark of one gateway applies to all of them.
         """
-        found = [
-            other
-            for other in self._watched.values()
-            if other.has_crashed
-            and abs(other.crash_detected_s - watched.crash_detected_s) <= COINCIDENCE_WINDOW_S
-        ]
+        found = [other for other in self._watched.values() if other.may_coincide_with(watched)]
         if len(found) > 1:
             for other in found:
                 other.is_coincident = True
--- a/tests/crashes/test_crash_detector.py
+++ b/tests/crashes/test_crash_detector.py
@@ -239,3 +239,20 @@
         assert Quarantine(world.suspects).check(CALL) is None
 
     run_scenario(scenario)
+
+
+def test_crash_of_a_replica_that_appeared_after_another_crashed_is_not_coincident() -> None:
+    async def scenario(world: World) -> None:
+        first = world.add('r1')
+        world.detector.record_lost_load(CALL, first)
+        await world.detector.wait_until_checked(CALL)
+        second = world.add('r2')
+        await world.close_listener()
+        world.detector.record_lost_load(CALL, second)
+        await world.detector.wait_until_checked(CALL)
+        await asyncio.sleep(0.1)
+        state = world.suspects.state_of(CALL)
+        assert state is not None
+        assert (state.crash_count, state.isolated_crash_count) == (2, 2)
+
+    run_scenario(scenario)
