Log with each call how old its configuration may have been, and with each configuration its lag

A line of a call that ran named the version that was current when it ended; the one that decided where it ran may be an earlier one. Now it names that, and config_age_ms: for how long it may have been outdated. A line of a configuration that became active has lag_limit_ms, the time since the copy was last confirmed without it, and the histogram limeshelf_config_lag_seconds on the metrics address holds the same.

--- a/limeshelf/gateway/attempts.py
+++ b/limeshelf/gateway/attempts.py
@@ -30,7 +30,6 @@
 from limeshelf.util.suspension import boot_timeout
 
 if TYPE_CHECKING:
-    from limeshelf.calls.active_config import ActiveConfig
     from limeshelf.calls.wire import AnswerHead, CallWire
     from limeshelf.demand.meter import DemandMeter
     from limeshelf.gateway.quarantine import QuarantineGuard
@@ -55,7 +54,6 @@
     wire: CallWire
     directory: ReplicaDirectory
     pool: ConnectionPool
-    active_config: ActiveConfig
     quarantine: QuarantineGuard
     notices: NoticeHandler
     demand: DemandMeter
@@ -151,6 +149,4 @@
         elif isinstance(finding, Failed) and finding.failure is Failure.BROKEN:
             self.pool.check(replica)
         load = self.directory.load_of(replica)
-        config = self.active_config.config
-        version = config.version if config is not None else None
-        log_attempt(state, replica, load, result, suspended, version)
+        log_attempt(state, replica, load, result, suspended)
--- a/limeshelf/gateway/call_log.py
+++ b/limeshelf/gateway/call_log.py
@@ -28,7 +28,6 @@
     load: Load,
     result: AttemptResult,
     suspended: bool,
-    config_version: int | None,
 ) -> None:
     """Log how one attempt ended.
 
@@ -63,7 +62,8 @@
         calls_there=load.calls,
         tokens_there=load.tokens,
         report_age_ms=int((boottime_s() - replica.reported_s) * 1000),
-        config=config_version or 0,
+        config=state.config_version,
+        config_age_ms=_milliseconds(state.config_age_s),
         suspended=suspended,
         status=_status(result),
         took_ms=int((state.since_arrival_s - state.waited_s) * 1000),
@@ -102,6 +102,11 @@
     )
 
 
+def _milliseconds(age_s: float) -> int | None:
+    """Return an age in milliseconds; ``None`` if it is not known."""
+    return int(age_s * MS_PER_S) if math.isfinite(age_s) else None
+
+
 def _detail(result: AttemptResult) -> str:
     if isinstance(result, NotCarried):
         return str(result.outcome.reason)
@@ -195,6 +200,6 @@
         reason=outcome.reason,
         retry_after_s=outcome.retry_after_s,
         config=config_version,
-        config_age_ms=int(config_age_s * MS_PER_S) if math.isfinite(config_age_s) else None,
+        config_age_ms=_milliseconds(config_age_s),
         organisation=organisation,
     )
--- a/limeshelf/gateway/pipeline.py
+++ b/limeshelf/gateway/pipeline.py
@@ -204,6 +204,7 @@
             _deadline_s(call, route),
             admitted.organisation,
             config_version=config.version,
+            config_age_s=self._freshness.age_s(),
         )
 
     async def _run_attempts(self, state: CallState) -> Ending:
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -69,6 +70,8 @@
     :ivar parts: fingerprints of the parts of its prompt, without the last one.
     :ivar version: software version at which its stream must go on; ``None`` while any will do.
     :ivar config_version: version of the configuration that its route is from.
+    :ivar config_age_s: for how long that may have been outdated when the call arrived, in seconds;
+        infinite if not known.
     :ivar begun: that its latest attempt has begun to be answered; ``None`` before.
     """
 
@@ -98,6 +101,7 @@
     begun: BegunAnswer | None = None
     version: str | None = None
     config_version: int = 0
+    config_age_s: float = math.inf
 
     @property
     def is_resumable_stream(self) -> bool:
--- a/limeshelf/metrics/prometheus.py
+++ b/limeshelf/metrics/prometheus.py
@@ -16,6 +16,9 @@
 #: Upper bounds of the latency histogram.
 LATENCY_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
 
+#: Upper bounds of the histogram of a configuration's lag; changes may take seconds.
+CONFIG_LAG_BUCKETS_S = (0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 4.0, 6.0, 10.0, 30.0)
+
 
 class GatewayMetrics:
     """The metrics of one gateway process."""
@@ -31,6 +34,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._config_lag = Histogram(
+            'limeshelf_config_lag_seconds',
+            'Longest time for which the store may have had a configuration when it became active.',
+            buckets=CONFIG_LAG_BUCKETS_S,
+            registry=self._registry,
+        )
         self._orders = Counter(
             'limeshelf_orders',
             'Orders sent to replicas, by outcome.',
@@ -113,6 +122,10 @@
         self._calls.labels(str(status)).inc()
         self._latency.observe(seconds)
 
+    def observe_config_lag(self, seconds: float) -> None:
+        """Record how long ago at most the store took a configuration that became active."""
+        self._config_lag.observe(seconds)
+
     def observe_order(self, outcome: str) -> None:
         """Count an order sent to a replica.
 
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -212,7 +212,9 @@
         )
         self.streams = StreamExchange(self.node, self.members, self.directory)
         self.rows = RowExchange(self.node, self.members, self.store_clock)
-        config_rows = ConfigRows(self.active_config, self.directory)
+        config_rows = ConfigRows(
+            self.active_config, self.directory, self.metrics.observe_config_lag
+        )
         self.followers = follow_tables(
             self.store,
             self.rows,
@@ -252,7 +254,6 @@
             wire,
             self.directory,
             self.pool,
-            self.active_config,
             guard,
             self.notices,
             self.meter,
--- a/limeshelf/programs/followed_tables.py
+++ b/limeshelf/programs/followed_tables.py
@@ -26,11 +26,13 @@
     read_config,
 )
 from limeshelf.platform.replicas import REPLICA_TABLE, record_writer_version
+from limeshelf.util.clock import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from limeshelf.calls.active_config import ActiveConfig
+    from limeshelf.calls.routes import ServingConfig
     from limeshelf.crashes.quarantine_sync import QuarantineSync
     from limeshelf.feeds.rows import Row, RowStore
     from limeshelf.membership.registration import Registration
@@ -95,11 +97,14 @@
 class ConfigRows:
     """Applies rows of the table that holds the operator's configuration.
 
+    :param observe_lag: called with the longest time, in seconds, for which the store may have had
+        a configuration when it became active here.
     :ivar copy: the local copy of the table; ``None`` before :meth:`open_copy`.
     """
 
     active_config: ActiveConfig
     directory: ReplicaDirectory
+    observe_lag: Callable[[float], None] = lambda seconds: None
     copy: TableCopy | None = None
 
     def open_copy(self, rule: FollowRule, metrics: GatewayMetrics) -> TableCopy:
@@ -123,15 +128,23 @@
             return False
         if not self.active_config.replace_if_newer(config):
             return True
+        self._log_active(config, row)
+        self.directory.notify_change()
+        return True
+
+    def _log_active(self, config: ServingConfig, row: Row) -> None:
+        # The store took it after the last confirmation, which did not include it yet.
+        lag_s = self.copy.age_s if self.copy is not None and self.copy.confirmed_s else None
+        if lag_s is not None:
+            self.observe_lag(lag_s)
         log_change(
             'config',
             version=config.version,
             routes=len(config.routes),
             row_version=row.position.version,
             source=self.copy.source if self.copy is not None else '',
+            lag_limit_ms=None if lag_s is None else int(lag_s * MS_PER_S),
         )
-        self.directory.notify_change()
-        return True
 
 
 def _counting_listener(
--- a/tests/forms/test_metrics.py
+++ b/tests/forms/test_metrics.py
@@ -128,6 +128,7 @@
     async def play() -> tuple[str, str]:
         figures = GatewayMetrics()
         figures.observe_call(200, 0.3)
+        figures.observe_config_lag(0.4)
         figures.observe_order('taken')
         figures.observe_store_call('read', 'members')
         figures.observe_unreadable_row('servers')
--- a/tests/gateway/test_call_log.py
+++ b/tests/gateway/test_call_log.py
@@ -104,8 +104,10 @@
     written: dict[str, Any], result: AttemptResult, status: int
 ) -> None:
     state = attrs.evolve(waiting_state(0.5), waited_s=0.1)
-    call_log.log_attempt(state, REPLICA, Load(), result, False, 3)
+    state.config_version, state.config_age_s = 3, 0.25
+    call_log.log_attempt(state, REPLICA, Load(), result, False)
     assert written['status'] == status
     assert 400 <= written['took_ms'] < 800
     assert written['answer_started'] is False
     assert (written['objective_ms'], written['service']) == (2000, 'lm')
+    assert (written['config'], written['config_age_ms']) == (3, 250)
