Divide the time for a change among its steps, and hold their sum

Cause: a gateway asks the store itself after 0.7 of the time for a change, plus up to 1.5 s for those before it in the polling order whatever that time is, plus 0.25 s of tolerance: 3.15 s of 2 s, 3.85 s of 3 s. Nothing said what the sum may be. It showed wherever the gateways first in the order lost the store and kept their peers. Mend: one module divides the time: 0.5 until a copy is stale, at most 0.15 for the order, the tolerance, and the rest, 0.22 of 2 s or 0.27 of 3 s, for the read and the messages. Polls are shorter accordingly. A configuration still counts as current for final refusals up to 0.7 of the time. The tests of the sum fail with the shares and the limit as they were (0.7 and 1.5 s of 2 s, tried).

--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from limeshelf.feeds.change_budget import CONFIRMATION_TOLERANCE_S
 from limeshelf.feeds.continuity import Continuity
 from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.store_clock import StoreClock
@@ -47,10 +48,6 @@
 MAX_CHECK_INTERVAL_S = 0.25
 #: ...and shortest interval.
 MIN_CHECK_INTERVAL_S = 0.02
-#: If the store's clock shows that an update is older than its sender states by more than this, the
-#: update was delayed in transit, and the age by the store's clock counts. Smaller differences lie
-#: within the accuracy to which the two clocks are known.
-CLOCK_TOLERANCE_S = 0.25
 
 
 @attrs.define
@@ -59,12 +56,15 @@
 
     Implements :class:`limeshelf.feeds.follower.StorePolling`.
 
+    :param max_polling_delay_s: longest time for which this gateway waits for others that poll the
+        store before it, in seconds.
     :param clock: this gateway's estimate of the store's clock.
     :param copies: this gateway's copies of tables, by table name.
     """
 
     node: PeerNode
     members: Members
+    max_polling_delay_s: float
     clock: StoreClock = attrs.field(factory=StoreClock)
     copies: dict[str, TableCopy] = attrs.field(factory=dict)
     _polling_due: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -81,6 +81,7 @@
         return polls_store(
             order=self._polling_order(),
             overdue_s=self._overdue_s(),
+            max_delay_s=self.max_polling_delay_s,
             is_isolated=not self.members.receives_messages(),
         )
 
@@ -91,7 +92,12 @@
     def spread_s(self) -> float:
         """Return the longest additional pause after a failed call to the store."""
         is_isolated = not self.members.receives_messages()
-        return retry_spread_s(self._polling_order(), len(self._centres()), is_isolated=is_isolated)
+        return retry_spread_s(
+            self._polling_order(),
+            len(self._centres()),
+            self.max_polling_delay_s,
+            is_isolated=is_isolated,
+        )
 
     def _overdue_s(self) -> float:
         return max(copy.peers_overdue_s for copy in self.copies.values())
@@ -146,9 +152,10 @@
 
     def _next_check_s(self) -> float:
         is_isolated = not self.members.receives_messages()
-        due_in_s = (
-            overdue_limit_s(self._polling_order(), is_isolated=is_isolated) - self._overdue_s()
+        limit_s = overdue_limit_s(
+            self._polling_order(), self.max_polling_delay_s, is_isolated=is_isolated
         )
+        due_in_s = limit_s - self._overdue_s()
         interval_s = jittered_s(MAX_CHECK_INTERVAL_S)
         return max(MIN_CHECK_INTERVAL_S, min(interval_s, due_in_s)) if due_in_s > 0 else interval_s
 
@@ -223,7 +230,9 @@
         stated_s = update.age_ms / MS_PER_S
         if not self.clock.is_known or not update.confirmed_ms:
             return stated_s
-        return max(stated_s, self.clock.age_upper_bound_s(update.confirmed_ms) - CLOCK_TOLERANCE_S)
+        return max(
+            stated_s, self.clock.age_upper_bound_s(update.confirmed_ms) - CONFIRMATION_TOLERANCE_S
+        )
 
     def _update_clock(self, updates: TableUpdates) -> None:
         """Update the estimate of the store's clock from a peer's answer to a query."""
--- a/limeshelf/membership/store_polling.py
+++ b/limeshelf/membership/store_polling.py
@@ -19,8 +19,6 @@
 
 #: Each gateway waits this much longer than the one before it in the polling order.
 OVERDUE_STEP_S = 0.08
-#: No gateway waits longer than this.
-OVERDUE_LIMIT_S = 1.5
 #: Longest additional pause after a failed call of a gateway that is not a relay. While the store
 #: is unavailable, calls from hundreds of gateways reveal no more than calls from the relays.
 NON_RELAY_RETRY_SPREAD_S = 8.0
@@ -40,34 +38,40 @@
     return rank * centre_count + centre_index
 
 
-def overdue_limit_s(order: int, *, is_isolated: bool = False) -> float:
+def overdue_limit_s(order: int, max_delay_s: float, *, is_isolated: bool = False) -> float:
     """Return how long copies may be overdue, in seconds, before a gateway polls the store.
 
     :param order: the gateway's position in the polling order.
+    :param max_delay_s: longest delay of any gateway, in seconds.
     :param is_isolated: whether it has recently received no message from any other gateway. The
         delays exist so that rows polled by the first gateway can arrive. An isolated gateway
         would wait in vain: if it is late in the order, for longer than a change may take to become
         active.
     """
-    return 0.0 if is_isolated else min(OVERDUE_LIMIT_S, OVERDUE_STEP_S * order)
+    return 0.0 if is_isolated else min(max_delay_s, OVERDUE_STEP_S * order)
 
 
-def retry_spread_s(order: int, centre_count: int, *, is_isolated: bool = False) -> float:
+def retry_spread_s(
+    order: int, centre_count: int, max_delay_s: float, *, is_isolated: bool = False
+) -> float:
     """Return the longest additional pause after a failed call to the store, in seconds.
 
     :param order: the gateway's position in the polling order.
     :param centre_count: number of data centres with gateways.
+    :param max_delay_s: as for :func:`overdue_limit_s`.
     :param is_isolated: as for :func:`overdue_limit_s`.
     """
     depends_on_relays = order >= RELAYS_PER_CENTRE * centre_count and not is_isolated
     return (
         NON_RELAY_RETRY_SPREAD_S
         if depends_on_relays
-        else overdue_limit_s(order, is_isolated=is_isolated)
+        else overdue_limit_s(order, max_delay_s, is_isolated=is_isolated)
     )
 
 
-def polls_store(*, order: int, overdue_s: float, is_isolated: bool = False) -> bool:
+def polls_store(
+    *, order: int, overdue_s: float, max_delay_s: float, is_isolated: bool = False
+) -> bool:
     """Return whether a gateway polls the store now.
 
     :param order: the gateway's position in the polling order.
@@ -75,6 +79,7 @@
         overdue; negative if none is. One overdue table suffices for polling all, because a peer
         that lost the store sends no changes of any table
         (tests/membership/test_row_exchange.py::test_one_overdue_table_makes_all_due).
+    :param max_delay_s: as for :func:`overdue_limit_s`.
     :param is_isolated: as for :func:`overdue_limit_s`.
     """
-    return order == 0 or overdue_s > overdue_limit_s(order, is_isolated=is_isolated)
+    return order == 0 or overdue_s > overdue_limit_s(order, max_delay_s, is_isolated=is_isolated)
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -23,6 +23,7 @@
 from limeshelf.dispatch.exchange import DispatchExchange
 from limeshelf.dispatch.permits import PermitExchange
 from limeshelf.dispatch.rate_limiter import ReplicaRateLimiters
+from limeshelf.feeds.change_budget import ChangeBudget
 from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.forwarding.targets import ForwardTargets
 from limeshelf.gateway.access import AccessGuard
@@ -211,7 +212,14 @@
             self.changes,
         )
         self.streams = StreamExchange(self.node, self.members, self.directory)
-        self.rows = RowExchange(self.node, self.members, self.store_clock)
+        freshness = settings.freshness
+        change_limit_s = min(freshness.config_s, freshness.replica_s)
+        self.rows = RowExchange(
+            self.node,
+            self.members,
+            ChangeBudget(change_limit_s).polling_delay_s,
+            self.store_clock,
+        )
         config_rows = ConfigRows(
             self.active_config, self.directory, self.metrics.observe_config_lag
         )
@@ -222,7 +230,7 @@
             self.directory,
             self.registration,
             self.quarantine_sync,
-            settings.freshness,
+            freshness,
             self.metrics,
         )
 
@@ -241,7 +249,7 @@
         self.freshness = ConfigFreshness(
             self.active_config,
             self._config_copy_age_s,
-            self.rows.copies[CONFIG_TABLE].follow_rule.stale_after_s,
+            ChangeBudget(settings.freshness.config_s).current_for_s,
         )
         self.access = AccessGuard(
             self.active_config, self.freshness, self.config_age_s, access_rule(settings)
--- a/limeshelf/programs/followed_tables.py
+++ b/limeshelf/programs/followed_tables.py
@@ -12,6 +12,7 @@
 
 from limeshelf.crashes.rows import QUARANTINE_TABLE
 from limeshelf.errors import InvalidDocument
+from limeshelf.feeds.change_budget import ChangeBudget
 from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.follower import TableFollower
 from limeshelf.feeds.restore_rule import RestoreRule
@@ -41,16 +42,6 @@
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.settings.gateway import FreshnessSettings
 
-#: Shares of the time within which a change must reach every gateway (2 s or 4 s in users'
-#: deployments). A table copy is stale after STALE_SHARE of it: the next gateway then queries
-#: the store, and the rest of the time remains for the request and for passing on its response.
-#: Rows of replicas change all the time, so after a change the next request is delayed by
-#: REPLICA_BATCH_DELAY_SHARE to batch further changes; this delay and the long poll
-#: (REPLICA_WAIT_SHARE) together are shorter than the time after which a copy is stale.
-STALE_SHARE = 0.7
-REPLICA_WAIT_SHARE = 0.4
-REPLICA_BATCH_DELAY_SHARE = 0.22
-CONFIG_WAIT_SHARE = 0.5
 #: Gateways rarely start or stop, and failed ones are detected by missing messages. After a
 #: change the next request is delayed by 1 s: if all gateways start at once, each of their rows
 #: would otherwise cause a separate response.
@@ -73,26 +64,6 @@
 OWN_RESTORE = RestoreRule(retention_s=10.0)
 
 
-def replica_rule(known_within_s: float) -> FollowRule:
-    """Return how the table of replicas is followed.
-
-    :param known_within_s: time within which a change must reach every gateway, in seconds.
-    """
-    return FollowRule(
-        wait_s=REPLICA_WAIT_SHARE * known_within_s,
-        batch_delay_s=REPLICA_BATCH_DELAY_SHARE * known_within_s,
-        stale_after_s=STALE_SHARE * known_within_s,
-    )
-
-
-def config_rule(known_within_s: float) -> FollowRule:
-    """Return how the table of the configuration is followed; as for :func:`replica_rule`."""
-    return FollowRule(
-        wait_s=CONFIG_WAIT_SHARE * known_within_s,
-        stale_after_s=STALE_SHARE * known_within_s,
-    )
-
-
 @attrs.define
 class ConfigRows:
     """Applies rows of the table that holds the operator's configuration.
@@ -171,11 +142,11 @@
 ) -> list[TableFollower]:
     """Return the followers of all tables; gateways share their copies through *rows*."""
     copies = (
-        config_rows.open_copy(config_rule(freshness.config_s), metrics),
+        config_rows.open_copy(ChangeBudget(freshness.config_s).config_rule(), metrics),
         TableCopy(
             REPLICA_TABLE,
             _counting_listener(REPLICA_TABLE, directory.apply_row, metrics),
-            replica_rule(freshness.replica_s),
+            ChangeBudget(freshness.replica_s).replica_rule(),
             REPLICA_RESTORE,
         ),
         TableCopy(
--- a/tests/membership/test_deleted_rows.py
+++ b/tests/membership/test_deleted_rows.py
@@ -24,6 +24,7 @@
 KEYS = ('a', 'b', 'c')
 #: Addresses by data centre; the first two of each are its relays.
 ADDRESSES = {'g1': 'c1', 'g2': 'c1', 'g3': 'c1', 'g4': 'c2', 'g5': 'c2'}
+MAX_POLLING_DELAY_S = 0.3
 
 
 @attrs.define
@@ -87,7 +88,7 @@
         for other, data_centre in ADDRESSES.items():
             if other != address:
                 members.add(other, data_centre, 1.0)
-        gateway = RowExchange(node, members)
+        gateway = RowExchange(node, members, MAX_POLLING_DELAY_S)
         gateway.copies['t'] = TableCopy('t', lambda row: None)
         return gateway
 
--- a/tests/membership/test_row_exchange.py
+++ b/tests/membership/test_row_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 
+from limeshelf.feeds.change_budget import CONFIRMATION_TOLERANCE_S, ChangeBudget
 from limeshelf.feeds.follow_rule import FollowRule
 from limeshelf.feeds.follower import TableFollower
 from limeshelf.feeds.position import Position
@@ -13,13 +14,19 @@
 from limeshelf.membership.member import Member
 from limeshelf.membership.members import Members
 from limeshelf.membership.relays import RELAY_TIMEOUT_S
-from limeshelf.membership.row_exchange import CLOCK_TOLERANCE_S, RowExchange
+from limeshelf.membership.row_exchange import RowExchange
 from limeshelf.membership.row_messages import RowsQuery, TableRow, TableUpdate, TableUpdates
 from limeshelf.membership.store_polling import OVERDUE_STEP_S
 from limeshelf.peers.codec import Envelope
 from limeshelf.util.clock import boottime_s, virtual_clock
 from tests.support.positions import make_position, make_range
 
+MAX_POLLING_DELAY_S = 0.3
+#: Time within which a change must reach every gateway, in seconds.
+CHANGE_LIMIT_S = 2.0
+#: Share of it that is for the call to the store and for messages to others.
+DELIVERY_SHARE = 0.2
+
 
 class Node:
     """Records the messages sent."""
@@ -75,7 +82,7 @@
     members = Members(Member(own, 'c1', 1.0))
     for other in others:
         members.add(other, 'c1', 1.0)
-    row_exchange = RowExchange(node, members)
+    row_exchange = RowExchange(node, members, MAX_POLLING_DELAY_S)
     row_exchange.copies['t'] = TableCopy('t', lambda row: None)
     return row_exchange
 
@@ -158,6 +165,20 @@
         assert [gateway.is_due() for gateway in (first, second, third)] == [True, True, False]
 
 
+def test_last_gateway_that_hears_others_polls_the_store_before_a_change_is_late() -> None:
+    budget = ChangeBudget(CHANGE_LIMIT_S)
+    others = [f'g{number:02}' for number in range(60)]
+    with virtual_clock() as clock:
+        gateway = exchange('z', *others)
+        gateway.max_polling_delay_s = budget.polling_delay_s
+        gateway.copies['t'].follow_rule = budget.config_rule()
+        gateway._handle_updates(update(0, 9))
+        clock.advance((1.0 - DELIVERY_SHARE) * CHANGE_LIMIT_S)
+        for other in others:
+            gateway.members.record_message(other, 'c1')
+        assert gateway.is_due()
+
+
 def test_gateway_that_took_over_polls_until_peers_send_updates() -> None:
     with virtual_clock() as clock:
         gateway = exchange('g2', 'g1')
@@ -284,7 +305,7 @@
         gateway._handle_updates(Envelope('g1', 'c1', TableUpdates([delayed])))
         copy = gateway.copies['t']
         assert copy.position == make_position(9)
-        assert 2.0 - CLOCK_TOLERANCE_S <= copy.age_s <= 2.0
+        assert 2.0 - CONFIRMATION_TOLERANCE_S <= copy.age_s <= 2.0
         assert copy.is_stale
 
 
--- a/tests/membership/test_store_polling.py
+++ b/tests/membership/test_store_polling.py
@@ -6,7 +6,6 @@
 
 from limeshelf.membership.store_polling import (
     NON_RELAY_RETRY_SPREAD_S,
-    OVERDUE_LIMIT_S,
     OVERDUE_STEP_S,
     overdue_limit_s,
     polling_order,
@@ -14,6 +13,9 @@
     retry_spread_s,
 )
 
+#: Longest delay for gateways that poll before, in seconds.
+MAX_DELAY_S = 0.3
+
 
 @pytest.mark.parametrize(
     ('order', 'overdue_s', 'expected'),
@@ -27,7 +29,7 @@
 def test_store_is_polled_by_the_first_or_when_copies_are_overdue(
     order: int, overdue_s: float, expected: bool
 ) -> None:
-    assert polls_store(order=order, overdue_s=overdue_s) is expected
+    assert polls_store(order=order, overdue_s=overdue_s, max_delay_s=MAX_DELAY_S) is expected
 
 
 def test_first_relays_of_all_centres_come_before_the_second_ones() -> None:
@@ -38,18 +40,18 @@
 
 
 def test_gateways_that_are_not_relays_retry_less_often() -> None:
-    assert retry_spread_s(5, 3) == overdue_limit_s(5)
-    assert retry_spread_s(6, 3) == NON_RELAY_RETRY_SPREAD_S
+    assert retry_spread_s(5, 3, MAX_DELAY_S) == overdue_limit_s(5, MAX_DELAY_S)
+    assert retry_spread_s(6, 3, MAX_DELAY_S) == NON_RELAY_RETRY_SPREAD_S
 
 
 def test_overdue_limit_rises_with_the_order_up_to_a_limit() -> None:
-    assert overdue_limit_s(0) == 0.0
-    assert overdue_limit_s(1) < overdue_limit_s(2)
-    assert overdue_limit_s(1000) == OVERDUE_LIMIT_S
+    assert overdue_limit_s(0, MAX_DELAY_S) == 0.0
+    assert overdue_limit_s(1, MAX_DELAY_S) < overdue_limit_s(2, MAX_DELAY_S)
+    assert overdue_limit_s(1000, MAX_DELAY_S) == MAX_DELAY_S
 
 
 def test_isolated_gateway_polls_without_delay() -> None:
-    assert overdue_limit_s(1000, is_isolated=True) == 0.0
-    assert retry_spread_s(1000, 3, is_isolated=True) == 0.0
-    assert polls_store(order=1000, overdue_s=0.01, is_isolated=True)
-    assert not polls_store(order=1000, overdue_s=-0.01, is_isolated=True)
+    assert overdue_limit_s(1000, MAX_DELAY_S, is_isolated=True) == 0.0
+    assert retry_spread_s(1000, 3, MAX_DELAY_S, is_isolated=True) == 0.0
+    assert polls_store(order=1000, overdue_s=0.01, max_delay_s=MAX_DELAY_S, is_isolated=True)
+    assert not polls_store(order=1000, overdue_s=-0.01, max_delay_s=MAX_DELAY_S, is_isolated=True)
