Let a gateway that reaches the store again poll it before it counts as in touch

What callers saw: at a gateway that had the store back, an added route was not served 3 s later, when it counts as in touch. Cause, of the same class: a gateway that is no relay pauses up to 8 s more after a failed call, whatever the time for a change is. Mend: 0.75 of that time (1.5 s of 2 s); with the back-off of 1 s that is below the 3 s and 4 s of users' deployments. While the store is away gateways that are no relays call it three times as often as before (by the numbers, not measured).

--- a/limeshelf/feeds/change_budget.py
+++ b/limeshelf/feeds/change_budget.py
@@ -32,6 +32,11 @@
 #: after which a copy is stale.
 REPLICA_WAIT_SHARE = 0.27
 REPLICA_BATCH_DELAY_SHARE = 0.14
+#: Longest additional pause after a failed call of a gateway that is not a relay, as a share of the
+#: limit. While the store is unavailable, calls from hundreds of gateways reveal no more than calls
+#: from the relays; once it is available again to a gateway, that gateway must know of changes
+#: within about one and a half times the limit.
+RETRY_SPREAD_SHARE = 0.75
 #: Age of a configuration, as a share of the limit, beyond which it may lack a change that the
 #: gateway should know.
 CURRENT_SHARE = 0.7
@@ -61,6 +66,11 @@
         """Return how long a gateway waits at most for those that poll before it, in seconds."""
         return POLLING_DELAY_SHARE * self.limit_s
 
+    @property
+    def retry_spread_s(self) -> float:
+        """Return the longest additional pause after a failed call of a non-relay, in seconds."""
+        return RETRY_SPREAD_SHARE * self.limit_s
+
     @property
     def delivery_s(self) -> float:
         """Return the time that remains to poll the store and pass the rows on, in seconds."""
--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -30,6 +30,7 @@
 from limeshelf.membership.row_messages import NO_ERA, RowsQuery, TableUpdate, TableUpdates
 from limeshelf.membership.staleness_log import StalenessLog
 from limeshelf.membership.store_polling import (
+    PollingDelays,
     overdue_limit_s,
     polling_order,
     polls_store,
@@ -56,15 +57,14 @@
 
     Implements :class:`limeshelf.feeds.follower.StorePolling`.
 
-    :param max_polling_delay_s: longest time for which this gateway waits for others that poll the
-        store before it, in seconds.
+    :param delays: limits of its delays for the sake of others that poll the store.
     :param clock: this gateway's estimate of the store's clock.
     :param copies: this gateway's copies of tables, by table name.
     """
 
     node: PeerNode
     members: Members
-    max_polling_delay_s: float
+    delays: PollingDelays
     clock: StoreClock = attrs.field(factory=StoreClock)
     copies: dict[str, TableCopy] = attrs.field(factory=dict)
     _polling_due: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -81,7 +81,7 @@
         return polls_store(
             order=self._polling_order(),
             overdue_s=self._overdue_s(),
-            max_delay_s=self.max_polling_delay_s,
+            delays=self.delays,
             is_isolated=not self.members.receives_messages(),
         )
 
@@ -95,7 +95,7 @@
         return retry_spread_s(
             self._polling_order(),
             len(self._centres()),
-            self.max_polling_delay_s,
+            self.delays,
             is_isolated=is_isolated,
         )
 
@@ -152,9 +152,7 @@
 
     def _next_check_s(self) -> float:
         is_isolated = not self.members.receives_messages()
-        limit_s = overdue_limit_s(
-            self._polling_order(), self.max_polling_delay_s, is_isolated=is_isolated
-        )
+        limit_s = overdue_limit_s(self._polling_order(), self.delays, is_isolated=is_isolated)
         due_in_s = limit_s - self._overdue_s()
         interval_s = jittered_s(MAX_CHECK_INTERVAL_S)
         return max(MIN_CHECK_INTERVAL_S, min(interval_s, due_in_s)) if due_in_s > 0 else interval_s
--- a/limeshelf/membership/store_polling.py
+++ b/limeshelf/membership/store_polling.py
@@ -15,13 +15,34 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+import attrs
+
 from limeshelf.membership.relays import RELAYS_PER_CENTRE
 
+if TYPE_CHECKING:
+    from limeshelf.feeds.change_budget import ChangeBudget
+
 #: Each gateway waits this much longer than the one before it in the polling order.
 OVERDUE_STEP_S = 0.08
-#: Longest additional pause after a failed call of a gateway that is not a relay. While the store
-#: is unavailable, calls from hundreds of gateways reveal no more than calls from the relays.
-NON_RELAY_RETRY_SPREAD_S = 8.0
+
+
+@attrs.frozen
+class PollingDelays:
+    """Longest delays of a gateway for the sake of others that poll the store.
+
+    :param turn_limit_s: for those before it in the polling order, in seconds.
+    :param retry_spread_s: additional pause after a failed call if it is not a relay, in seconds.
+    """
+
+    turn_limit_s: float
+    retry_spread_s: float
+
+    @classmethod
+    def from_budget(cls, budget: ChangeBudget) -> PollingDelays:
+        """Return the delays with which a change reaches every gateway in time."""
+        return cls(budget.polling_delay_s, budget.retry_spread_s)
 
 
 def polling_order(rank: int, centre_index: int, centre_count: int) -> int:
@@ -38,39 +59,37 @@
     return rank * centre_count + centre_index
 
 
-def overdue_limit_s(order: int, max_delay_s: float, *, is_isolated: bool = False) -> float:
+def overdue_limit_s(order: int, delays: PollingDelays, *, is_isolated: bool = False) -> float:
     """Return how long copies may be overdue, in seconds, before a gateway polls the store.
 
     :param order: the gateway's position in the polling order.
-    :param max_delay_s: longest delay of any gateway, in seconds.
     :param is_isolated: whether it has recently received no message from any other gateway. The
         delays exist so that rows polled by the first gateway can arrive. An isolated gateway
         would wait in vain: if it is late in the order, for longer than a change may take to become
         active.
     """
-    return 0.0 if is_isolated else min(max_delay_s, OVERDUE_STEP_S * order)
+    return 0.0 if is_isolated else min(delays.turn_limit_s, OVERDUE_STEP_S * order)
 
 
 def retry_spread_s(
-    order: int, centre_count: int, max_delay_s: float, *, is_isolated: bool = False
+    order: int, centre_count: int, delays: PollingDelays, *, is_isolated: bool = False
 ) -> float:
     """Return the longest additional pause after a failed call to the store, in seconds.
 
     :param order: the gateway's position in the polling order.
     :param centre_count: number of data centres with gateways.
-    :param max_delay_s: as for :func:`overdue_limit_s`.
     :param is_isolated: as for :func:`overdue_limit_s`.
     """
     depends_on_relays = order >= RELAYS_PER_CENTRE * centre_count and not is_isolated
     return (
-        NON_RELAY_RETRY_SPREAD_S
+        delays.retry_spread_s
         if depends_on_relays
-        else overdue_limit_s(order, max_delay_s, is_isolated=is_isolated)
+        else overdue_limit_s(order, delays, is_isolated=is_isolated)
     )
 
 
 def polls_store(
-    *, order: int, overdue_s: float, max_delay_s: float, is_isolated: bool = False
+    *, order: int, overdue_s: float, delays: PollingDelays, is_isolated: bool = False
 ) -> bool:
     """Return whether a gateway polls the store now.
 
@@ -79,7 +98,6 @@
         overdue; negative if none is. One overdue table suffices for polling all, because a peer
         that lost the store sends no changes of any table
         (tests/membership/test_row_exchange.py::test_one_overdue_table_makes_all_due).
-    :param max_delay_s: as for :func:`overdue_limit_s`.
     :param is_isolated: as for :func:`overdue_limit_s`.
     """
-    return order == 0 or overdue_s > overdue_limit_s(order, max_delay_s, is_isolated=is_isolated)
+    return order == 0 or overdue_s > overdue_limit_s(order, delays, is_isolated=is_isolated)
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -53,6 +53,7 @@
 from limeshelf.membership.row_exchange import RowExchange
 from limeshelf.membership.state_changes import StateChanges
 from limeshelf.membership.state_exchange import StateExchange
+from limeshelf.membership.store_polling import PollingDelays
 from limeshelf.metrics.event_log import log_change
 from limeshelf.metrics.prometheus import GatewayMetrics
 from limeshelf.orders.sender import OrderSender
@@ -217,7 +218,7 @@
         self.rows = RowExchange(
             self.node,
             self.members,
-            ChangeBudget(change_limit_s).polling_delay_s,
+            PollingDelays.from_budget(ChangeBudget(change_limit_s)),
             self.store_clock,
         )
         config_rows = ConfigRows(
--- a/tests/membership/test_deleted_rows.py
+++ b/tests/membership/test_deleted_rows.py
@@ -19,12 +19,13 @@
 from limeshelf.membership.member import Member
 from limeshelf.membership.members import Members
 from limeshelf.membership.row_exchange import RowExchange
+from limeshelf.membership.store_polling import PollingDelays
 from limeshelf.peers.codec import Envelope
 
 KEYS = ('a', 'b', 'c')
 #: Addresses by data centre; the first two of each are its relays.
 ADDRESSES = {'g1': 'c1', 'g2': 'c1', 'g3': 'c1', 'g4': 'c2', 'g5': 'c2'}
-MAX_POLLING_DELAY_S = 0.3
+DELAYS = PollingDelays(turn_limit_s=0.3, retry_spread_s=1.5)
 
 
 @attrs.define
@@ -88,7 +89,7 @@
         for other, data_centre in ADDRESSES.items():
             if other != address:
                 members.add(other, data_centre, 1.0)
-        gateway = RowExchange(node, members, MAX_POLLING_DELAY_S)
+        gateway = RowExchange(node, members, DELAYS)
         gateway.copies['t'] = TableCopy('t', lambda row: None)
         return gateway
 
--- a/tests/membership/test_row_exchange.py
+++ b/tests/membership/test_row_exchange.py
@@ -16,12 +16,12 @@
 from limeshelf.membership.relays import RELAY_TIMEOUT_S
 from limeshelf.membership.row_exchange import RowExchange
 from limeshelf.membership.row_messages import RowsQuery, TableRow, TableUpdate, TableUpdates
-from limeshelf.membership.store_polling import OVERDUE_STEP_S
+from limeshelf.membership.store_polling import OVERDUE_STEP_S, PollingDelays
 from limeshelf.peers.codec import Envelope
 from limeshelf.util.clock import boottime_s, virtual_clock
 from tests.support.positions import make_position, make_range
 
-MAX_POLLING_DELAY_S = 0.3
+DELAYS = PollingDelays(turn_limit_s=0.3, retry_spread_s=1.5)
 #: Time within which a change must reach every gateway, in seconds.
 CHANGE_LIMIT_S = 2.0
 #: Share of it that is for the call to the store and for messages to others.
@@ -82,7 +82,7 @@
     members = Members(Member(own, 'c1', 1.0))
     for other in others:
         members.add(other, 'c1', 1.0)
-    row_exchange = RowExchange(node, members, MAX_POLLING_DELAY_S)
+    row_exchange = RowExchange(node, members, DELAYS)
     row_exchange.copies['t'] = TableCopy('t', lambda row: None)
     return row_exchange
 
@@ -170,7 +170,7 @@
     others = [f'g{number:02}' for number in range(60)]
     with virtual_clock() as clock:
         gateway = exchange('z', *others)
-        gateway.max_polling_delay_s = budget.polling_delay_s
+        gateway.delays = PollingDelays.from_budget(budget)
         gateway.copies['t'].follow_rule = budget.config_rule()
         gateway._handle_updates(update(0, 9))
         clock.advance((1.0 - DELIVERY_SHARE) * CHANGE_LIMIT_S)
--- a/tests/membership/test_store_polling.py
+++ b/tests/membership/test_store_polling.py
@@ -5,16 +5,15 @@
 import pytest
 
 from limeshelf.membership.store_polling import (
-    NON_RELAY_RETRY_SPREAD_S,
     OVERDUE_STEP_S,
+    PollingDelays,
     overdue_limit_s,
     polling_order,
     polls_store,
     retry_spread_s,
 )
 
-#: Longest delay for gateways that poll before, in seconds.
-MAX_DELAY_S = 0.3
+DELAYS = PollingDelays(turn_limit_s=0.3, retry_spread_s=1.5)
 
 
 @pytest.mark.parametrize(
@@ -29,7 +28,7 @@
 def test_store_is_polled_by_the_first_or_when_copies_are_overdue(
     order: int, overdue_s: float, expected: bool
 ) -> None:
-    assert polls_store(order=order, overdue_s=overdue_s, max_delay_s=MAX_DELAY_S) is expected
+    assert polls_store(order=order, overdue_s=overdue_s, delays=DELAYS) is expected
 
 
 def test_first_relays_of_all_centres_come_before_the_second_ones() -> None:
@@ -40,18 +39,18 @@
 
 
 def test_gateways_that_are_not_relays_retry_less_often() -> None:
-    assert retry_spread_s(5, 3, MAX_DELAY_S) == overdue_limit_s(5, MAX_DELAY_S)
-    assert retry_spread_s(6, 3, MAX_DELAY_S) == NON_RELAY_RETRY_SPREAD_S
+    assert retry_spread_s(5, 3, DELAYS) == overdue_limit_s(5, DELAYS)
+    assert retry_spread_s(6, 3, DELAYS) == DELAYS.retry_spread_s
 
 
 def test_overdue_limit_rises_with_the_order_up_to_a_limit() -> None:
-    assert overdue_limit_s(0, MAX_DELAY_S) == 0.0
-    assert overdue_limit_s(1, MAX_DELAY_S) < overdue_limit_s(2, MAX_DELAY_S)
-    assert overdue_limit_s(1000, MAX_DELAY_S) == MAX_DELAY_S
+    assert overdue_limit_s(0, DELAYS) == 0.0
+    assert overdue_limit_s(1, DELAYS) < overdue_limit_s(2, DELAYS)
+    assert overdue_limit_s(1000, DELAYS) == DELAYS.turn_limit_s
 
 
 def test_isolated_gateway_polls_without_delay() -> None:
-    assert overdue_limit_s(1000, MAX_DELAY_S, is_isolated=True) == 0.0
-    assert retry_spread_s(1000, 3, MAX_DELAY_S, is_isolated=True) == 0.0
-    assert polls_store(order=1000, overdue_s=0.01, max_delay_s=MAX_DELAY_S, is_isolated=True)
-    assert not polls_store(order=1000, overdue_s=-0.01, max_delay_s=MAX_DELAY_S, is_isolated=True)
+    assert overdue_limit_s(1000, DELAYS, is_isolated=True) == 0.0
+    assert retry_spread_s(1000, 3, DELAYS, is_isolated=True) == 0.0
+    assert polls_store(order=1000, overdue_s=0.01, delays=DELAYS, is_isolated=True)
+    assert not polls_store(order=1000, overdue_s=-0.01, delays=DELAYS, is_isolated=True)
--- a/tests/platform_soak/link.py
+++ b/tests/platform_soak/link.py
@@ -37,6 +37,7 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silenced: set[asyncio.StreamWriter] = set()
         self._restored = asyncio.Event()
 
     async def start(self) -> str:
@@ -52,6 +53,10 @@
         self._restored.set()
         self._restored = asyncio.Event()
 
+    def silence_open(self) -> None:
+        """Forward nothing more over the open connections; new ones are not impaired."""
+        self._silenced |= self._writers
+
     def reset_all(self) -> None:
         """Reset every open connection."""
         for writer in list(self._writers):
@@ -81,6 +86,7 @@
             reset_connection(target_writer)
         finally:
             self._writers -= {writer, target_writer}
+            self._silenced -= {writer, target_writer}
             writer.close()
             target_writer.close()
 
@@ -96,6 +102,8 @@
                 is_response and self.impairment is Impairment.ONE_WAY
             ):
                 await self._restored.wait()
+            if sink in self._silenced:
+                await asyncio.Event().wait()
             sink.write(data)
             await sink.drain()
         # A close by one side closes both: the programs under test never half-close a connection.
--- a/tests/platform_soak/test_lost_pollers.py
+++ b/tests/platform_soak/test_lost_pollers.py
@@ -15,7 +15,7 @@
 from tests.platform_soak.callers import Callers
 from tests.platform_soak.link import Impairment
 from tests.platform_soak.moves import MOVED, runs_of
-from tests.platform_soak.world import PROPAGATION_LIMIT_S, World
+from tests.platform_soak.world import PROPAGATION_LIMIT_S, GatewayProcess, World
 
 GATEWAYS = 24
 START_LIMIT_S = 30.0
@@ -28,6 +28,13 @@
 #: Time from the loss to the first change, and between two changes, in seconds.
 CHANGE_DELAYS_S = (0.0, 2.6, 3.3)
 CALL_INTERVAL_S = 0.1
+#: Gateways of which three, one in each data centre, are no relays.
+SMALL_FLEET = 9
+OUTAGES = 4
+#: How long the store is away for all of them.
+OUTAGE_S = 5.0
+#: A gateway counts as in touch again from this long after it reaches the store again.
+CONTACT_S = 3.0
 #: Calls need no keys, so that none is refused for a key that its gateway does not know yet.
 NO_KEY = 'none'
 
@@ -82,6 +89,52 @@
     return late
 
 
+def restore_store(gateway: GatewayProcess) -> None:
+    gateway.link.restore()
+
+
+def lose_store(gateway: GatewayProcess) -> None:
+    gateway.link.impairment = Impairment.REFUSE
+    gateway.link.reset_all()
+
+
+async def wait_until_ready(callers: Callers, gateways: int) -> None:
+    async with asyncio.timeout(START_LIMIT_S):
+        while len(await callers.ready_gateways()) < gateways:
+            await asyncio.sleep(CALL_INTERVAL_S)
+
+
+def test_last_gateway_polls_in_time_when_it_alone_reaches_the_store_again() -> None:
+    async def run() -> list[int]:
+        world = World(SMALL_FLEET, needs_keys=False)
+        callers = Callers(world, seed=1)
+        statuses = []
+        try:
+            await world.start()
+            await wait_until_ready(callers, SMALL_FLEET)
+            last_ip = polling_sequence(world)[-1]
+            last = next(one for one in world.gateways if one.ip == last_ip)
+            for _ in range(OUTAGES):
+                for one in world.gateways:
+                    lose_store(one)
+                await asyncio.sleep(OUTAGE_S)
+                restore_store(last)
+                world.configure()
+                await asyncio.sleep(CONTACT_S)
+                async with aiohttp.ClientSession(auto_decompress=False) as session:
+                    kind = f'only{world.version}'
+                    statuses.append((await callers.call(session, last_ip, kind, NO_KEY)).status)
+                for one in world.gateways:
+                    restore_store(one)
+                await asyncio.sleep(CONTACT_S)
+            return statuses
+        finally:
+            await callers.stop()
+            await world.close()
+
+    assert asyncio.run(run()) == [200] * OUTAGES
+
+
 @pytest.mark.parametrize('lost', LOST)
 def test_change_is_in_force_in_time_when_the_first_gateways_that_poll_lose_the_store(
     lost: int,
@@ -92,9 +145,7 @@
         tasks: list[asyncio.Task[None]] = []
         try:
             await world.start()
-            async with asyncio.timeout(START_LIMIT_S):
-                while len(await callers.ready_gateways()) < GATEWAYS:
-                    await asyncio.sleep(0.1)
+            await wait_until_ready(callers, GATEWAYS)
             await asyncio.sleep(PROPAGATION_LIMIT_S)
             cut_off = set(polling_sequence(world)[:lost])
             session = aiohttp.ClientSession(auto_decompress=False)
--- a/tests/platform_soak/test_slow_store.py
+++ b/tests/platform_soak/test_slow_store.py
@@ -34,6 +34,11 @@
 #: Calls that the store holds when it falls silent end within this time.
 HELD_S = 1.1
 POLL_S = 0.1
+#: How long the store is slow before its connections fall silent, and how slow.
+SLOW_PHASE_S = 6.0
+SLOW_S = 1.5
+#: A gateway counts as in touch again from this long after its connections were lost.
+CONTACT_S = 3.0
 
 
 class SlowStoreFixture:
@@ -68,9 +73,9 @@
                 await asyncio.sleep(POLL_S)
 
 
-def run(scenario: Scenario, *, needs_keys: bool = True) -> None:
+def run(scenario: Scenario, *, needs_keys: bool = True, gateways: int = GATEWAYS) -> None:
     async def run_scenario() -> None:
-        world = World(GATEWAYS, needs_keys=needs_keys)
+        world = World(gateways, needs_keys=needs_keys)
         fixture = SlowStoreFixture(world)
         try:
             await world.start()
@@ -166,3 +171,24 @@
             assert statuses == [401] * GATEWAYS
 
     run(scenario)
+
+
+def test_connections_that_fall_silent_after_a_slow_phase_do_not_keep_a_change_away() -> None:
+    async def scenario(fixture: SlowStoreFixture) -> None:
+        world, loop = fixture.world, asyncio.get_running_loop()
+        await fixture.until_each_serves('safe', fixture.callers.newest_key(), CHANGE_LIMIT_S)
+        world.store.faults.answer_delay_s = SLOW_S
+        await asyncio.sleep(SLOW_PHASE_S)
+        # The gateway begins its next call when it has a change.
+        world.configure()
+        kind, key = f'only{world.version}', fixture.callers.newest_key()
+        assert await fixture.until_each_serves(kind, key, SLOW_PHASE_S) == [200]
+        world.store.faults.answer_delay_s = 0.0
+        world.gateways[0].link.silence_open()
+        silenced_s = loop.time()
+        world.configure()
+        kind, key = f'only{world.version}', fixture.callers.newest_key()
+        statuses = await fixture.until_each_serves(kind, key, CONTACT_S)
+        assert statuses == [200], f'after {loop.time() - silenced_s:.2f} s'
+
+    run(scenario, needs_keys=False, gateways=1)
