Pass on no answer whose status is none

Here too: 000, 001, 042, 099, 600, 700, 999 and 101, though nobody asked to upgrade, were passed on, stamped, and 000 as 'HTTP/1.1 0', which is no answer in the protocol; HTTP/2.0 on the line was taken for HTTP/1.1; with a statement that the call had not run they were taken at their word. Cause: the HTTP library hands on any number of three digits, and all of our code only compares statuses. Mend: one place, where answers are parsed, knows which there are; the connection is closed and the call has no answer: 502 for what may have run, repeated where its route allows. It serves calls, calls that other gateways carry, orders, reports and the store's answers alike, since all their sessions use these connections.

--- a/limeshelf/util/strict_response.py
+++ b/limeshelf/util/strict_response.py
@@ -1,4 +1,4 @@
-"""HTTP client connections that tell a whole answer from one that was broken off.
+"""HTTP client connections that tell whole and valid answers from others.
 
 Uses a private attribute of aiohttp's connector, the protocol factory, which has no public option;
 tests/standalone/upstreams/test_broken_answers.py and tests/gateway/test_broken_answers.py fail
@@ -17,15 +17,31 @@
 
 if TYPE_CHECKING:
     import aiohttp
+    from aiohttp.http_parser import RawResponseMessage
 
 #: Received data is parsed in pieces of this size, so that limits apply before much is parsed.
 PIECE_BYTES = 1 << 12
 #: Answers, interim ones included, that may wait to be read. There is one call at a time.
 MAX_UNREAD_ANSWERS = 32
+#: Statuses of answers (RFC 9110, section 15), interim ones included...
+MIN_STATUS = 100
+MAX_STATUS = 599
+#: ...but for the one that follows a request to upgrade, which is never sent.
+STATUS_SWITCHING_PROTOCOLS = 101
+HTTP_MAJOR_VERSION = 1
+
+
+def is_answer(message: RawResponseMessage) -> bool:
+    """Return whether the first line of an answer is one of HTTP/1, with a status that exists."""
+    return (
+        MIN_STATUS <= message.code <= MAX_STATUS
+        and message.code != STATUS_SWITCHING_PROTOCOLS
+        and message.version.major == HTTP_MAJOR_VERSION
+    )
 
 
 class StrictResponseHandler(ResponseHandler):
-    """Reports a reset as an error, and never reuses a connection with surplus bytes.
+    """Reports resets and invalid heads as errors, and reuses no connection with surplus bytes.
 
     A connection on which answers arrive faster than they are read is closed: the library would
     keep them all.
@@ -43,13 +59,21 @@
             super().data_received(data)
         for start in range(0, len(data), PIECE_BYTES):
             if len(self._buffer) > MAX_UNREAD_ANSWERS:
-                self._refuse_answers()
+                self._refuse_answers('too many answers')
                 return
             super().data_received(data[start : start + PIECE_BYTES])
 
-    def _refuse_answers(self) -> None:
+    def feed_data(self, data: tuple[RawResponseMessage, Any], size: int = 0) -> None:
+        """Queue the head of an answer and its body for the call that waits for it."""
+        message, _ = data
+        if is_answer(message):
+            super().feed_data(data, size)
+        else:
+            self._refuse_answers(f'no answer: status {message.code}')
+
+    def _refuse_answers(self, reason: str) -> None:
         self._buffer.clear()
-        self.set_exception(ServerDisconnectedError('too many answers'))
+        self.set_exception(ServerDisconnectedError(reason))
         if self.transport is not None:
             self.transport.abort()
 
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -213,3 +213,31 @@
         assert (await world.call('/unsafe/x')).body == b'ok'
 
     _run(scenario, ScriptedReplica(HEAD + b'Content-Length: 2\r\n\r\nok', End.CLOSE))
+
+
+#: First lines of answers whose status is none: RFC 9110, section 15. Nobody asked to upgrade.
+STATUS_LINES = (
+    *(b'HTTP/1.1 %03d X' % status for status in (0, 1, 42, 99, 101, 600, 700, 999)),
+    b'HTTP/2.0 200 OK',
+)
+NOT_RUN = b'Limeshelf-Not-Executed: 1\r\n'
+WHOLE_BODY = b'Content-Length: 2\r\n\r\nok'
+EVENT_STREAM = b'Content-Type: text/event-stream\r\n\r\n' + EVENTS
+
+
+@pytest.mark.parametrize(('path', 'runs'), [('/safe/x', 2), ('/unsafe/x', 1)])
+@pytest.mark.parametrize('rest', [WHOLE_BODY, b'\r\n', NOT_RUN + b'\r\n', EVENT_STREAM])
+@pytest.mark.parametrize('line', STATUS_LINES)
+def test_answer_whose_status_is_none_is_not_passed_on(
+    line: bytes, rest: bytes, path: str, runs: int
+) -> None:
+    head = HEAD.replace(b'HTTP/1.1 200 OK', line)
+    replica = ScriptedReplica(head + rest, End.CLOSE)
+
+    async def scenario(world: GatewayWorld) -> None:
+        answer = await world.call(path)
+        assert answer.status == 502
+        assert 'Limeshelf-Server-Stamp' not in answer.headers
+        assert len(replica.runs) == runs
+
+    _run(scenario, replica)
