Do not take an odd status in answer to an order for a rejection

Of the same class as an answer whose status is none: any status that was not known counted as REJECTED, that is, as without effect, although with 204, 302, 500, 502 or 504 the replica may go on with the load, and the ledger of its memory rests on that.

--- a/limeshelf/platform/orders.py
+++ b/limeshelf/platform/orders.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from limeshelf.errors import InvalidDocument
+from limeshelf.metrics.event_log import log_change
 from limeshelf.orders.order import (
     OrderOutcome,
     ReplicaOrder,
@@ -45,7 +46,7 @@
 CONNECTIONS_PER_REPLICA = 2
 
 STATUS_OK = 200
-#: Outcome of an order by the status of the response; any other status means a rejection.
+#: Outcome of an order by the status of the response.
 _OUTCOME_BY_STATUS = {
     STATUS_OK: OrderOutcome.HOLDS_ALREADY,
     202: OrderOutcome.TAKEN,
@@ -54,6 +55,8 @@
     412: OrderOutcome.FENCED_OFF,
     STATUS_MISDIRECTED: OrderOutcome.GONE,
 }
+#: Other statuses with which a replica rejects an order: those of an order that is wrong, and 503.
+_REJECTION_STATUSES = frozenset({*range(400, 500), 503})
 
 
 class _Order(msgspec.Struct, rename='pascal', omit_defaults=True):
@@ -106,8 +109,8 @@
     ) -> ReplicaOrderAnswer:
         """Send an order.
 
-        :raises ReplicaUnresponsive: no response arrived before the timeout; the replica may have
-            accepted the order.
+        :raises ReplicaUnresponsive: no response arrived before the timeout, or none that says
+            what became of the order; the replica may have accepted it.
         """
         body = _Order(
             op=order.kind.value,
@@ -124,7 +127,13 @@
         status, _ = await self._call(
             self._order_session, 'POST', address, '/order', replica_id, body, ORDER_TIMEOUT_S
         )
-        return ReplicaOrderAnswer(_OUTCOME_BY_STATUS.get(status, OrderOutcome.REJECTED), status)
+        outcome = _OUTCOME_BY_STATUS.get(status)
+        if outcome is None and status in _REJECTION_STATUSES:
+            outcome = OrderOutcome.REJECTED
+        if outcome is None:
+            log_change('order_status_unknown', replica=replica_id, status=status)
+            raise ReplicaUnresponsive(replica_id)
+        return ReplicaOrderAnswer(outcome, status)
 
     async def _call(
         self,
