Connect to other gateways from the address by which they know this one

What callers saw (a first look by others): where a host has several addresses, every call that another gateway should have carried got 502. Cause: a gateway carries calls only for addresses of known gateways, and the source address of these connections was left to the operating system, which takes the host's first one; on loopback, where each gateway has its own, always 127.0.0.1. Mend: these connections are bound to the gateway's address. The test (two gateways with addresses of their own) got 502 before, 200 now.

--- a/limeshelf/gateway/forwarder.py
+++ b/limeshelf/gateway/forwarder.py
@@ -67,12 +67,14 @@
 class Forwarder:
     """Forwards calls to other gateways.
 
+    :param own_ip: address of this gateway, by which the others know it.
     :param count: called with the name of each result.
     """
 
     wire: CallWire
     targets: ForwardTargets
     demand: DemandMeter
+    own_ip: str
     count: Callable[[str], None]
     _by_address: dict[str, CallConnections] = attrs.field(factory=dict)
     _carried_s: float = -math.inf
@@ -125,7 +127,8 @@
         address = member.forward_address
         found = self._by_address.get(address)
         if found is None:
-            found = self._by_address[address] = CallConnections(address, MAX_CONNECTIONS)
+            found = CallConnections(address, MAX_CONNECTIONS, self.own_ip)
+            self._by_address[address] = found
         return found
 
     def _record(self, state: CallState, member: Member, result: AttemptResult) -> None:
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -269,7 +269,11 @@
             binder,
         )
         self.forwarder = Forwarder(
-            wire, ForwardTargets(self.members), self.meter, self.metrics.observe_forwarded
+            wire,
+            ForwardTargets(self.members),
+            self.meter,
+            settings.ip,
+            self.metrics.observe_forwarded,
         )
         self.engine_reach = EngineReach(self.active_config, self.directory, self.forwarder)
         self.pipeline = Pipeline(
--- a/limeshelf/replicas/connections.py
+++ b/limeshelf/replicas/connections.py
@@ -43,6 +43,8 @@
 MAX_UNSERVED_CALLS = 64
 #: Data of one answer that is buffered until it is read.
 READ_BUFFER_BYTES = 1 << 16
+#: Lets the operating system choose the port from which to connect.
+ANY_PORT = 0
 #: Headers that aiohttp would add; only the caller's own headers are forwarded.
 SKIPPED_HEADERS = frozenset({'User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type'})
 
@@ -139,11 +141,17 @@
 
     :param address: where it listens, as ``IP:PORT``.
     :param limit: maximum number of connections of this process to it.
+    :param source_ip: address from which to connect; empty for any of this host.
     """
 
-    def __init__(self, address: str, limit: int) -> None:
+    def __init__(self, address: str, limit: int, source_ip: str = '') -> None:
         self.address = address
-        self._connector = ProgressConnector(call_socket, limit=limit, keepalive_timeout=MAX_IDLE_S)
+        self._connector = ProgressConnector(
+            call_socket,
+            limit=limit,
+            keepalive_timeout=MAX_IDLE_S,
+            local_addr=(source_ip, ANY_PORT) if source_ip else None,
+        )
         use_strict_responses(self._connector, CallConnection)
         session = aiohttp.ClientSession(
             connector=self._connector,
