Name the call in each refusal to carry it

What callers saw: 502 where another gateway would not carry a call that it had not read further than its head. Cause: such a refusal named no call, so the gateway that asked took it for the answer to another one, after which its own may have run, and asked no other gateway. Mend: the head is read first, so that the refusal names the call. Three gateways, one of which rejects: [502, 502, 200, 200, 502, 502] before, 200 six times now.

--- a/limeshelf/gateway/frontend.py
+++ b/limeshelf/gateway/frontend.py
@@ -193,13 +193,7 @@
     ) -> web.StreamResponse:
         """Send a call that another gateway forwarded to a replica."""
         self._metrics.observe_carried()
-        if not self._is_gateway_host(request.remote or ''):
-            log_request('forward_rejected', remote=request.remote)
-            return self._not_carried(None, RefusalReason.BAD_REQUEST)
         answer = HttpAnswer(request, self._closes_connections)
-        limits = self._body_limits()
-        if check_head(request, limits) is not None:
-            return self._not_carried(None, RefusalReason.BAD_REQUEST)
         try:
             received = read_forwarded_call(
                 self._wire, request.method, request.raw_path, request.headers, received_s
@@ -207,13 +201,21 @@
         except InvalidRequest as error:
             log_request('invalid', field=error.field_name, problem=error.problem)
             return self._not_carried(None, RefusalReason.BAD_REQUEST)
+        call_id = received.call.call_id
+        if not self._is_gateway_host(request.remote or ''):
+            log_request('forward_rejected', request=call_id, remote=request.remote)
+            return self._not_carried(call_id, RefusalReason.BAD_REQUEST)
+        limits = self._body_limits()
+        if check_head(request, limits) is not None:
+            return self._not_carried(call_id, RefusalReason.BAD_REQUEST)
         body = await read_body(request, limits, received.left_s)
         if isinstance(body, RejectedRequest):
-            return self._not_carried(received.call.call_id, RefusalReason.BAD_REQUEST)
+            return self._not_carried(call_id, RefusalReason.BAD_REQUEST)
         received = received.with_body(body)
         if self.phase in (GatewayPhase.STARTING, GatewayPhase.DRAINING):
-            return self._not_carried(received.call.call_id, RefusalReason.STOPPING)
+            return self._not_carried(call_id, RefusalReason.STOPPING)
         await self._pipeline.carry(received, answer)
+        # Without the id this tells nothing of whether the call has run.
         return answer.response or self._not_carried(None, RefusalReason.STOPPING)
 
     def _body_limits(self) -> ClientLimits | None:
