Split how long the store may be silent from the calls that are late

platform/late_calls.py answered two questions; silence.py has the limit and the progress of a call now.

--- a/limeshelf/platform/store.py
+++ b/limeshelf/platform/store.py
@@ -24,8 +24,9 @@
 from limeshelf.feeds.rows import ConditionFailed, Page, Row
 from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.metrics.event_log import log_change
-from limeshelf.platform.late_calls import MAX_WRITE_SILENCE_S, LateCalls, Progress
+from limeshelf.platform.late_calls import LateCalls
 from limeshelf.platform.sessions import open_session
+from limeshelf.platform.silence import MAX_WRITE_SILENCE_S, Progress
 from limeshelf.platform.store_era import ERA_HEADER, StoreEra
 from limeshelf.platform.store_messages import (
     STORE,
--- a/tests/platform/test_late_calls.py
+++ b/tests/platform/test_late_calls.py
@@ -15,7 +15,7 @@
 from limeshelf.feeds.position import BEGINNING
 from limeshelf.feeds.table_copy import TableCopy
 from limeshelf.lease.leadership import Leadership
-from limeshelf.platform import late_calls
+from limeshelf.platform import silence
 from limeshelf.platform import store as store_module
 from limeshelf.platform.store import StoreClient
 from limeshelf.util.clock import boottime_s
@@ -156,7 +156,7 @@
 @pytest.mark.parametrize(('part', 'pause_s'), [(b'x' * 65536, 0.0), (b'x', 0.1)])
 def test_answer_without_end_is_given_up(monkeypatch: Any, part: bytes, pause_s: float) -> None:
     monkeypatch.setattr(store_module, 'MAX_ANSWER_BYTES', 1 << 20)
-    monkeypatch.setattr(late_calls, 'MAX_CALL_S', 1.0)
+    monkeypatch.setattr(silence, 'MAX_CALL_S', 1.0)
 
     async def answer(request: web.BaseRequest) -> web.StreamResponse:
         response = web.StreamResponse()
