--- a/limeshelf/feeds/change_budget.py
+++ b/limeshelf/feeds/change_budget.py
@@ -34,8 +34,7 @@
 REPLICA_BATCH_DELAY_SHARE = 0.14
 #: Longest additional pause after a failed call of a gateway that is not a relay, as a share of the
 #: limit. While the store is unavailable, calls from hundreds of gateways reveal no more than calls
-#: from the relays; once it is available again to a gateway, that gateway must know of changes
-#: within about one and a half times the limit.
+#: from the relays. A gateway that reaches it again must know of changes soon after.
 RETRY_SPREAD_SHARE = 0.75
 #: Age of a configuration, as a share of the limit, beyond which it may lack a change that the
 #: gateway should know.
--- a/limeshelf/membership/store_polling.py
+++ b/limeshelf/membership/store_polling.py
@@ -63,6 +63,7 @@
     """Return how long copies may be overdue, in seconds, before a gateway polls the store.
 
     :param order: the gateway's position in the polling order.
+    :param delays: the longest delay of any gateway, among others.
     :param is_isolated: whether it has recently received no message from any other gateway. The
         delays exist so that rows polled by the first gateway can arrive. An isolated gateway
         would wait in vain: if it is late in the order, for longer than a change may take to become
@@ -78,6 +79,7 @@
 
     :param order: the gateway's position in the polling order.
     :param centre_count: number of data centres with gateways.
+    :param delays: as for :func:`overdue_limit_s`.
     :param is_isolated: as for :func:`overdue_limit_s`.
     """
     depends_on_relays = order >= RELAYS_PER_CENTRE * centre_count and not is_isolated
@@ -98,6 +100,7 @@
         overdue; negative if none is. One overdue table suffices for polling all, because a peer
         that lost the store sends no changes of any table
         (tests/membership/test_row_exchange.py::test_one_overdue_table_makes_all_due).
+    :param delays: as for :func:`overdue_limit_s`.
     :param is_isolated: as for :func:`overdue_limit_s`.
     """
     return order == 0 or overdue_s > overdue_limit_s(order, delays, is_isolated=is_isolated)
--- a/tests/platform_soak/test_lost_pollers.py
+++ b/tests/platform_soak/test_lost_pollers.py
@@ -9,13 +9,12 @@
 import asyncio
 
 import aiohttp
-import attrs
 import pytest
 
 from tests.platform_soak.callers import Callers
 from tests.platform_soak.link import Impairment
 from tests.platform_soak.moves import MOVED, runs_of
-from tests.platform_soak.world import PROPAGATION_LIMIT_S, GatewayProcess, World
+from tests.platform_soak.world import PROPAGATION_LIMIT_S, GatewayProcess, Move, World
 
 GATEWAYS = 24
 START_LIMIT_S = 30.0
@@ -39,18 +38,6 @@
 NO_KEY = 'none'
 
 
-@attrs.frozen
-class Change:
-    """A change of the moved route.
-
-    :param written_s: when the store had taken it, on the loop's clock.
-    """
-
-    version: int
-    target: str
-    written_s: float
-
-
 def polling_sequence(world: World) -> list[str]:
     """Return the addresses of all gateways in the order in which they poll the store.
 
@@ -70,10 +57,12 @@
         await asyncio.sleep(CALL_INTERVAL_S)
 
 
-def late_calls(
-    world: World, callers: Callers, changes: list[Change], judged: set[str]
-) -> list[str]:
-    """Return a line for each call that an outdated configuration sent to the wrong service."""
+def late_calls(world: World, callers: Callers, changes: list[Move], judged: set[str]) -> list[str]:
+    """Return a line for each call that an outdated configuration sent to the wrong service.
+
+    :param changes: of the moved route, the first one first.
+    :param judged: addresses of the gateways that are in touch.
+    """
     runs = runs_of(world)
     late = []
     for call in callers.history:
@@ -82,7 +71,7 @@
         if run is None or call.gateway not in judged or call.kind != MOVED or not in_force:
             continue
         newer = changes[changes.index(in_force[-1]) :]
-        allowed = {one.target for one in newer if one.written_s <= run.at_s}
+        allowed = {one.service for one in newer if one.written_s <= run.at_s}
         if run.service not in allowed:
             after_s = call.sent_s - in_force[-1].written_s
             late.append(f'{call.gateway}: version {in_force[-1].version} after {after_s:.2f} s')
@@ -104,37 +93,6 @@
             await asyncio.sleep(CALL_INTERVAL_S)
 
 
-def test_last_gateway_polls_in_time_when_it_alone_reaches_the_store_again() -> None:
-    async def run() -> list[int]:
-        world = World(SMALL_FLEET, needs_keys=False)
-        callers = Callers(world, seed=1)
-        statuses = []
-        try:
-            await world.start()
-            await wait_until_ready(callers, SMALL_FLEET)
-            last_ip = polling_sequence(world)[-1]
-            last = next(one for one in world.gateways if one.ip == last_ip)
-            for _ in range(OUTAGES):
-                for one in world.gateways:
-                    lose_store(one)
-                await asyncio.sleep(OUTAGE_S)
-                restore_store(last)
-                world.configure()
-                await asyncio.sleep(CONTACT_S)
-                async with aiohttp.ClientSession(auto_decompress=False) as session:
-                    kind = f'only{world.version}'
-                    statuses.append((await callers.call(session, last_ip, kind, NO_KEY)).status)
-                for one in world.gateways:
-                    restore_store(one)
-                await asyncio.sleep(CONTACT_S)
-            return statuses
-        finally:
-            await callers.stop()
-            await world.close()
-
-    assert asyncio.run(run()) == [200] * OUTAGES
-
-
 @pytest.mark.parametrize('lost', LOST)
 def test_change_is_in_force_in_time_when_the_first_gateways_that_poll_lose_the_store(
     lost: int,
@@ -161,8 +119,7 @@
                 for delay_s in CHANGE_DELAYS_S:
                     await asyncio.sleep(delay_s)
                     world.configure()
-                    target = world.moves[-1].service
-                    changes.append(Change(world.version, target, world.changed_s))
+                    changes.append(world.moves[-1])
                 await asyncio.sleep(2 * PROPAGATION_LIMIT_S)
                 for task in tasks:
                     task.cancel()
@@ -177,3 +134,34 @@
 
     late = asyncio.run(run())
     assert not late, f'{len(late)} calls, {late[:5]} ... {late[-5:]}'
+
+
+def test_last_gateway_polls_in_time_when_it_alone_reaches_the_store_again() -> None:
+    async def run() -> list[int]:
+        world = World(SMALL_FLEET, needs_keys=False)
+        callers = Callers(world, seed=1)
+        statuses = []
+        try:
+            await world.start()
+            await wait_until_ready(callers, SMALL_FLEET)
+            last_ip = polling_sequence(world)[-1]
+            last = next(one for one in world.gateways if one.ip == last_ip)
+            for _ in range(OUTAGES):
+                for one in world.gateways:
+                    lose_store(one)
+                await asyncio.sleep(OUTAGE_S)
+                restore_store(last)
+                world.configure()
+                await asyncio.sleep(CONTACT_S)
+                async with aiohttp.ClientSession(auto_decompress=False) as session:
+                    kind = f'only{world.version}'
+                    statuses.append((await callers.call(session, last_ip, kind, NO_KEY)).status)
+                for one in world.gateways:
+                    restore_store(one)
+                await asyncio.sleep(CONTACT_S)
+            return statuses
+        finally:
+            await callers.stop()
+            await world.close()
+
+    assert asyncio.run(run()) == [200] * OUTAGES
