Tests: claim a range of ports, so that two test processes never share one

Seen: three tests of two whole runs side by side on failed with 'address already in use' on 19808 and 19848 (test_forwarded_calls, test_paused_replica) and one more (test_unreachable_replicas). Cause: a process took its range by its id modulo 160; the two had the ids 5638 and 5798, 160 apart, so both used 19800 to 19899. Mend: a socket on the first port of a range claims it, and the next free range is taken otherwise.

--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -21,7 +21,7 @@
 from standins.users_platform.store import StoreStandIn
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    pass
 
 HOST = 'calls.example'
 ENGINE = 'lm'
@@ -33,12 +33,27 @@
 _call_ids = itertools.count(1)
 
 
-def _ports() -> Iterator[int]:
-    first = FIRST_PORTS[os.getpid() % len(FIRST_PORTS)]
-    return itertools.cycle(range(first, first + PORTS_PER_PROCESS))
+def claim_ports() -> tuple[socket.socket, range]:
+    """Return ports that no other test process uses while the returned socket is open.
 
-
-_process_ports = _ports()
+    The socket listens on the first port of a range, which claims the range.
+    """
+    for offset in range(len(FIRST_PORTS)):
+        first = FIRST_PORTS[(os.getpid() + offset) % len(FIRST_PORTS)]
+        claim = socket.socket()
+        try:
+            claim.bind(('127.0.0.1', first))
+            claim.listen()
+        except OSError:
+            # Claimed by another process.
+            claim.close()
+            continue
+        return claim, range(first + 1, first + PORTS_PER_PROCESS)
+    raise AssertionError('all ranges of ports are claimed')
+
+
+_claim, _claimed_ports = claim_ports()
+_process_ports = itertools.cycle(_claimed_ports)
 
 
 def free_port() -> int:
