Count and log what waits to be sent to other gateways, and the rows sent to them

The logs of the record could not tell why a configuration reached neighbours 4 to 23 s old: nothing told what waits for a peer, in our queues or in the operating system (TIOCOUTQ), how long a frame waited, which kind of message the bytes are of, nor whether rows were sent because they were polled, forwarded or queried. Traffic moves from peers/link.py to a module of its own. No decision depends on any of it.

--- a/limeshelf/membership/row_conversion.py
+++ b/limeshelf/membership/row_conversion.py
@@ -87,6 +87,11 @@
     )
 
 
+def row_bytes(update: TableUpdate) -> int:
+    """Return the bytes of the values of an update's rows."""
+    return sum(len(row.value) for row in update.rows)
+
+
 def query_for_positions(positions: dict[str, Position], asked_ms: int) -> RowsQuery:
     """Return a query for the changes of each table after a position."""
     versions = {table: position.version for table, position in positions.items()}
--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import random
 from typing import TYPE_CHECKING
 
@@ -24,6 +25,7 @@
     query_for_positions,
     range_of_update,
     requested_position,
+    row_bytes,
     rows_from_update,
     update_from_copy,
 )
@@ -40,6 +42,8 @@
 from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from limeshelf.feeds.table_copy import TableCopy
     from limeshelf.membership.members import Members
     from limeshelf.peers.codec import Envelope
@@ -51,6 +55,21 @@
 MIN_CHECK_INTERVAL_S = 0.02
 
 
+class RowCause(enum.StrEnum):
+    """Why rows are sent to other gateways."""
+
+    #: This gateway polled them from the store.
+    POLLED = 'polled'
+    #: As a relay it received them from another data centre.
+    FORWARDED = 'forwarded'
+    #: Another gateway queried them.
+    QUERIED = 'queried'
+
+
+def _ignore_rows(cause: str, size_bytes: int) -> None:
+    """Default for exchanges whose rows are not counted."""
+
+
 @attrs.define
 class RowExchange:
     """Sends updates of tables and applies those of other gateways.
@@ -60,6 +79,7 @@
     :param delays: limits of its delays for the sake of others that poll the store.
     :param clock: this gateway's estimate of the store's clock.
     :param copies: this gateway's copies of tables, by table name.
+    :param count_rows: called with the cause and the size of the rows sent, over all receivers.
     """
 
     node: PeerNode
@@ -67,6 +87,7 @@
     delays: PollingDelays
     clock: StoreClock = attrs.field(factory=StoreClock)
     copies: dict[str, TableCopy] = attrs.field(factory=dict)
+    count_rows: Callable[[str, int], None] = _ignore_rows
     _polling_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     _staleness_log: StalenessLog = attrs.field(factory=StalenessLog)
     _fully_received: set[str] = attrs.field(factory=set)
@@ -125,7 +146,13 @@
             for other in self.copies.values()
             if other is not copy and other.position != BEGINNING
         ]
-        self.node.send_all(receivers.of_rows(self.members), TableUpdates(updates))
+        self._send(receivers.of_rows(self.members), TableUpdates(updates), RowCause.POLLED)
+
+    def _send(self, addresses: list[str], updates: TableUpdates, cause: RowCause) -> None:
+        size_bytes = sum(row_bytes(update) for update in updates.words)
+        if size_bytes:
+            self.count_rows(cause, size_bytes * len(addresses))
+        self.node.send_all(addresses, updates)
 
     async def run(self) -> None:
         """Check regularly whether to poll the store, and query peers while copies are stale."""
@@ -184,7 +211,7 @@
         if updates:
             era = NO_ERA if self.clock.era is None else self.clock.era
             answer = TableUpdates(updates, query.asked_ms, self.clock.now_upper_bound_ms(), era)
-            self.node.send(envelope.sender, answer)
+            self._send([envelope.sender], answer, RowCause.QUERIED)
 
     def _handle_updates(self, envelope: Envelope) -> None:
         started_s = boottime_s()
@@ -214,7 +241,7 @@
             self._send_query(envelope.sender, missing)
         addresses = receivers.of_forwarded(self.members, envelope.data_centre)
         if forwarded:
-            self.node.send_all(addresses, TableUpdates(forwarded))
+            self._send(addresses, TableUpdates(forwarded), RowCause.FORWARDED)
 
     def _apply_update(self, copy: TableCopy, update: TableUpdate, peer: str) -> Continuity:
         covered = range_of_update(update)
--- a/limeshelf/metrics/prometheus.py
+++ b/limeshelf/metrics/prometheus.py
@@ -19,6 +19,9 @@
 #: Upper bounds of the histogram of a configuration's lag; changes may take seconds.
 CONFIG_LAG_BUCKETS_S = (0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 4.0, 6.0, 10.0, 30.0)
 
+#: Upper bounds of the histogram of how long frames are queued for a peer; older ones are dropped.
+FRAME_WAIT_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0)
+
 
 class GatewayMetrics:
     """The metrics of one gateway process."""
@@ -99,6 +102,34 @@
             'Calls of other gateways that this one was asked to carry.',
             registry=self._registry,
         )
+        self._peer_bytes = Counter(
+            'limeshelf_peer_sent_bytes',
+            'Bytes of the frames sent to other gateways, by kind of message.',
+            ['kind'],
+            registry=self._registry,
+        )
+        self._peer_wait = Histogram(
+            'limeshelf_peer_wait_seconds',
+            'Time for which a frame was queued before it was written to a connection.',
+            buckets=FRAME_WAIT_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._peer_waiting = Gauge(
+            'limeshelf_peer_waiting_bytes',
+            'Bytes that wait to be sent to other gateways.',
+            registry=self._registry,
+        )
+        self._peer_dropped = Gauge(
+            'limeshelf_peer_dropped_frames',
+            'Frames that were queued for another gateway and dropped, since the start.',
+            registry=self._registry,
+        )
+        self._row_bytes = Counter(
+            'limeshelf_row_update_bytes',
+            'Bytes of the rows sent to other gateways, by what they were sent for.',
+            ['cause'],
+            registry=self._registry,
+        )
         self._unreachable = Gauge(
             'limeshelf_unreachable_replicas',
             'Replicas to which no connection can be opened from here.',
@@ -178,6 +209,24 @@
         """Count a call that another gateway asked this one to carry."""
         self._carried.inc()
 
+    def observe_peer_frame(self, kind: str, size_bytes: int, waited_s: float) -> None:
+        """Count a frame sent to another gateway, which was queued for *waited_s*."""
+        self._peer_bytes.labels(kind).inc(size_bytes)
+        self._peer_wait.observe(waited_s)
+
+    def watch_peers(self, waiting_bytes: Callable[[], int], dropped: Callable[[], int]) -> None:
+        """Serve how many bytes wait to be sent to other gateways, and how many frames did not."""
+        self._peer_waiting.set_function(waiting_bytes)
+        self._peer_dropped.set_function(dropped)
+
+    def observe_rows(self, cause: str, size_bytes: int) -> None:
+        """Count rows sent to other gateways.
+
+        :param cause: value of :class:`limeshelf.membership.row_exchange.RowCause`.
+        :param size_bytes: over all receivers.
+        """
+        self._row_bytes.labels(cause).inc(size_bytes)
+
     def watch_unreachable(self, count: Callable[[], int]) -> None:
         """Serve the number of replicas that cannot be connected to, which *count* returns."""
         self._unreachable.set_function(count)
--- a/limeshelf/peers/link.py
+++ b/limeshelf/peers/link.py
@@ -12,12 +12,11 @@
 from collections import deque
 from typing import NamedTuple
 
-import attrs
-
 from limeshelf.peers.framing import PipeEnd, add_length_prefix, greeting
+from limeshelf.peers.traffic import Traffic, Waiting
 from limeshelf.util.backoff import full_jitter_s
 from limeshelf.util.clock import boottime_s
-from limeshelf.util.sockets import keep_alive
+from limeshelf.util.sockets import keep_alive, unacknowledged_bytes
 
 #: Most frames queued for one peer; if there are more, the oldest are dropped.
 MAX_QUEUED_FRAMES = 64
@@ -32,20 +31,9 @@
 MAX_FRAME_AGE_S = 2.0
 
 
-@attrs.define
-class Traffic:
-    """Counts of what one process sent to its peers, over all links.
-
-    :ivar sent_bytes: bytes of the frames written to a connection.
-    :ivar dropped: frames that were queued for a peer and dropped from the queue.
-    """
-
-    sent_bytes: int = 0
-    dropped: int = 0
-
-
 class _QueuedFrame(NamedTuple):
     queued_s: float
+    kind: str
     frame: bytes
 
 
@@ -61,22 +49,37 @@
         self._traffic = traffic
         self._frames: deque[_QueuedFrame] = deque()
         self._frame_queued = asyncio.Event()
+        self._writer: asyncio.StreamWriter | None = None
 
-    def put(self, frame: bytes) -> None:
-        """Queue *frame*; if the queue is full, drop its oldest frame."""
+    def put(self, frame: bytes, kind: str = '') -> None:
+        """Queue *frame*; if the queue is full, drop its oldest frame.
+
+        :param kind: its message's name on the wire.
+        """
         if len(self._frames) >= MAX_QUEUED_FRAMES:
             self._frames.popleft()
             self._traffic.dropped += 1
-        self._frames.append(_QueuedFrame(boottime_s(), frame))
+        self._frames.append(_QueuedFrame(boottime_s(), kind, frame))
         self._frame_queued.set()
 
+    def waiting(self) -> Waiting:
+        """Return what waits to be sent to the peer."""
+        return Waiting(
+            self.address,
+            queued_bytes=sum(len(queued.frame) for queued in self._frames),
+            unsent_bytes=0 if self._writer is None else _unsent_bytes(self._writer),
+            oldest_s=boottime_s() - self._frames[0].queued_s if self._frames else 0.0,
+        )
+
     def pop_current(self) -> list[bytes]:
         """Return the queued frames that are not out of date, and clear the queue."""
-        oldest_s = boottime_s() - MAX_FRAME_AGE_S
-        frames = [queued.frame for queued in self._frames if queued.queued_s >= oldest_s]
-        self._traffic.dropped += len(self._frames) - len(frames)
+        now_s = boottime_s()
+        current = [one for one in self._frames if one.queued_s >= now_s - MAX_FRAME_AGE_S]
+        self._traffic.dropped += len(self._frames) - len(current)
         self._frames.clear()
-        return frames
+        for one in current:
+            self._traffic.record_sent(one.kind, len(one.frame), now_s - one.queued_s)
+        return [one.frame for one in current]
 
     async def run(self) -> None:
         """Send queued frames; return when none was queued for :data:`IDLE_TIMEOUT_S`."""
@@ -116,14 +119,21 @@
         try:
             keep_alive(writer.get_extra_info('socket'))
             writer.write(greeting(PipeEnd.SENDER))
+            self._writer = writer
             while await self._has_frames():
                 if reader.at_eof() or writer.is_closing():
                     raise ConnectionResetError
                 await self._send(writer, self.pop_current())
         finally:
+            self._writer = None
             writer.close()
 
     async def _send(self, writer: asyncio.StreamWriter, frames: list[bytes]) -> None:
         writer.writelines([add_length_prefix(frame) for frame in frames])
         await writer.drain()
-        self._traffic.sent_bytes += sum(map(len, frames))
+
+
+def _unsent_bytes(writer: asyncio.StreamWriter) -> int:
+    """Return the bytes of a connection that the other end has not acknowledged."""
+    buffered_bytes = writer.transport.get_write_buffer_size()
+    return buffered_bytes + unacknowledged_bytes(writer.get_extra_info('socket'))
--- a/limeshelf/peers/node.py
+++ b/limeshelf/peers/node.py
@@ -15,7 +15,9 @@
 from limeshelf.errors import LimeshelfError
 from limeshelf.peers.codec import Envelope, decode, encode
 from limeshelf.peers.framing import FrameReader, MalformedMessage, PipeEnd, greeting
-from limeshelf.peers.link import PeerLink, Traffic
+from limeshelf.peers.link import PeerLink
+from limeshelf.peers.messages import kind_of
+from limeshelf.peers.traffic import Traffic, TrafficLog, Waiting
 from limeshelf.util.sockets import keep_alive
 from limeshelf.util.tasks import TaskSet
 
@@ -41,6 +43,7 @@
     :param port: TCP port; 0 selects a free one.
     :param data_centre: data centre of this process, sent with each message.
     :ivar address: host and port on which this process listens; empty before the start.
+    :ivar traffic: counts of what was sent.
     :ivar received_bytes: bytes of received frames, including malformed ones.
     :ivar malformed: received frames that are not valid messages, plus connections that were closed
         because they did not follow the protocol.
@@ -55,7 +58,7 @@
         self._port = port
         self._handlers: dict[type[Any], list[Handler]] = {}
         self._links: dict[str, PeerLink] = {}
-        self._traffic = Traffic()
+        self.traffic = Traffic()
         self._received_frames: asyncio.Queue[bytes] = asyncio.Queue(MAX_RECEIVED_FRAMES)
         self._tasks = TaskSet()
         self._server: asyncio.Server | None = None
@@ -63,12 +66,16 @@
     @property
     def sent_bytes(self) -> int:
         """Return the bytes of the frames written to a connection, over all peers."""
-        return self._traffic.sent_bytes
+        return self.traffic.sent_bytes
 
     @property
     def dropped(self) -> int:
         """Return how many frames were queued for a peer and dropped from its queue."""
-        return self._traffic.dropped
+        return self.traffic.dropped
+
+    def waiting(self) -> list[Waiting]:
+        """Return what waits to be sent, by peer."""
+        return [link.waiting() for link in self._links.values()]
 
     def add_handler(self, message_class: type[Any], handler: Handler) -> None:
         """Call *handler* with each received message of a class."""
@@ -80,6 +87,7 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'{self._host}:{port}'
         self._tasks.supervise(self._dispatch_received, 'peer-dispatch')
+        self._tasks.supervise(TrafficLog(self.traffic, self.waiting).run, 'peer-traffic')
 
     async def close(self) -> None:
         """Close all connections."""
@@ -100,15 +108,16 @@
         if not addresses:
             return
         frame = encode(envelope)
+        kind = kind_of(envelope.message)
         for address in addresses:
-            self._queue(address, frame)
+            self._queue(address, frame, kind)
 
-    def _queue(self, address: str, frame: bytes) -> None:
+    def _queue(self, address: str, frame: bytes, kind: str) -> None:
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = PeerLink(address, self._traffic)
+            link = self._links[address] = PeerLink(address, self.traffic)
             self._tasks.spawn(self._run_link(link), f'peer-{address}')
-        link.put(frame)
+        link.put(frame, kind)
 
     async def _run_link(self, link: PeerLink) -> None:
         try:
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -90,6 +90,7 @@
         self.node = node
         self.active_config = ActiveConfig()
         self.metrics = GatewayMetrics()
+        self._export_peer_metrics(node)
         self.buffers = BufferBudget(settings.machine.buffer_bytes)
         self.store_clock = StoreClock()
         self.store = StoreClient(
@@ -119,6 +120,12 @@
         self._make_call_path(settings)
         self.add_seeds(settings)
 
+    def _export_peer_metrics(self, node: PeerNode) -> None:
+        node.traffic.on_sent = self.metrics.observe_peer_frame
+        self.metrics.watch_peers(
+            lambda: sum(one.total_bytes for one in node.waiting()), lambda: node.dropped
+        )
+
     def _make_crash_tracking(self, tasks: TaskSet) -> None:
         """Create the components that track the calls during which replicas crashed."""
         self.suspects = Suspects()
@@ -220,6 +227,7 @@
             self.members,
             PollingDelays.from_budget(ChangeBudget(change_limit_s)),
             self.store_clock,
+            count_rows=self.metrics.observe_rows,
         )
         config_rows = ConfigRows(
             self.active_config, self.directory, self.metrics.observe_config_lag
--- a/limeshelf/util/sockets.py
+++ b/limeshelf/util/sockets.py
@@ -5,8 +5,11 @@
 
 from __future__ import annotations
 
+import array
+import fcntl
 import socket
 import struct
+import termios
 from typing import Any
 
 import attrs
@@ -86,3 +89,17 @@
     created = keepalive_socket(address_info)
     created.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_DISCARD)
     return created
+
+
+def unacknowledged_bytes(connection: socket.socket) -> int:
+    """Return the bytes that the operating system holds for sending; 0 if it does not tell.
+
+    :param connection: connected stream socket, or the socket object of a transport.
+    """
+    count = array.array('i', [0])
+    try:
+        fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, count)
+    except OSError:
+        # Only used to observe what waits; a closed connection has nothing to send.
+        return 0
+    return count[0]
