Test, red: a large configuration is late over links of 10 Mbit/s

Real processes whose machines have a link of the width that the sites state, in both directions: an event loop for tests, on which everything that a process sends and receives shares one link. 24 gateways in one data centre, 1,400 routes, a change every 3 s, nothing else wrong.

--- a/tests/platform_soak/test_lost_pollers.py
+++ b/tests/platform_soak/test_lost_pollers.py
@@ -64,10 +64,11 @@
     :param judged: addresses of the gateways that are in touch.
     """
     runs = runs_of(world)
+    limit_s = world.site.config_ms / 1000
     late = []
     for call in callers.history:
         run = runs.get(call.call_id)
-        in_force = [one for one in changes if call.sent_s > one.written_s + PROPAGATION_LIMIT_S]
+        in_force = [one for one in changes if call.sent_s > one.written_s + limit_s]
         if run is None or call.gateway not in judged or call.kind != MOVED or not in_force:
             continue
         newer = changes[changes.index(in_force[-1]) :]
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -21,6 +21,7 @@
 from tests.platform_soak.keys import LIMIT_WINDOW_S, REVOCATION_LIMIT_S, Keys
 from tests.platform_soak.link import Link
 from tests.support.gateway import ENGINE, PLAIN, configuration, encode_row_value, free_port, route
+from tests.support.narrow_gateway import LINK_MBPS
 
 #: A plain service with one replica, to and from which a route moves.
 DESK = 'desk'
@@ -43,9 +44,29 @@
     return f'127.{1 + high % 250}.{low + 1}.{number + 1}'
 
 
+@attrs.frozen
+class Site:
+    """What a site states of its machines and of its configuration.
+
+    :param link_mbps: width of each gateway's link in each direction; 0 if it is not limited.
+    :param data_centres: number of data centres.
+    :param extra_routes: routes of the configuration that no call uses, which make it large.
+    :param config_ms: time within which a change of the configuration must reach every gateway.
+    """
+
+    link_mbps: float = 0.0
+    data_centres: int = 3
+    extra_routes: int = 0
+    config_ms: float = PROPAGATION_LIMIT_S * 1000
+
+
 @attrs.define(eq=False)
 class GatewayProcess:
-    """One gateway process, with its own loopback address."""
+    """One gateway process, with its own loopback address.
+
+    :param link: the way to the store.
+    :param link_mbps: as in :class:`Site`.
+    """
 
     name: str
     ip: str
@@ -53,20 +74,16 @@
     link: Link
     settings_path: Path
     log_path: Path
+    link_mbps: float = 0.0
     process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         """Start the process."""
-        environment = {**os.environ, 'PYTHONPATH': str(ROOT)}
+        environment = {**os.environ, 'PYTHONPATH': str(ROOT), LINK_MBPS: str(self.link_mbps)}
+        module = 'tests.support.narrow_gateway' if self.link_mbps else 'limeshelf.programs.gateway'
         with self.log_path.open('ab') as log:
             self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    '-m',
-                    'limeshelf.programs.gateway',
-                    '--settings',
-                    str(self.settings_path),
-                ],
+                [sys.executable, '-m', module, '--settings', str(self.settings_path)],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
@@ -110,11 +127,14 @@
 class World:
     """A complete deployment on loopback.
 
-    :param gateways: number of gateways, spread over three data centres.
+    :param gateways: number of gateways, spread over the data centres.
     :param needs_keys: whether calls need the keys of organisations.
     """
 
-    def __init__(self, gateways: int, *, needs_keys: bool = True) -> None:
+    def __init__(
+        self, gateways: int, *, needs_keys: bool = True, site: Site | None = None
+    ) -> None:
+        self.site = site or Site()
         self._needs_keys = needs_keys
         self.store = StoreStandIn(era=1)
         self.plain = [ReplicaStandIn(f'p-{n}') for n in range(3)]
@@ -176,6 +196,7 @@
             route('resume', 'streaming', ENGINE, Resumable=True),
             route(f'only{self.version}', 'safe', PLAIN),
             route('moved', 'safe', target),
+            *(route(f'idle{n}', 'safe', PLAIN) for n in range(self.site.extra_routes)),
         )
         document['Services'].append({'Name': DESK, 'MaxConns': 50})
         organisations = self.keys.change()
@@ -255,7 +276,7 @@
         settings: dict[str, Any] = {
             'instance_id': name,
             'ip': ip,
-            'data_centre': f'z{number % 3 + 1}',
+            'data_centre': f'z{number % self.site.data_centres + 1}',
             'calls_address': f'{ip}:{self.ports["calls"]}',
             'readiness_address': f'{ip}:{self.ports["ready"]}',
             'store_address': link.address,
@@ -270,12 +291,15 @@
                 'revoke_ms': REVOCATION_LIMIT_S * 1000,
                 'limit_window_s': LIMIT_WINDOW_S,
             },
-            'data_centres': ['z1', 'z2', 'z3'],
+            'data_centres': [f'z{n + 1}' for n in range(self.site.data_centres)],
+            'freshness': {'config_ms': self.site.config_ms, 'replica_ms': 2000.0},
         }
         path = folder / f'{name}.json'
         path.write_text(json.dumps(settings))
         log_path = folder / f'{name}.log'
-        return GatewayProcess(name, ip, settings['data_centre'], link, path, log_path)
+        return GatewayProcess(
+            name, ip, settings['data_centre'], link, path, log_path, self.site.link_mbps
+        )
 
     def copy_logs(self, folder: Path) -> None:
         """Copy all gateway logs to a folder."""
