Announce rows that are large for the link, and read them from the store

Callers saw: calls handled by a configuration that had been replaced for up to 5.6 s (bound 3 s), 502 in calm. Cause: each page travelled whole to every gateway of the data centre and to the relays of the others, so a document of 1,400 routes asked 7.6 MB of a link of 10 Mbit/s for each change, and reads, leases and confirmations waited behind it. Now a gateway knows its link (setting machine.link_mbps, from the platform's template) and counts what it sends to peers against a share of it. Rows that would occupy the link for over 0.1 s, over all receivers, are announced: an empty range at their position, a few hundred bytes. A receiver that lacks them reads them from the store, once, at once; a relay passes the announcement on. To an earlier release the announcement is a gap, and it queries as before.

--- a/limeshelf/feeds/follower.py
+++ b/limeshelf/feeds/follower.py
@@ -98,7 +98,7 @@
         copy = self.copy
         await asyncio.sleep(random.uniform(0.5, 1.0) * copy.follow_rule.max_start_delay_s)
         while True:
-            if copy.confirmed_s and not self._polling.is_due():
+            if not self._needs_store():
                 await self._polling.until_due()
                 continue
             await self._pause_before_full_read()
@@ -119,6 +119,10 @@
             if page is not None and page.rows:
                 await asyncio.sleep(copy.follow_rule.batch_delay_s)
 
+    def _needs_store(self) -> bool:
+        copy = self.copy
+        return not copy.confirmed_s or copy.lacks_announced_rows or self._polling.is_due()
+
     def _record_answer(self, page: Page | None, after: Position) -> None:
         """Record an answer that was applied, and pass it on.
 
--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -52,6 +52,8 @@
     :ivar confirmed_by: source of the confirmation of ``confirmed_s``, as in ``source``.
     :ivar needs_full_read: whether changes may be missing that the store no longer has, so that
         the whole table must be read to find which rows exist.
+    :ivar announced: highest position up to which a peer has the rows but did not send them. The
+        store is asked for them until the copy has reached it.
     :ivar skipped: positions for which it cannot tell which rows were deleted since.
     :ivar restore_listeners: called with the copy after rows of a later era have been applied.
     """
@@ -72,6 +74,7 @@
         self.source = ''
         self.confirmed_by = ''
         self.needs_full_read = True
+        self.announced = BEGINNING
         self.skipped = SkippedPositions()
         self.restore_listeners: list[Callable[[TableCopy], None]] = []
         self._rows: dict[str, Row] = {}
@@ -89,6 +92,11 @@
         """Return whether the last confirmation is older than the table's rule allows."""
         return self.age_s > self.follow_rule.stale_after_s
 
+    @property
+    def lacks_announced_rows(self) -> bool:
+        """Return whether a peer has announced rows that the copy does not have yet."""
+        return self.announced > self.position
+
     @property
     def peers_overdue_s(self) -> float:
         """Return for how long sufficiently new updates from peers have been overdue, in seconds.
--- a/limeshelf/membership/row_conversion.py
+++ b/limeshelf/membership/row_conversion.py
@@ -87,6 +87,13 @@
     )
 
 
+def announcement_from_copy(copy: TableCopy) -> TableUpdate:
+    """Return an update that states the position of a copy without the rows before it."""
+    update = update_from_copy(copy, copy.position)
+    update.omits_rows = True
+    return update
+
+
 def row_bytes(update: TableUpdate) -> int:
     """Return the bytes of the values of an update's rows."""
     return sum(len(row.value) for row in update.rows)
--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import msgspec
 
 from limeshelf.feeds.change_budget import CONFIRMATION_TOLERANCE_S
 from limeshelf.feeds.continuity import Continuity
@@ -21,6 +22,7 @@
 from limeshelf.membership import receivers
 from limeshelf.membership.relays import RELAYS_PER_CENTRE
 from limeshelf.membership.row_conversion import (
+    announcement_from_copy,
     may_lack_deletions,
     query_for_positions,
     range_of_update,
@@ -38,6 +40,7 @@
     polls_store,
     retry_spread_s,
 )
+from limeshelf.peers.link_budget import LinkBudget
 from limeshelf.util.backoff import jittered_s
 from limeshelf.util.clock import MS_PER_S, boottime_s
 
@@ -79,6 +82,7 @@
     :param delays: limits of its delays for the sake of others that poll the store.
     :param clock: this gateway's estimate of the store's clock.
     :param copies: this gateway's copies of tables, by table name.
+    :param budget: what messages to other gateways may take of the machine's link.
     :param count_rows: called with the cause and the size of the rows sent, over all receivers.
     """
 
@@ -87,6 +91,7 @@
     delays: PollingDelays
     clock: StoreClock = attrs.field(factory=StoreClock)
     copies: dict[str, TableCopy] = attrs.field(factory=dict)
+    budget: LinkBudget = attrs.field(factory=LinkBudget)
     count_rows: Callable[[str, int], None] = _ignore_rows
     _polling_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     _staleness_log: StalenessLog = attrs.field(factory=StalenessLog)
@@ -140,13 +145,25 @@
 
         :param after: position of the copy before the answer was applied.
         """
-        updates = [update_from_copy(copy, after)]
+        if after < copy.position <= copy.announced:
+            # The gateway that announced these rows has told all others.
+            return
+        addresses = receivers.of_rows(self.members)
+        updates = [self._update_for(addresses, copy, after)]
         updates += [
             update_from_copy(other, other.position)
             for other in self.copies.values()
             if other is not copy and other.position != BEGINNING
         ]
-        self._send(receivers.of_rows(self.members), TableUpdates(updates), RowCause.POLLED)
+        self._send(addresses, TableUpdates(updates), RowCause.POLLED)
+
+    def _update_for(self, addresses: list[str], copy: TableCopy, after: Position) -> TableUpdate:
+        """Return the changes of a copy, or only its position if they are large for the link."""
+        update = update_from_copy(copy, after)
+        size_bytes = row_bytes(update) * len(addresses)
+        if not size_bytes or self.budget.allows_broadcast(size_bytes):
+            return update
+        return announcement_from_copy(copy)
 
     def _send(self, addresses: list[str], updates: TableUpdates, cause: RowCause) -> None:
         size_bytes = sum(row_bytes(update) for update in updates.words)
@@ -162,8 +179,7 @@
                 self.copies.values(), self._polling_order(), is_polling=is_due
             )
             if is_due:
-                self._polling_due.set()
-                self._polling_due = asyncio.Event()
+                self._wake_followers()
             for copy in self.copies.values():
                 copy.drop_lost_rows()
             if self._needs_query():
@@ -217,6 +233,7 @@
         started_s = boottime_s()
         self.members.record_message(envelope.sender, envelope.data_centre)
         self._update_clock(envelope.message)
+        addresses = receivers.of_forwarded(self.members, envelope.data_centre)
         missing: dict[str, Position] = {}
         forwarded: list[TableUpdate] = []
         for update in envelope.message.words:
@@ -230,16 +247,18 @@
                 missing[update.table] = BEGINNING
                 continue
             continuity = self._apply_update(copy, update, envelope.sender)
-            if continuity is Continuity.GAP:
+            if continuity is Continuity.CONTINUES:
+                forwarded.append(self._update_for(addresses, copy, after))
+            elif continuity is Continuity.GAP and update.omits_rows:
+                self._read_announced(copy, range_of_update(update).upto)
+                forwarded.append(self._aged(update))
+            elif continuity is Continuity.GAP and not copy.lacks_announced_rows:
                 missing[update.table] = copy.position
-            elif continuity is Continuity.CONTINUES:
-                forwarded.append(update_from_copy(copy, after))
         if self.clock.era_changed_s >= started_s:
             # The store's era has changed, so its clock must be determined again.
             missing = {name: copy.position for name, copy in self.copies.items()}
         if missing:
             self._send_query(envelope.sender, missing)
-        addresses = receivers.of_forwarded(self.members, envelope.data_centre)
         if forwarded:
             self._send(addresses, TableUpdates(forwarded), RowCause.FORWARDED)
 
@@ -250,6 +269,19 @@
             rows_from_update(update), covered, self._age_s(update), update.confirmed_ms, peer
         )
 
+    def _read_announced(self, copy: TableCopy, announced: Position) -> None:
+        """Let the followers read rows from the store that a peer has but did not send."""
+        copy.announced = max(copy.announced, announced)
+        self._wake_followers()
+
+    def _wake_followers(self) -> None:
+        self._polling_due.set()
+        self._polling_due = asyncio.Event()
+
+    def _aged(self, update: TableUpdate) -> TableUpdate:
+        """Return an update as it is to be forwarded now."""
+        return msgspec.structs.replace(update, age_ms=int(self._age_s(update) * MS_PER_S))
+
     def _age_s(self, update: TableUpdate) -> float:
         """Return how long ago the store confirmed an update, including its time in transit."""
         stated_s = update.age_ms / MS_PER_S
--- a/limeshelf/membership/row_messages.py
+++ b/limeshelf/membership/row_messages.py
@@ -47,6 +47,8 @@
     :ivar seen_from: store version from which on the sender knows all deletions;
         :data:`NO_VERSION` from a release that does not send it.
     :ivar seen_from_era: store era of ``seen_from``.
+    :ivar omits_rows: whether the sender has more rows than it sends, because they are large. The
+        range is empty then, and begins where those rows end; receivers read them from the store.
     """
 
     table: str
@@ -59,6 +61,7 @@
     upto_era: int = NO_ERA
     seen_from: int = NO_VERSION
     seen_from_era: int = NO_ERA
+    omits_rows: bool = False
 
 
 @add_message('rows-query')
--- a/limeshelf/peers/node.py
+++ b/limeshelf/peers/node.py
@@ -16,6 +16,7 @@
 from limeshelf.peers.codec import Envelope, decode, encode
 from limeshelf.peers.framing import FrameReader, MalformedMessage, PipeEnd, greeting
 from limeshelf.peers.link import PeerLink
+from limeshelf.peers.link_budget import LinkBudget
 from limeshelf.peers.messages import kind_of
 from limeshelf.peers.traffic import Traffic, TrafficLog, Waiting
 from limeshelf.util.sockets import keep_alive
@@ -42,6 +43,7 @@
     :param host: address to listen on, which peers receive with each message.
     :param port: TCP port; 0 selects a free one.
     :param data_centre: data centre of this process, sent with each message.
+    :param budget: counts what is sent against the machine's link.
     :ivar address: host and port on which this process listens; empty before the start.
     :ivar traffic: counts of what was sent.
     :ivar received_bytes: bytes of received frames, including malformed ones.
@@ -49,8 +51,11 @@
         because they did not follow the protocol.
     """
 
-    def __init__(self, host: str, port: int, data_centre: str) -> None:
+    def __init__(
+        self, host: str, port: int, data_centre: str, budget: LinkBudget | None = None
+    ) -> None:
         self.data_centre = data_centre
+        self.budget = budget or LinkBudget()
         self.address = ''
         self.received_bytes = 0
         self.malformed = 0
@@ -109,6 +114,7 @@
             return
         frame = encode(envelope)
         kind = kind_of(envelope.message)
+        self.budget.charge(len(frame) * len(addresses))
         for address in addresses:
             self._queue(address, frame, kind)
 
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -227,6 +227,7 @@
             self.members,
             PollingDelays.from_budget(ChangeBudget(change_limit_s)),
             self.store_clock,
+            budget=self.node.budget,
             count_rows=self.metrics.observe_rows,
         )
         config_rows = ConfigRows(
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -22,6 +22,7 @@
 from limeshelf.gateway.frontend import GatewayPhase
 from limeshelf.metrics.event_log import event_log, log_change
 from limeshelf.metrics.prometheus import MetricsServer
+from limeshelf.peers.link_budget import LinkBudget
 from limeshelf.peers.node import PeerNode
 from limeshelf.programs.components import GatewayComponents
 from limeshelf.programs.rules import access_rule, retry_rule
@@ -69,7 +70,8 @@
         """Start to listen; readiness follows once a configuration and a replica are known."""
         settings = self.settings
         self.tasks = TaskSet()
-        node = PeerNode(settings.ip, settings.peer_port, settings.data_centre)
+        budget = LinkBudget.from_mbps(settings.machine.link_mbps)
+        node = PeerNode(settings.ip, settings.peer_port, settings.data_centre, budget)
         await node.start()
         self.components = GatewayComponents(settings, node, self.tasks)
         self.components.register_handlers()
--- a/limeshelf/settings/gateway.py
+++ b/limeshelf/settings/gateway.py
@@ -132,10 +132,13 @@
 
     :param memory_mb: memory, in megabytes.
     :param descriptors: number of descriptors that it may open.
+    :param link_mbps: width of the machine's network link, in Mbit/s; 0 if it is not known, and
+        then messages to other gateways are not limited by it.
     """
 
     memory_mb: float = 0.0
     descriptors: int = 0
+    link_mbps: float = 0.0
 
     @property
     def buffer_bytes(self) -> int:
@@ -174,7 +177,7 @@
     :param placement: limits on the leader and its placement.
     :param freshness: time within which changes must reach every gateway.
     :param organisations: guarantees for keys and usage limits.
-    :param machine: memory and descriptors of the process.
+    :param machine: memory and descriptors of the process, and the link of its machine.
     :param data_centres: all data centres with gateways; empty if there is only this one.
     :param weight: relative traffic capacity of the instance (the deployment file sets the
         Mbit/s of its link); the instances with the highest weight are relays.
@@ -237,7 +240,7 @@
             text = f'expected {MIN_FRESHNESS_MS:.0f} milliseconds or more'
             problems.append(Problem(f'freshness.{name}', text))
     problems += _organisation_problems(settings.organisations)
-    for name in ('memory_mb', 'descriptors'):
+    for name in ('memory_mb', 'descriptors', 'link_mbps'):
         if getattr(settings.machine, name) < 0:
             problems.append(Problem(f'machine.{name}', 'expected 0 or more'))
     if settings.placement.effective_lease_s <= MIN_LEASE_S:
--- a/tests/forms/test_messages.py
+++ b/tests/forms/test_messages.py
@@ -173,6 +173,14 @@
     '2e302e302e323a37303031a8676174657761797309ab646174615f63656e747265a27a31a46b696e'
     '64ad6469676573742d62756e646c65a673656e646572ad31302e302e302e313a37303031'
 )
+#: Updates of the release that sent all rows, whatever their size.
+UPDATES_WITHOUT_OMISSIONS = (
+    '84a4626f647984a861736b65645f6d73cda028a973746f72655f65726103a873746f72655f6d73ce'
+    '00011f1ca5776f726473919aa7736572766572735a660f9295a3722d31c4107b2253657276696365'
+    '223a226c6d227d65c20395a3722d32c4107b2253657276696365223a226c6d227d66c303ce00011d'
+    '2802035f02ab646174615f63656e747265a27a31a46b696e64ab7461626c652d776f726473a67365'
+    '6e646572ad31302e302e302e313a37303031'
+)
 
 
 def named(value: Any) -> Any:
@@ -237,6 +245,13 @@
     assert (update.after, update.upto, len(update.rows)) == (90, 102, 2)
 
 
+def test_updates_of_a_gateway_that_sends_all_rows_whatever_their_size() -> None:
+    message = decode(bytes.fromhex(UPDATES_WITHOUT_OMISSIONS)).message
+    (update,) = message.words
+    assert not update.omits_rows
+    assert update.rows
+
+
 def test_verdict_of_a_dispatcher_that_gives_no_turns() -> None:
     message = decode(bytes.fromhex(OLD_VERDICT)).message
     assert (message.replica_id, message.has_turn) == ('r-1', False)
--- a/tests/forms/test_settings.py
+++ b/tests/forms/test_settings.py
@@ -195,7 +195,7 @@
             'limit_overrun': 0.1,
             'limit_slack': 11000.0,
         },
-        'machine': {'memory_mb': 300.0, 'descriptors': 4100},
+        'machine': {'memory_mb': 300.0, 'descriptors': 4100, 'link_mbps': 1000.0},
         'data_centres': ['z1', 'z2'],
     }
 
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -292,6 +292,7 @@
                 'limit_window_s': LIMIT_WINDOW_S,
             },
             'data_centres': [f'z{n + 1}' for n in range(self.site.data_centres)],
+            'machine': {'link_mbps': self.site.link_mbps},
             'freshness': {'config_ms': self.site.config_ms, 'replica_ms': 2000.0},
         }
         path = folder / f'{name}.json'
