Query rows one at a time, and answer large ones only where the link has room

Cause: a gateway with an outdated copy queried a random peer every 0.25 s, also while an answer was on its way, and also for rows that it was reading from the store; each answer had all rows since its position, however full the sender's link was. Lateness made traffic, which made lateness. Now: one query at a time, with a time-out that grows from 0.25 to 1 s while no answer comes; announced rows are queried only when the store has not given them within twice the time after which a copy is stale; an answer over 16 KB is sent only where what was sent before has taken no more than its share of the link, and is an announcement otherwise. So a link carries one such answer at a time.

--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -20,6 +20,7 @@
 from limeshelf.feeds.position import BEGINNING, Position
 from limeshelf.feeds.store_clock import StoreClock
 from limeshelf.membership import receivers
+from limeshelf.membership.query_pacing import QueryPacing
 from limeshelf.membership.relays import RELAYS_PER_CENTRE
 from limeshelf.membership.row_conversion import (
     announcement_from_copy,
@@ -56,6 +57,11 @@
 MAX_CHECK_INTERVAL_S = 0.25
 #: ...and shortest interval.
 MIN_CHECK_INTERVAL_S = 0.02
+#: Rows of a table that are larger are sent in answer to a query only where the link has room.
+SMALL_ANSWER_BYTES = 1 << 14
+#: Age of a copy, in times of the age at which it is stale, up to which announced rows are expected
+#: from the store. Peers are asked for them after that.
+STORE_READ_AGES = 2
 
 
 class RowCause(enum.StrEnum):
@@ -95,6 +101,7 @@
     count_rows: Callable[[str, int], None] = _ignore_rows
     _polling_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     _staleness_log: StalenessLog = attrs.field(factory=StalenessLog)
+    _queries: QueryPacing = attrs.field(factory=QueryPacing)
     _fully_received: set[str] = attrs.field(factory=set)
 
     def start(self) -> None:
@@ -203,8 +210,12 @@
     def _query_random_peer(self) -> None:
         # Directly after the start no gateway is active yet, but the seeds may have rows.
         members = self.members.active() or self.members.others()
-        if members:
-            positions = {name: self._query_position(copy) for name, copy in self.copies.items()}
+        positions = {
+            name: self._query_position(copy)
+            for name, copy in self.copies.items()
+            if not _is_expected_from_store(copy)
+        }
+        if members and positions:
             self._send_query(random.choice(members).address, positions)
 
     def _query_position(self, copy: TableCopy) -> Position:
@@ -213,12 +224,16 @@
         return copy.position if copy.table in self._fully_received else BEGINNING
 
     def _send_query(self, address: str, positions: dict[str, Position]) -> None:
+        """Query rows of a peer, unless an answer is awaited already."""
+        if not self._queries.may_query():
+            return
+        self._queries.record_query()
         self.node.send(address, query_for_positions(positions, int(boottime_s() * MS_PER_S)))
 
     def _handle_query(self, envelope: Envelope) -> None:
         query: RowsQuery = envelope.message
         updates = [
-            update_from_copy(copy, after)
+            self._answer_for(copy, after)
             for copy in self.copies.values()
             if (after := requested_position(query, copy.table)) is not None
             and copy.position >= after
@@ -229,6 +244,13 @@
             answer = TableUpdates(updates, query.asked_ms, self.clock.now_upper_bound_ms(), era)
             self._send([envelope.sender], answer, RowCause.QUERIED)
 
+    def _answer_for(self, copy: TableCopy, after: Position) -> TableUpdate:
+        """Return the changes of a copy, or only its position if the link has no room for them."""
+        update = update_from_copy(copy, after)
+        if row_bytes(update) <= SMALL_ANSWER_BYTES or self.budget.has_room():
+            return update
+        return announcement_from_copy(copy)
+
     def _handle_updates(self, envelope: Envelope) -> None:
         started_s = boottime_s()
         self.members.record_message(envelope.sender, envelope.data_centre)
@@ -295,6 +317,7 @@
         """Update the estimate of the store's clock from a peer's answer to a query."""
         if not updates.asked_ms:
             return
+        self._queries.record_answer()
         self._fully_received.update(
             update.table for update in updates.words if update.after == BEGINNING.version
         )
@@ -305,3 +328,8 @@
         if era == self.clock.era:
             requested_s = updates.asked_ms / MS_PER_S
             self.clock.record_answer(requested_s, updates.store_ms / MS_PER_S)
+
+
+def _is_expected_from_store(copy: TableCopy) -> bool:
+    limit_s = STORE_READ_AGES * copy.follow_rule.stale_after_s
+    return copy.lacks_announced_rows and copy.age_s <= limit_s
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -25,6 +25,8 @@
 
 #: A plain service with one replica, to and from which a route moves.
 DESK = 'desk'
+#: A service without routes.
+IDLE = 'idle'
 #: The store's name in the record of faults.
 STORE = 'store'
 ROOT = Path(__file__).parent.parent.parent
@@ -51,12 +53,14 @@
     :param link_mbps: width of each gateway's link in each direction; 0 if it is not limited.
     :param data_centres: number of data centres.
     :param extra_routes: routes of the configuration that no call uses, which make it large.
+    :param idle_replicas: replicas that write heartbeats, of a service that no route leads to.
     :param config_ms: time within which a change of the configuration must reach every gateway.
     """
 
     link_mbps: float = 0.0
     data_centres: int = 3
     extra_routes: int = 0
+    idle_replicas: int = 0
     config_ms: float = PROPAGATION_LIMIT_S * 1000
 
 
@@ -252,6 +256,9 @@
             self.store.put('servers', replica.replica_id, encode_row_value(row))
             if is_draining and self.store.faults == StoreFaults():
                 self._record_drain(replica)
+        for number in range(self.site.idle_replicas):
+            row = self.plain[0].row(IDLE, 'ready', self._beat)
+            self.store.put('servers', f'{IDLE}-{number}', encode_row_value(row))
 
     def _record_drain(self, replica: ReplicaStandIn) -> None:
         """Record a drain once per replica run, as of its first confirmation by the store."""
