Do not read a whole table because a call failed

After any failed call, a mere time-out included, the next call read the whole table: 440 KB of configuration in the store's form, down a link that was slow already, and the late answer was received beside it. Where the store has dropped history, it says so (410) to the next call for changes, and then the table is read whole, as before. Test: failed before, holds now.

--- a/limeshelf/feeds/follower.py
+++ b/limeshelf/feeds/follower.py
@@ -110,10 +110,8 @@
                 self._handle_history_gone()
                 continue
             except (PlatformUnavailable, PlatformUnknown) as error:
+                # Where the store has dropped history meanwhile, it says so to the next call.
                 self._log_lost(repr(error))
-                # The store may have dropped history meanwhile. A full read is correct whether
-                # it did or not.
-                copy.needs_full_read = True
                 continue
             self._record_answer(page, after)
             if page is not None and page.rows:
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -16,6 +16,7 @@
 from limeshelf.feeds.rows import ConditionFailed, HistoryGone, Page, Row
 from limeshelf.feeds.table_copy import TableCopy
 from limeshelf.platform.store import StoreClient
+from limeshelf.util.clock import boottime_s
 from standins.users_platform.store import StoreStandIn
 from tests.support.positions import make_position
 from tests.support.store import with_store
@@ -59,6 +60,32 @@
     with_store(scenario)
 
 
+def test_failed_call_does_not_lead_to_a_read_of_the_whole_table() -> None:
+    class Store:
+        def __init__(self) -> None:
+            self.calls: list[str] = []
+
+        async def read(self, table: str) -> Page:
+            self.calls.append('read')
+            return Page((), make_position(1), answered_s=boottime_s())
+
+        async def changes(self, table: str, after: Position, wait_s: float) -> Page:
+            self.calls.append('changes')
+            await asyncio.sleep(0.01)
+            if self.calls.count('changes') == 1:
+                raise PlatformUnknown('store')
+            return Page((), after, answered_s=boottime_s())
+
+    async def scenario() -> None:
+        store: Any = Store()
+        task = asyncio.create_task(TableFollower(TableCopy('t', lambda row: None), store).run())
+        await _until(lambda: len(store.calls) >= 4)
+        task.cancel()
+        assert store.calls.count('read') == 1
+
+    asyncio.run(scenario())
+
+
 def test_lost_answer_is_unknown_and_refusal_is_not() -> None:
     async def scenario(store: StoreStandIn, client: StoreClient) -> None:
         store.faults.lose_answers = True
