Do not pass heartbeats of replicas on to other gateways

A heartbeat changes one number of a replica's row, and travelled as a whole row to each gateway of the data centre and to the relays of the others, whichever gateway polled it. Now a row counts as changed, for other gateways, when a field that the product reads other than the heartbeat count changes; its newest version travels then. A row that cannot be read, a new era or a deletion is a change.

--- a/limeshelf/feeds/table_copy.py
+++ b/limeshelf/feeds/table_copy.py
@@ -31,6 +31,11 @@
 STORE = 'store'
 
 
+def _never_heartbeat(known: bytes, new: bytes) -> bool:
+    """Default for tables whose rows are written only when something changes."""
+    return False
+
+
 class TableCopy:
     """The newest known rows of one table.
 
@@ -40,6 +45,8 @@
 
     :param listener: called with each row that replaces an older one or is new.
     :param restore_rule: which rows of an earlier era of the store are valid in a later one.
+    :param is_heartbeat: returns whether a row's new value differs from the known one only in its
+        writer's sign of life, which other gateways do not need.
     :ivar position: position of the store up to which the rows are complete.
     :ivar confirmed_s: when the store last confirmed to any gateway that the rows are complete, on
         the clock of :func:`~limeshelf.util.clock.boottime_s`; 0 if never.
@@ -64,6 +71,7 @@
         listener: Callable[[Row], None],
         follow_rule: FollowRule | None = None,
         restore_rule: RestoreRule | None = None,
+        is_heartbeat: Callable[[bytes, bytes], bool] = _never_heartbeat,
     ) -> None:
         self.table = table
         self.follow_rule = follow_rule or FollowRule()
@@ -78,6 +86,9 @@
         self.skipped = SkippedPositions()
         self.restore_listeners: list[Callable[[TableCopy], None]] = []
         self._rows: dict[str, Row] = {}
+        # By key, the position of the last change that was no heartbeat.
+        self._changed: dict[str, Position] = {}
+        self._is_heartbeat = is_heartbeat
         self._listener = listener
         self._restore_rule = restore_rule or RestoreRule()
         self._earlier_rows = EarlierRows(self._restore_rule.retention_s)
@@ -110,8 +121,11 @@
         return [row for row in self._rows.values() if not row.gone]
 
     def rows_after(self, position: Position) -> list[Row]:
-        """Return the rows that changed after a position, including deleted ones."""
-        return [row for row in self._rows.values() if row.position > position]
+        """Return the rows that changed after a position, including deleted ones.
+
+        A heartbeat is no change. A gateway that receives none keeps an earlier version of the row.
+        """
+        return [row for key, row in self._rows.items() if self._changed[key] > position]
 
     def is_in_current_era(self, key: str) -> bool:
         """Return whether a row exists in the known era of the store, even if it is outdated."""
@@ -155,10 +169,22 @@
     def _store_row(self, row: Row, known: Row | None) -> None:
         if row.gone and known is not None and not row.value:
             row = attrs.evolve(row, value=known.value)
+        if not self._is_repetition(row, known):
+            self._changed[row.key] = row.position
         self._rows[row.key] = row
         self._earlier_rows.record_stored(row, known, self.position.era)
         self._listener(row)
 
+    def _is_repetition(self, row: Row, known: Row | None) -> bool:
+        """Return whether a row that replaces the known one is a heartbeat."""
+        return (
+            known is not None
+            and not row.gone
+            and not known.gone
+            and row.position.era == known.position.era
+            and self._is_heartbeat(known.value, row.value)
+        )
+
     def update_range(self, after: Position) -> UpdateRange:
         """Return the range of an update with the changes after a position.
 
--- a/limeshelf/platform/replicas.py
+++ b/limeshelf/platform/replicas.py
@@ -194,6 +194,17 @@
         return ()
 
 
+def is_heartbeat(known: bytes, new: bytes) -> bool:
+    """Return whether two values of a replica's row differ in no field but the heartbeat count."""
+    try:
+        before, after = _row_decoder.decode(known), _row_decoder.decode(new)
+    except DECODE_ERRORS:
+        # A row that cannot be read is passed on as it is.
+        return False
+    before.seq_no = after.seq_no
+    return before == after
+
+
 def read_report(value: bytes) -> ReplicaReport:
     """Return the report in the body of a replica's response.
 
--- a/limeshelf/programs/followed_tables.py
+++ b/limeshelf/programs/followed_tables.py
@@ -26,7 +26,11 @@
     config_writer_version,
     read_config,
 )
-from limeshelf.platform.replicas import REPLICA_TABLE, record_writer_version
+from limeshelf.platform.replicas import (
+    REPLICA_TABLE,
+    is_heartbeat,
+    record_writer_version,
+)
 from limeshelf.util.clock import MS_PER_S
 
 if TYPE_CHECKING:
@@ -148,6 +152,7 @@
             _counting_listener(REPLICA_TABLE, directory.apply_row, metrics),
             ChangeBudget(freshness.replica_s).replica_rule(),
             REPLICA_RESTORE,
+            is_heartbeat,
         ),
         TableCopy(
             MEMBER_TABLE,
