Let a planned stop wait for what answers still have in the process

Callers could see (LOST around a SIGTERM): an answer cut off though its call had ended well. Cause: a call counts as ended once its answer is written, but what the operating system has not accepted yet, up to 64 KB a connection, stays in the process, and is lost when that exits. A narrow or full link, or a caller that reads slowly, keeps it there. A stop ends now when no call is in flight and no connection of a caller has unsent bytes, within the grace as before, and does not close such connections as idle. Test in the test process: the stop ended too early before; it waits now. That the users' one case of LOST was this is suspected, not shown: there is no record of it.

--- a/limeshelf/gateway/frontend.py
+++ b/limeshelf/gateway/frontend.py
@@ -246,16 +246,33 @@
         self._metrics.observe_call(status, 0.0)
         return response
 
+    def caller_connections(self) -> list[web.RequestHandler]:
+        """Return the open connections of callers, and of gateways that forward their calls."""
+        return [connection for server in self._servers[1:] for connection in server.connections]
+
+    @property
+    def is_answering(self) -> bool:
+        """Return whether requests are in flight, or a part of an answer is still in the process.
+
+        It would be lost when the process exits; what the operating system has is still sent.
+        """
+        return self.requests_in_flight > 0 or any(map(_unsent_bytes, self.caller_connections()))
+
     def close_idle_connections(self) -> None:
         """Close the callers' connections that have no request in flight."""
         # The library's pre_shutdown() leaves them open, but no longer reads from them
         # (tests/gateway/test_frontend.py::test_idle_connection_is_closed_at_a_stop).
-        for server in self._servers[1:]:
-            for connection in server.connections:
-                if connection not in self._active_connections:
-                    connection.force_close()
+        for connection in self.caller_connections():
+            if connection not in self._active_connections and not _unsent_bytes(connection):
+                connection.force_close()
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
         for runner in self._runners:
             await runner.cleanup()
+
+
+def _unsent_bytes(connection: web.RequestHandler) -> int:
+    """Return the bytes of answers that the operating system has not accepted yet."""
+    transport = connection.transport
+    return 0 if transport is None else transport.get_write_buffer_size()
--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -171,7 +171,7 @@
         frontend.set_phase(GatewayPhase.DRAINING)
         self.components.pipeline.refuse_waiting()
         end_s = drain_started_s + self.settings.grace_s * DRAIN_GRACE_SHARE
-        while frontend.requests_in_flight and boottime_s() < end_s:
+        while frontend.is_answering and boottime_s() < end_s:
             frontend.close_idle_connections()
             await asyncio.sleep(DRAIN_CHECK_S)
         log_change('stopped', cut_off=frontend.requests_in_flight)
--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -160,6 +160,8 @@
         self.models: dict[str, list[str]] = {name: [] for name in models or []}
         self.events = events
         self.event_s = 0.0
+        #: Size to which plain answers are padded.
+        self.answer_bytes = 0
         self.received_calls: list[ReceivedCall] = []
         self.runs: list[str] = []
         self.orders: list[ReceivedOrder] = []
@@ -445,7 +447,8 @@
             return await self._unframed(request, headers, 0.0)
         if streams:
             return await self._stream(request, headers, fault)
-        return web.Response(headers=headers, body=b'answer of ' + call_id.encode())
+        body = b'answer of ' + call_id.encode()
+        return web.Response(headers=headers, body=body.ljust(self.answer_bytes))
 
     async def _unframed(
         self, request: web.BaseRequest, headers: dict[str, str], pause_s: float
--- a/tests/gateway/test_frontend.py
+++ b/tests/gateway/test_frontend.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
+from limeshelf.programs.gateway import BALANCER_NOTICE_S
 from tests.support.gateway import HOST, GatewayWorld, configuration, route, run
 
+#: Less than a connection buffers in the process, and more than these sockets do.
+SLOWLY_READ_BYTES = 60_000
+SOCKET_BUFFER_BYTES = 1 << 12
 REQUEST = (
     f'POST /unsafe/x HTTP/1.1\r\nHost: {HOST}\r\nLimeshelf-Attempt-Id: k1\r\n'
     'Limeshelf-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n'
@@ -42,6 +47,39 @@
     run(scenario)
 
 
+def test_answer_that_its_caller_reads_slowly_is_not_cut_off_by_a_stop() -> None:
+    """What the process has not passed to the operating system when it exits is lost."""
+
+    async def scenario(world: GatewayWorld) -> None:
+        for replica in world.plain:
+            replica.answer_bytes = SLOWLY_READ_BYTES
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+        connection.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(connection, ('127.0.0.1', world.port))
+        frontend = world.gateway.components.frontend
+        await world.until(lambda: any(one.transport for one in frontend.caller_connections()))
+        for one in frontend.caller_connections():
+            accepted = one.transport.get_extra_info('socket')
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+        await loop.sock_sendall(connection, REQUEST)
+        await world.until(lambda: any(replica.runs for replica in world.plain))
+        await world.until(lambda: frontend.requests_in_flight == 0)
+        stopping = asyncio.create_task(world.gateway.drain())
+        await asyncio.sleep(BALANCER_NOTICE_S + 0.2)
+        is_cut_off = stopping.done()
+        received = b''
+        while part := await loop.sock_recv(connection, 1 << 16):
+            received += part
+        connection.close()
+        await stopping
+        assert not is_cut_off
+        assert len(received.partition(b'\r\n\r\n')[2]) == SLOWLY_READ_BYTES
+
+    run(scenario)
+
+
 def test_call_on_a_keep_alive_connection_is_answered_while_stopping() -> None:
     async def scenario(world: GatewayWorld) -> None:
         reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
