Let retry budgets start empty

Callers could see (BUDGET): more repeats at a service in a window than allowed. Cause: each start of a process, and each change of the retry rule, began with half of the process's share anew, though the process before may just have spent it. Half of the share is added over the window, as before, from the start of the process and not from the first call of a service, so that a gateway which has been running for a while has it for a service that is called for the first time. What callers lose: a gateway that has just started retries less for its first seconds. That the users' two cases were this is suspected, not shown: there is no record of them.

--- a/limeshelf/admission/retry_budget.py
+++ b/limeshelf/admission/retry_budget.py
@@ -33,18 +33,19 @@
 class RetryBudget:
     """This gateway's share of the retries of one service.
 
+    It is empty when the process starts, since the process before may just have spent the share:
+    however often gateways restart, together they get what is added over time.
+
     :param gateways: number of gateways that share the allowance, this one included; ``None`` while
         unknown. In that case the allowance is not used: a starting gateway does not know the
         others, and neither do those that start at the same time.
+    :param updated_s: since when the share is added; the start of the process.
     """
 
     rule: RetryRule
     gateways: int | None = None
-    _balance: float = 0.0
     _updated_s: float = attrs.field(factory=boottime_s)
-
-    def __attrs_post_init__(self) -> None:
-        self._balance = self._half_share()
+    _balance: float = 0.0
 
     def record_call(self) -> None:
         """Count a call, which earns a fraction of a retry."""
@@ -84,10 +85,13 @@
 
     :ivar gateways: number of gateways that share each allowance, this one included; ``None`` while
         unknown.
+    :ivar since_s: since when retries have been counted under the current rule, on the clock of
+        :func:`~limeshelf.util.clock.boottime_s`.
     """
 
     def __init__(self, rule: RetryRule) -> None:
         self.gateways: int | None = None
+        self.since_s = boottime_s()
         self._rule = rule
         self._by_service: dict[str, RetryBudget] = {}
 
@@ -95,7 +99,9 @@
         """Return the budget of a service."""
         budget = self._by_service.get(service)
         if budget is None:
-            budget = self._by_service[service] = RetryBudget(self._rule, self.gateways)
+            budget = self._by_service[service] = RetryBudget(
+                self._rule, self.gateways, self.since_s
+            )
         budget.gateways = self.gateways
         return budget
 
@@ -103,4 +109,5 @@
         """Apply another rule from now on; budgets are reset if it differs."""
         if rule != self._rule:
             self._rule = rule
+            self.since_s = boottime_s()
             self._by_service.clear()
