Send the states of replicas again in turn, as the link has room

The leader sent the states of all replicas to each gateway of its data centre and to the relays of the others once a second, in one message: with 112 replicas and 26 receivers some 200 KB at a time, with the hundreds of the large sites several links of 10 Mbit/s. Now those that have not changed are sent in turn, a part with each of the messages that are sent anyway every 0.25 s: all within a second where the link has room, more slowly where it has not. Changed states go at once, as before.

--- a/limeshelf/membership/state_exchange.py
+++ b/limeshelf/membership/state_exchange.py
@@ -13,6 +13,7 @@
 from limeshelf.membership import receivers
 from limeshelf.membership.messages import AwaitedLoad, ReplicaStates
 from limeshelf.membership.state_conversion import report_from_state, state_from_replica
+from limeshelf.membership.state_refresh import StateRefresh
 from limeshelf.replicas.starts import StateSource
 from limeshelf.util.clock import boottime_s
 
@@ -31,8 +32,6 @@
 STATES_INTERVAL_S = 0.25
 #: Longest interval at which another gateway checks whether it has become the leader.
 FOLLOWER_CHECK_INTERVAL_S = 0.5
-#: Interval at which the states of all replicas are sent, changed or not.
-FULL_UPDATE_INTERVAL_S = 1.0
 #: Changes within this time after the first one are sent together.
 CHANGES_BATCH_WINDOW_S = 0.05
 
@@ -63,8 +62,8 @@
     meter: DemandMeter
     placement: PlacementService
     changes: StateChanges
+    refresh: StateRefresh = attrs.field(factory=StateRefresh)
     _highest_fence: int = 0
-    _full_update_due_s: float = 0.0
 
     def start(self) -> None:
         """Register the message handler."""
@@ -78,17 +77,26 @@
             changed = self.changes.pop_replicas()
             if not self.leader.is_self:
                 continue
-            is_full = boottime_s() >= self._full_update_due_s
-            if is_full:
-                self._full_update_due_s = boottime_s() + FULL_UPDATE_INTERVAL_S
-            self._send_states(changed, is_full)
+            self._send_states(changed)
 
-    def _send_states(self, changed: set[str], is_full: bool) -> None:
+    def _send_states(self, changed: set[str]) -> None:
+        """Send the states that have changed, and those whose turn has come.
+
+        :param changed: ids of the replicas whose states have changed.
+        """
+        addresses = receivers.of_states(self.members)
+        replicas = {
+            replica.replica_id: replica
+            for replica in self.directory.all()
+            if replica.report is not None
+        }
+        refreshed = self.refresh.next_replicas(sorted(replicas), len(addresses))
         states = [
             state_from_replica(replica)
-            for replica in self.directory.all()
-            if replica.report is not None and (is_full or replica.replica_id in changed)
+            for replica_id, replica in replicas.items()
+            if replica_id in changed or replica_id in refreshed
         ]
+        is_full = len(states) == len(replicas)
         self.meter.announced_ready_s = self.placement.expected_ready_times()
         now_s = boottime_s()
         awaited = [
@@ -97,7 +105,7 @@
         ]
         may_order = self.leadership.order_time_left_s() > 0
         message = ReplicaStates(self.leadership.fence, states, awaited, is_full, may_order)
-        self.node.send_all(receivers.of_states(self.members), message)
+        self.node.send_all(addresses, message)
 
     def announce_end(self, fence: int) -> None:
         """Let others contend at once, because this gateway gives up its term.
--- a/limeshelf/peers/link_budget.py
+++ b/limeshelf/peers/link_budget.py
@@ -40,9 +40,16 @@
         """Return whether what was sent has taken no more than its share of the link so far."""
         return self._paid_until_s <= boottime_s()
 
+    @property
+    def broadcast_bytes(self) -> float:
+        """Return the most bytes that a message may take now, over all its receivers."""
+        if not self.has_room():
+            return 0.0
+        return MAX_BROADCAST_S * (self.bytes_per_s or math.inf)
+
     def allows_broadcast(self, size_bytes: int) -> bool:
         """Return whether a message may be sent that takes *size_bytes* over all its receivers."""
-        return self.has_room() and size_bytes <= MAX_BROADCAST_S * (self.bytes_per_s or math.inf)
+        return size_bytes <= self.broadcast_bytes
 
     def charge(self, size_bytes: int) -> None:
         """Count bytes that are sent, whatever they are for."""
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -53,6 +53,7 @@
 from limeshelf.membership.row_exchange import RowExchange
 from limeshelf.membership.state_changes import StateChanges
 from limeshelf.membership.state_exchange import StateExchange
+from limeshelf.membership.state_refresh import StateRefresh
 from limeshelf.membership.store_polling import PollingDelays
 from limeshelf.metrics.event_log import log_change
 from limeshelf.metrics.prometheus import GatewayMetrics
@@ -218,6 +219,7 @@
             self.meter,
             self.placement,
             self.changes,
+            StateRefresh(self.node.budget),
         )
         self.streams = StreamExchange(self.node, self.members, self.directory)
         freshness = settings.freshness
