--- a/tests/platform_soak/faults.py
+++ b/tests/platform_soak/faults.py
@@ -15,6 +15,8 @@
 FaultFunction = Callable[['FaultInjector'], Awaitable[None]]
 fault_functions: dict[str, FaultFunction] = {}
 RESTART_S = 0.4
+#: Routes of the largest configuration that the sites state.
+LARGE_CONFIGURATION_ROUTES = 1400
 
 
 def strike(function: FaultFunction) -> FaultFunction:
@@ -242,6 +244,17 @@
         await asyncio.sleep(0.1)
 
 
+@strike
+async def enlarge_configuration(faults: FaultInjector) -> None:
+    """Add many routes to the configuration, change it a few times, and remove them again."""
+    faults.world.extra_routes = LARGE_CONFIGURATION_ROUTES
+    for _ in range(faults.random.randint(1, 3)):
+        faults.world.configure()
+        await asyncio.sleep(faults.random.uniform(0.3, 2.0))
+    faults.world.extra_routes = faults.world.site.extra_routes
+    faults.world.configure()
+
+
 @strike
 async def restart_replicas(faults: FaultInjector) -> None:
     """Crash and restart a replica under its id once or twice, at times with its clock set back."""
--- a/tests/platform_soak/run.py
+++ b/tests/platform_soak/run.py
@@ -14,7 +14,7 @@
 from tests.platform_soak.faults import FaultInjector
 from tests.platform_soak.moves import MoveCaller, find_move_violations, runs_of
 from tests.platform_soak.notices import Observations, find_notice_violations
-from tests.platform_soak.world import ROOT, World
+from tests.platform_soak.world import ROOT, Site, World
 
 #: Where the gateway logs of a seed with violations are copied to.
 FAILURE_LOGS = ROOT / 'target' / 'soak'
@@ -36,12 +36,13 @@
     responses_checked: int
 
 
-async def soak(seed: int, seconds: float, gateways: int) -> Outcome:
+async def soak(seed: int, seconds: float, gateways: int, site: Site | None = None) -> Outcome:
     """Run one seed.
 
     :param seconds: duration of fault injection.
+    :param site: what each machine has.
     """
-    world = World(gateways)
+    world = World(gateways, site=site)
     callers: Callers | None = None
     try:
         await world.start()
--- a/tests/platform_soak/test_short.py
+++ b/tests/platform_soak/test_short.py
@@ -17,13 +17,15 @@
 from tests.platform_soak.checks import find_violations
 from tests.platform_soak.notices import Observations, find_notice_violations
 from tests.platform_soak.run import soak
+from tests.platform_soak.world import Site
 
 BODY = b'answer of c1'
 EVENTS = b''.join(b'id: %d\ndata: token %d\n\n' % (n, n) for n in range(1, 6))
 
 
-def test_no_guarantee_is_violated_under_faults() -> None:
-    result = asyncio.run(soak(seed=7, seconds=5.0, gateways=3))
+@pytest.mark.parametrize('link_mbps', [0.0, 10.0])
+def test_no_guarantee_is_violated_under_faults(link_mbps: float) -> None:
+    result = asyncio.run(soak(seed=7, seconds=5.0, gateways=3, site=Site(link_mbps)))
     assert result.violations == []
     assert len(result.faults) >= 3
     assert sum(record.status == 200 for record in result.history) > 50
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -139,6 +139,7 @@
         self, gateways: int, *, needs_keys: bool = True, site: Site | None = None
     ) -> None:
         self.site = site or Site()
+        self.extra_routes = self.site.extra_routes
         self._needs_keys = needs_keys
         self.store = StoreStandIn(era=1)
         self.plain = [ReplicaStandIn(f'p-{n}') for n in range(3)]
@@ -200,7 +201,7 @@
             route('resume', 'streaming', ENGINE, Resumable=True),
             route(f'only{self.version}', 'safe', PLAIN),
             route('moved', 'safe', target),
-            *(route(f'idle{n}', 'safe', PLAIN) for n in range(self.site.extra_routes)),
+            *(route(f'idle{n}', 'safe', PLAIN) for n in range(self.extra_routes)),
         )
         document['Services'].append({'Name': DESK, 'MaxConns': 50})
         organisations = self.keys.change()
