--- a/tests/gateway/test_frontend.py
+++ b/tests/gateway/test_frontend.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import signal
 import socket
 
 from limeshelf.programs.gateway import BALANCER_NOTICE_S
 from tests.support.gateway import HOST, GatewayWorld, configuration, route, run
+from tests.support.process import ProcessWorld
 
 #: Less than a connection buffers in the process, and more than these sockets do.
 SLOWLY_READ_BYTES = 60_000
@@ -17,6 +20,22 @@
 ).encode()
 
 
+def slowly_read_socket() -> socket.socket:
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    connection.setblocking(False)
+    return connection
+
+
+async def read_to_the_end(connection: socket.socket) -> bytes:
+    """Return the body of the answer on a connection, which ends after it."""
+    received = b''
+    with contextlib.closing(connection):
+        while part := await asyncio.get_running_loop().sock_recv(connection, 1 << 16):
+            received += part
+    return received.partition(b'\r\n\r\n')[2]
+
+
 def test_idle_connection_is_closed_at_a_stop() -> None:
     async def scenario(world: GatewayWorld) -> None:
         reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
@@ -53,9 +72,7 @@
     async def scenario(world: GatewayWorld) -> None:
         for replica in world.plain:
             replica.answer_bytes = SLOWLY_READ_BYTES
-        connection = socket.socket()
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-        connection.setblocking(False)
+        connection = slowly_read_socket()
         loop = asyncio.get_running_loop()
         await loop.sock_connect(connection, ('127.0.0.1', world.port))
         frontend = world.gateway.components.frontend
@@ -69,17 +86,33 @@
         stopping = asyncio.create_task(world.gateway.drain())
         await asyncio.sleep(BALANCER_NOTICE_S + 0.2)
         is_cut_off = stopping.done()
-        received = b''
-        while part := await loop.sock_recv(connection, 1 << 16):
-            received += part
-        connection.close()
+        body = await read_to_the_end(connection)
         await stopping
         assert not is_cut_off
-        assert len(received.partition(b'\r\n\r\n')[2]) == SLOWLY_READ_BYTES
+        assert len(body) == SLOWLY_READ_BYTES
 
     run(scenario)
 
 
+def test_answer_that_its_caller_reads_after_the_notice_is_complete_when_the_process_ends() -> None:
+    async def run_process() -> bytes:
+        world = ProcessWorld(module='tests.support.small_buffers_gateway')
+        async with world:
+            for replica in world.plain:
+                replica.answer_bytes = SLOWLY_READ_BYTES
+            connection = slowly_read_socket()
+            loop = asyncio.get_running_loop()
+            host, _, port = world.addresses['calls'].rpartition(':')
+            await loop.sock_connect(connection, (host, int(port)))
+            await loop.sock_sendall(connection, REQUEST)
+            await world.until(lambda: any(replica.runs for replica in world.plain))
+            world.signal(signal.SIGTERM)
+            await asyncio.sleep(BALANCER_NOTICE_S + 0.3)
+            return await read_to_the_end(connection)
+
+    assert len(asyncio.run(run_process())) == SLOWLY_READ_BYTES
+
+
 def test_call_on_a_keep_alive_connection_is_answered_while_stopping() -> None:
     async def scenario(world: GatewayWorld) -> None:
         reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -30,10 +30,16 @@
     """A gateway process, a store and replicas.
 
     :param document: the configuration.
+    :param module: the program.
     """
 
-    def __init__(self, document: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        document: dict[str, Any] | None = None,
+        module: str = 'limeshelf.programs.gateway',
+    ) -> None:
         super().__init__()
+        self._module = module
         self.document = document or configuration(1)
         self._folder = tempfile.TemporaryDirectory()
         self._process: subprocess.Popen[bytes] | None = None
@@ -63,7 +69,7 @@
         path = folder / 'settings.json'
         document = {**attrs.asdict(settings), 'machine': {'memory_mb': MACHINE_MEMORY_MB}}
         path.write_text(json.dumps(document))
-        command = [sys.executable, '-m', 'limeshelf.programs.gateway', '--settings', str(path)]
+        command = [sys.executable, '-m', self._module, '--settings', str(path)]
         with self.log_path.open('wb') as log:
             self._process = subprocess.Popen(
                 command,
@@ -91,6 +97,11 @@
         except aiohttp.ClientError:
             return False
 
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        assert self._process is not None
+        os.kill(self._process.pid, number)
+
     def is_alive(self) -> bool:
         """Return whether the process runs."""
         assert self._process is not None
