--- a/limeshelf/membership/row_exchange.py
+++ b/limeshelf/membership/row_exchange.py
@@ -1,8 +1,9 @@
 """Exchanges rows of the store between gateways, so that few gateways poll the store.
 
 Applies updates from other gateways to the copies of tables, and sends the rows that this gateway
-polled. :mod:`~limeshelf.membership.store_polling` decides which gateways poll the store, and
-:mod:`~limeshelf.membership.receivers` which gateways receive the updates.
+polled. :mod:`~limeshelf.membership.store_polling` decides which gateways poll the store,
+:mod:`~limeshelf.membership.receivers` which gateways receive the updates, and
+:mod:`~limeshelf.membership.update_sizes` whether these contain the rows.
 """
 
 from __future__ import annotations
@@ -23,7 +24,6 @@
 from limeshelf.membership.query_pacing import QueryPacing
 from limeshelf.membership.relays import RELAYS_PER_CENTRE
 from limeshelf.membership.row_conversion import (
-    announcement_from_copy,
     may_lack_deletions,
     query_for_positions,
     range_of_update,
@@ -41,7 +41,7 @@
     polls_store,
     retry_spread_s,
 )
-from limeshelf.peers.link_budget import LinkBudget
+from limeshelf.membership.update_sizes import UpdateSizes
 from limeshelf.util.backoff import jittered_s
 from limeshelf.util.clock import MS_PER_S, boottime_s
 
@@ -57,8 +57,6 @@
 MAX_CHECK_INTERVAL_S = 0.25
 #: ...and shortest interval.
 MIN_CHECK_INTERVAL_S = 0.02
-#: Rows of a table that are larger are sent in answer to a query only where the link has room.
-SMALL_ANSWER_BYTES = 1 << 14
 #: Age of a copy, in times of the age at which it is stale, up to which announced rows are expected
 #: from the store. Peers are asked for them after that.
 STORE_READ_AGES = 2
@@ -88,7 +86,7 @@
     :param delays: limits of its delays for the sake of others that poll the store.
     :param clock: this gateway's estimate of the store's clock.
     :param copies: this gateway's copies of tables, by table name.
-    :param budget: what messages to other gateways may take of the machine's link.
+    :param sizes: decides which rows other gateways are sent.
     :param count_rows: called with the cause and the size of the rows sent, over all receivers.
     """
 
@@ -97,7 +95,7 @@
     delays: PollingDelays
     clock: StoreClock = attrs.field(factory=StoreClock)
     copies: dict[str, TableCopy] = attrs.field(factory=dict)
-    budget: LinkBudget = attrs.field(factory=LinkBudget)
+    sizes: UpdateSizes = attrs.field(factory=UpdateSizes)
     count_rows: Callable[[str, int], None] = _ignore_rows
     _polling_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     _staleness_log: StalenessLog = attrs.field(factory=StalenessLog)
@@ -156,7 +154,7 @@
             # The gateway that announced these rows has told all others.
             return
         addresses = receivers.of_rows(self.members)
-        updates = [self._update_for(addresses, copy, after)]
+        updates = [self.sizes.for_receivers(len(addresses), copy, after)]
         updates += [
             update_from_copy(other, other.position)
             for other in self.copies.values()
@@ -164,14 +162,6 @@
         ]
         self._send(addresses, TableUpdates(updates), RowCause.POLLED)
 
-    def _update_for(self, addresses: list[str], copy: TableCopy, after: Position) -> TableUpdate:
-        """Return the changes of a copy, or only its position if they are large for the link."""
-        update = update_from_copy(copy, after)
-        size_bytes = row_bytes(update) * len(addresses)
-        if not size_bytes or self.budget.allows_broadcast(size_bytes):
-            return update
-        return announcement_from_copy(copy)
-
     def _send(self, addresses: list[str], updates: TableUpdates, cause: RowCause) -> None:
         size_bytes = sum(row_bytes(update) for update in updates.words)
         if size_bytes:
@@ -233,7 +223,7 @@
     def _handle_query(self, envelope: Envelope) -> None:
         query: RowsQuery = envelope.message
         updates = [
-            self._answer_for(copy, after)
+            self.sizes.for_query(copy, after)
             for copy in self.copies.values()
             if (after := requested_position(query, copy.table)) is not None
             and copy.position >= after
@@ -244,13 +234,6 @@
             answer = TableUpdates(updates, query.asked_ms, self.clock.now_upper_bound_ms(), era)
             self._send([envelope.sender], answer, RowCause.QUERIED)
 
-    def _answer_for(self, copy: TableCopy, after: Position) -> TableUpdate:
-        """Return the changes of a copy, or only its position if the link has no room for them."""
-        update = update_from_copy(copy, after)
-        if row_bytes(update) <= SMALL_ANSWER_BYTES or self.budget.has_room():
-            return update
-        return announcement_from_copy(copy)
-
     def _handle_updates(self, envelope: Envelope) -> None:
         started_s = boottime_s()
         self.members.record_message(envelope.sender, envelope.data_centre)
@@ -270,7 +253,7 @@
                 continue
             continuity = self._apply_update(copy, update, envelope.sender)
             if continuity is Continuity.CONTINUES:
-                forwarded.append(self._update_for(addresses, copy, after))
+                forwarded.append(self.sizes.for_receivers(len(addresses), copy, after))
             elif continuity is Continuity.GAP and update.omits_rows:
                 self._read_announced(copy, range_of_update(update).upto)
                 forwarded.append(self._aged(update))
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -55,6 +55,7 @@
 from limeshelf.membership.state_exchange import StateExchange
 from limeshelf.membership.state_refresh import StateRefresh
 from limeshelf.membership.store_polling import PollingDelays
+from limeshelf.membership.update_sizes import UpdateSizes
 from limeshelf.metrics.event_log import log_change
 from limeshelf.metrics.prometheus import GatewayMetrics
 from limeshelf.orders.sender import OrderSender
@@ -229,7 +230,7 @@
             self.members,
             PollingDelays.from_budget(ChangeBudget(change_limit_s)),
             self.store_clock,
-            budget=self.node.budget,
+            sizes=UpdateSizes(self.node.budget),
             count_rows=self.metrics.observe_rows,
         )
         config_rows = ConfigRows(
--- a/tests/membership/test_announced_rows.py
+++ b/tests/membership/test_announced_rows.py
@@ -30,7 +30,7 @@
     gateway = exchange('g1', *others)
     for other in others:
         gateway.members.record_message(other, 'c1')
-    gateway.budget = LinkBudget.from_mbps(link_mbps)
+    gateway.sizes.budget = LinkBudget.from_mbps(link_mbps)
     return gateway
 
 
--- a/tests/membership/test_query_pacing.py
+++ b/tests/membership/test_query_pacing.py
@@ -55,7 +55,7 @@
         )
         for peer in ('g2', 'g3', 'g4'):
             gateway._handle_query(Envelope(peer, 'c1', RowsQuery({'t': 0}, asked_ms=1)))
-            gateway.budget.charge(len(DOCUMENT))
+            gateway.sizes.budget.charge(len(DOCUMENT))
         first, *others = sent_by(gateway)
         assert [row.value for row in first[1].rows] == [DOCUMENT]
         assert [(one.omits_rows, one.rows) for _, one in others] == [(True, []), (True, [])]
