Announce rows for their size, not because something was just sent

Cause: any message put the budget ahead of its share for some milliseconds, and rows of any size were announced in that time, which each gateway then read from the store. Now the budget may be ahead by 0.25 s, and what occupies the link for no more than 0.01 s is sent in any case.

--- a/limeshelf/peers/link_budget.py
+++ b/limeshelf/peers/link_budget.py
@@ -16,8 +16,12 @@
 
 #: Share of the link that messages to peers may take; the rest is for callers and the store.
 PEER_SHARE = 0.4
-#: Longest time for which a message to several peers may occupy the link, as a whole.
+#: Longest time for which a message to several peers may occupy the link, as a whole...
 MAX_BROADCAST_S = 0.1
+#: ...and up to which it is small: it is sent in any case.
+SMALL_BROADCAST_S = 0.01
+#: What was sent may be ahead of the share by this much of its time.
+MAX_AHEAD_S = 0.25
 BYTES_PER_MBIT = 125_000
 
 
@@ -37,15 +41,14 @@
         return cls(link_mbps * BYTES_PER_MBIT)
 
     def has_room(self) -> bool:
-        """Return whether what was sent has taken no more than its share of the link so far."""
-        return self._paid_until_s <= boottime_s()
+        """Return whether a large message may be sent, as what was sent lies within the share."""
+        return self._paid_until_s - boottime_s() <= MAX_AHEAD_S
 
     @property
     def broadcast_bytes(self) -> float:
         """Return the most bytes that a message may take now, over all its receivers."""
-        if not self.has_room():
-            return 0.0
-        return MAX_BROADCAST_S * (self.bytes_per_s or math.inf)
+        occupied_s = MAX_BROADCAST_S if self.has_room() else SMALL_BROADCAST_S
+        return occupied_s * (self.bytes_per_s or math.inf)
 
     def allows_broadcast(self, size_bytes: int) -> bool:
         """Return whether a message may be sent that takes *size_bytes* over all its receivers."""
