--- a/limeshelf/membership/receivers.py
+++ b/limeshelf/membership/receivers.py
@@ -9,10 +9,10 @@
 replica states     leader                  gateways of its data centre, relays of others
 replica states,    first relay of another  gateways of its data centre
 forwarded          data centre
-rows               gateway that polled     gateways of its data centre, relays of others
-                   the store
-rows, forwarded    first relay of another  gateways of its data centre
-                   data centre
+rows, or their     gateway that polled     gateways of its data centre, relays of others
+announcement       the store
+the same,          first relay of another  gateways of its data centre
+forwarded          data centre
 replica notices,   every gateway           relays of its data centre
 crash suspects
 the same,          relays                  gateways of their data centre; relays of others
--- a/limeshelf/membership/store_polling.py
+++ b/limeshelf/membership/store_polling.py
@@ -1,7 +1,8 @@
 """Decides which gateways poll the store, so that few do and none depends on a failed one.
 
 Normally one gateway polls the store: the first relay of the first data centre by name. It sends
-the rows to the relays of all data centres, and these forward them to their gateways. When the
+the rows to the relays of all data centres, and these forward them to their gateways. Rows that are
+large for the link are only announced, and each gateway reads them from the store once. When the
 copies of other gateways become overdue, those gateways poll the store themselves, one after the
 other in a polling order that all gateways derive alike. Because this depends on the age of the
 copies and not on a role, a polling gateway that is cut off from the store blocks no other one.
--- a/limeshelf/membership/update_sizes.py
+++ b/limeshelf/membership/update_sizes.py
@@ -1,8 +1,8 @@
 """Decides whether other gateways are sent rows, or only told that there are some.
 
 Rows that are large for the machine's link are announced: the update states the position of the
-copy and omits the rows before it, and its receivers read them from the store. So news is small,
-whatever it is about, and never waits for a large message to many gateways.
+copy and omits the rows before it, and its receivers read them from the store. So an update to many
+gateways is small, and others wait for at most one large answer to a query.
 """
 
 from __future__ import annotations
--- a/limeshelf/peers/link_budget.py
+++ b/limeshelf/peers/link_budget.py
@@ -2,8 +2,8 @@
 
 The link carries callers' requests and answers, calls to the store and messages to peers, and none
 of them can overtake what was written before it. So large messages to peers are sent only as far as
-they take a share of the link, and news is small. Whoever would send a large message asks first,
-and does without it, or sends less, where there is no room; nothing is queued for the budget.
+they take a share of the link. A sender of a large message asks first, and sends less or nothing
+where there is no room; nothing is queued for the budget.
 """
 
 from __future__ import annotations
--- a/limeshelf/peers/traffic.py
+++ b/limeshelf/peers/traffic.py
@@ -32,7 +32,7 @@
 class Traffic:
     """Counts of what one process sent to its peers, over all links.
 
-    :ivar sent_bytes: bytes of the frames written to a connection.
+    :ivar sent_bytes: bytes of the frames taken from a queue to be written to a connection.
     :ivar sent_bytes_by_kind: the same by the message's name on the wire.
     :ivar dropped: frames that were queued for a peer and dropped from the queue.
     :ivar on_sent: called for each frame with its kind, its size and how long it was queued.
@@ -44,7 +44,7 @@
     on_sent: Callable[[str, int, float], None] = _ignore_frame
 
     def record_sent(self, kind: str, size_bytes: int, waited_s: float) -> None:
-        """Count a frame that was written to a connection.
+        """Count a frame that is taken from its queue to be written to a connection.
 
         :param waited_s: time for which it was queued.
         """
