--- a/review/stage2/deployment.py
+++ b/review/stage2/deployment.py
@@ -85,10 +85,18 @@
     folder: Path
     process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def settings_path(self) -> Path:
+        """Return the path of the settings file."""
+        return self.folder / f'{self.name}.json'
+
+    def write_settings(self) -> None:
+        """Write the settings file anew."""
+        self.settings_path.write_text(json.dumps(self.settings))
+
     def start(self) -> None:
         """Start the process with the command of the deploy file."""
-        path = self.folder / f'{self.name}.json'
-        path.write_text(json.dumps(self.settings))
+        self.write_settings()
         environment = {
             **os.environ,
             'PYTHONPATH': str(ROOT / 'target' / 'deps'),
@@ -96,7 +104,7 @@
         }
         with (self.folder / f'{self.name}.log').open('ab') as log:
             self.process = subprocess.Popen(
-                [*COMMAND, str(path)], cwd=ROOT, env=environment, stdout=log, stderr=log
+                [*COMMAND, str(self.settings_path)], cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
     def signal(self, number: int) -> None:
