--- a/review/stage2/deployment.py
+++ b/review/stage2/deployment.py
@@ -26,6 +26,8 @@
 COMMAND = ['python3', '-m', 'limeshelf.programs.gateway', '--settings']
 HOST = 'calls.example'
 PLAIN = 'app'
+#: Another plain service.
+DESK = 'desk'
 ENGINE = 'lm'
 #: The bounds of the small sites.
 HEARTBEAT_S = 1.2
@@ -175,10 +177,22 @@
     }
 
 
-def configuration(version: int, routes: list[dict[str, Any]]) -> dict[str, Any]:
-    """Return a configuration with a plain service and an engine."""
+def configuration(
+    version: int, routes: list[dict[str, Any]], adapters: int = 4, places: int = 8
+) -> dict[str, Any]:
+    """Return a configuration with two plain services and an engine.
+
+    :param adapters: of each model.
+    :param places: for adapters on a replica.
+    """
     models = [
-        {'Name': name, 'WeightsMb': 70000.0, 'LoadTimeS': 1.0, 'Adapters': 4, 'AdapterSizeMb': 66.0}
+        {
+            'Name': name,
+            'WeightsMb': 70000.0,
+            'LoadTimeS': 1.0,
+            'Adapters': adapters,
+            'AdapterSizeMb': 66.0,
+        }
         for name in ('m1', 'm2')
     ]
     engine = {
@@ -186,7 +200,7 @@
         'KvCapacity': 60000,
         'Models': models,
         'WeightsMb': 200000.0,
-        'MaxAdapters': 8,
+        'MaxAdapters': places,
         'LoadsPerS': 8.0,
     }
     return {
@@ -195,6 +209,7 @@
         'Services': [
             {'Name': ENGINE, 'MaxConns': 300, 'Engine': engine},
             {'Name': PLAIN, 'MaxConns': 110},
+            {'Name': DESK, 'MaxConns': 110},
         ],
         'Limits': {
             'MaxHeaderBytes': 16384,
@@ -208,11 +223,20 @@
 class Deployment:
     """Gateways in three zones, a store, and replicas that write heartbeats."""
 
-    def __init__(self, record: Record, gateways: int = 3, **placement: Any) -> None:
+    def __init__(
+        self,
+        record: Record,
+        gateways: int = 3,
+        store: StoreStandIn | None = None,
+        new_replica: type[ReplicaStandIn] = ReplicaStandIn,
+        **placement: Any,
+    ) -> None:
         self.record = record
-        self.store = StoreStandIn()
+        self.store = store or StoreStandIn()
+        self.adapters, self.adapter_places = 4, 8
+        self._new_replica = new_replica
         self.gateways: list[GatewayProcess] = []
-        self.replicas: dict[str, list[ReplicaStandIn]] = {PLAIN: [], ENGINE: []}
+        self.replicas: dict[str, list[ReplicaStandIn]] = {PLAIN: [], DESK: [], ENGINE: []}
         self.all_replicas: list[ReplicaStandIn] = []
         self.ports = {name: free_port() for name in ('calls', 'ready', 'peers', 'carry', 'figures')}
         self._placement = placement
@@ -221,12 +245,17 @@
         self._beats: dict[str, int] = {}
         self._beating: asyncio.Task[None] | None = None
 
-    async def start(self, routes: list[dict[str, Any]], plain: int, engines: int) -> None:
+    async def start(
+        self, routes: list[dict[str, Any]], plain: int, engines: int, desk: int = 0
+    ) -> None:
         """Start everything, and wait until all gateways are ready."""
         address = await self.store.start()
-        self.store.put('op', 'config', encode(configuration(1, routes)))
+        document = configuration(1, routes, self.adapters, self.adapter_places)
+        self.store.put('op', 'config', encode(document))
         for _ in range(plain):
             await self.add_replica(PLAIN)
+        for _ in range(desk):
+            await self.add_replica(DESK)
         for _ in range(engines):
             await self.add_replica(ENGINE, ['m1'])
         self._beating = asyncio.create_task(self._beat())
@@ -260,22 +289,28 @@
         }
         return GatewayProcess(settings['instance_id'], ip, settings, Path(self._folder.name))
 
-    async def add_replica(self, service: str, models: list[str] | None = None) -> ReplicaStandIn:
-        """Start a replica with a new id at a new address."""
+    async def add_replica(
+        self, service: str, models: list[str] | None = None, port: int = 0
+    ) -> ReplicaStandIn:
+        """Start a replica with a new id, at a new address unless a port is given."""
         number = len(self.all_replicas) + 1
-        replica = ReplicaStandIn(f'i-{service}-{number}', models)
-        await replica.start()
+        replica = self._new_replica(f'i-{service}-{number}', models)
+        await replica.start(port)
         self.replicas[service].append(replica)
         self.all_replicas.append(replica)
         self._write(service, replica)
         return replica
 
     def _write(self, service: str, replica: ReplicaStandIn) -> None:
+        self.store.put('servers', replica.replica_id, self.next_row(service, replica))
+
+    def next_row(self, service: str, replica: ReplicaStandIn) -> str:
+        """Return what a replica writes with its next heartbeat."""
         beat = self._beats[replica.replica_id] = self._beats.get(replica.replica_id, 0) + 1
         row = replica.row(service, 'ready', beat)
-        row['Slots'] = 6 if service == PLAIN else 16
+        row['Slots'] = 16 if service == ENGINE else 6
         row['Zone'] = f'zone-{self.all_replicas.index(replica) % 3 + 1}'
-        self.store.put('servers', replica.replica_id, encode(row))
+        return encode(row)
 
     async def _beat(self) -> None:
         while True:
@@ -284,7 +319,9 @@
                 for replica in replicas:
                     self._write(service, replica)
 
-    async def crash(self, service: str, replicas: list[ReplicaStandIn]) -> None:
+    async def crash(
+        self, service: str, replicas: list[ReplicaStandIn], row_life_s: float = ROW_LIFE_S
+    ) -> None:
         """Crash replicas; their entries go after three heartbeats of silence."""
         for replica in replicas:
             self.replicas[service].remove(replica)
@@ -293,7 +330,7 @@
             await replica.crash()
         loop = asyncio.get_running_loop()
         for replica in replicas:
-            loop.call_later(ROW_LIFE_S, self.store.drop, 'servers', replica.replica_id)
+            loop.call_later(row_life_s, self.store.drop, 'servers', replica.replica_id)
 
     async def until_ready(self) -> None:
         """Wait until all gateways are ready."""
