--- a/review/10/run.py
+++ b/review/10/run.py
@@ -92,9 +92,8 @@
         status = super()._apply_order(body)
         self.taken.append((time.monotonic(), body['Holder'], body['FencingToken'], status))
         if len(self.taken) == 1 or self.taken[-2][1] != body['Holder']:
-            self.record.write(
-                f'{self.replica_id}: first order of {body["Holder"]} (fence {body["FencingToken"]})'
-            )
+            fence = body['FencingToken']
+            self.record.write(f'{self.replica_id}: first order of {body["Holder"]} ({fence})')
         return status
 
 
@@ -160,9 +159,7 @@
 
 async def start_again(gateway: GatewayProcess, record: Record) -> None:
     """Start a gateway again once it has ended."""
-    assert gateway.process is not None
-    while gateway.process.poll() is None:
-        await asyncio.sleep(0.05)
+    await gateway.until_ended()
     await asyncio.sleep(RESTART_S)
     gateway.start()
     record.write(f'{gateway.name} starts')
--- a/review/stage2/deployment.py
+++ b/review/stage2/deployment.py
@@ -106,7 +106,11 @@
         }
         with (self.folder / f'{self.name}.log').open('ab') as log:
             self.process = subprocess.Popen(
-                [*COMMAND, str(self.settings_path)], cwd=ROOT, env=environment, stdout=log, stderr=log
+                [*COMMAND, str(self.settings_path)],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
 
     def signal(self, number: int) -> None:
@@ -114,6 +118,13 @@
         if self.process is not None and self.process.poll() is None:
             os.kill(self.process.pid, number)
 
+    async def until_ended(self) -> None:
+        """Wait until the process has ended."""
+        while self.process is not None:
+            if self.process.poll() is not None:
+                return
+            await asyncio.sleep(0.05)
+
     def log(self) -> str:
         """Return what the process has logged."""
         return (self.folder / f'{self.name}.log').read_text(errors='replace')
@@ -238,7 +249,9 @@
         self.gateways: list[GatewayProcess] = []
         self.replicas: dict[str, list[ReplicaStandIn]] = {PLAIN: [], DESK: [], ENGINE: []}
         self.all_replicas: list[ReplicaStandIn] = []
-        self.ports = {name: free_port() for name in ('calls', 'ready', 'peers', 'carry', 'figures')}
+        self.ports = {
+            name: free_port() for name in ('calls', 'ready', 'peers', 'carry', 'figures')
+        }
         self._placement = placement
         self._count = gateways
         self._folder = tempfile.TemporaryDirectory()
@@ -285,7 +298,12 @@
             'machine': {'memory_mb': 300, 'descriptors': 4100, 'link_mbps': 1000.0},
             'retries': {'ratio': 0.2, 'slack': 58, 'window_s': 10},
             'freshness': {'config_ms': 2000, 'replica_ms': 2000},
-            'placement': {'lease_s': 2.4, 'window_s': 5, 'lease_limit_ms': 3000, **self._placement},
+            'placement': {
+                'lease_s': 2.4,
+                'window_s': 5,
+                'lease_limit_ms': 3000,
+                **self._placement,
+            },
         }
         return GatewayProcess(settings['instance_id'], ip, settings, Path(self._folder.name))
 
@@ -336,8 +354,13 @@
         """Wait until all gateways are ready."""
         async with asyncio.timeout(START_LIMIT_S):
             for gateway in self.gateways:
-                while not await self.is_ready(gateway):
-                    await asyncio.sleep(0.1)
+                await self._until_ready(gateway)
+
+    async def _until_ready(self, gateway: GatewayProcess) -> None:
+        while True:
+            if await self.is_ready(gateway):
+                return
+            await asyncio.sleep(0.1)
 
     async def is_ready(self, gateway: GatewayProcess) -> bool:
         """Ask a gateway whether it is ready, as the platform does."""
@@ -345,8 +368,14 @@
         return (await request(gateway.ip, self.ports['ready'], head, limit_s=0.5)).status == 200
 
     async def call(
-        self, gateway: GatewayProcess, call_id: str, method: str, target: str, *fields: str,
-        body: bytes = b'', limit_s: float = 3.0,
+        self,
+        gateway: GatewayProcess,
+        call_id: str,
+        method: str,
+        target: str,
+        *fields: str,
+        body: bytes = b'',
+        limit_s: float = 3.0,
     ) -> Answer:
         """Send a client's request to a gateway."""
         head = [
