--- a/review/6/run.py
+++ b/review/6/run.py
@@ -41,8 +41,10 @@
 PAUSE_S = 0.5
 #: Planned work: a gateway that has begun to give orders is stopped so much later...
 STOP_AFTER_S = 0.3
-#: ...but never sooner after the stop before than this, and started again after a delay.
+#: ...but never sooner after the stop before than this...
 STOP_EVERY_S = 6.0
+#: ...and one that goes on giving orders, this long after it; each is started again after a delay.
+STOP_AT_LAST_S = 12.0
 RESTART_S = 1.0
 LENGTH_S = 100.0
 SEED = 86
@@ -137,17 +139,18 @@
 
 
 async def stop_new_leaders(world: Deployment, record: Record) -> None:
-    """Stop and start a gateway soon after it has begun to give orders."""
-    fence = 0
+    """Stop and start a gateway soon after it has begun to give orders, or after a while."""
+    seen_fence = 0
     stopped_s = time.monotonic()
     while True:
         await asyncio.sleep(0.02)
         orders = [one for replica in world.replicas[ENGINE] for one in replica.taken[-1:]]
         newest = max(orders, key=lambda one: one[2], default=None)
-        if newest is None or newest[2] <= fence:
+        if newest is None:
             continue
-        fence = newest[2]
-        if time.monotonic() - stopped_s < STOP_EVERY_S:
+        is_new, seen_fence = newest[2] > seen_fence, max(seen_fence, newest[2])
+        since_s = time.monotonic() - stopped_s
+        if since_s < (STOP_EVERY_S if is_new else STOP_AT_LAST_S):
             continue
         await asyncio.sleep(STOP_AFTER_S)
         stopped_s = time.monotonic()
