--- a/review/6/run.py
+++ b/review/6/run.py
@@ -42,9 +42,9 @@
 #: Planned work: a gateway that has begun to give orders is stopped so much later...
 STOP_AFTER_S = 0.3
 #: ...but never sooner after the stop before than this...
-STOP_EVERY_S = 6.0
+STOP_EVERY_S = 5.0
 #: ...and one that goes on giving orders, this long after it; each is started again after a delay.
-STOP_AT_LAST_S = 12.0
+STOP_AT_LAST_S = 15.0
 RESTART_S = 1.0
 LENGTH_S = 100.0
 SEED = 86
