Ignore SIGHUP from a gateway's first lines on

Cause: SIGHUP had its default effect, to end the process, until the service had been imported and started.

gateway.py is now the console script alone. It ignores the signal, and then imports the service, which moved to gateway_service.py. A change that is told meanwhile is found by the check of the file.

--- a/limeshelf/programs/gateway.py
+++ b/limeshelf/programs/gateway.py
@@ -1,243 +1,25 @@
-"""``limeshelf-gateway``: forwards calls to replicas, and places models while it holds the lease.
+"""``limeshelf-gateway``: handles the signals of the process, then imports and runs the gateway.
 
-Owns the process: settings, background tasks, readiness and graceful shutdown. Relies on
-:mod:`limeshelf.programs.components`, which creates and connects the components.
+Importing the gateway takes longer than everything else in a start, and by default SIGHUP ends a
+process. So this module imports little, and :mod:`limeshelf.programs.gateway_service` only once
+that signal is ignored.
 """
 
 from __future__ import annotations
 
-import asyncio
-import gc
 import os
-import signal
-import sys
-from pathlib import Path
-from typing import Annotated
 
-import typer
-import uvloop
-from aiomisc import Service, entrypoint
-
-from limeshelf.errors import InvalidDocument
-from limeshelf.gateway.frontend import GatewayPhase
-from limeshelf.metrics.event_log import event_log, log_change
-from limeshelf.metrics.prometheus import MetricsServer
-from limeshelf.peers.link_budget import LinkBudget
-from limeshelf.peers.node import PeerNode
-from limeshelf.programs.components import GatewayComponents
-from limeshelf.programs.rules import access_rule, retry_rule
-from limeshelf.programs.settings_watch import SettingsWatch
-from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
-from limeshelf.util.backoff import jittered_s
-from limeshelf.util.clock import boottime_s
-from limeshelf.util.tasks import TaskSet
-
-EXIT_OK = 0
-EXIT_BAD_SETTINGS = 2
-#: Time between failing readiness and refusing calls during a graceful shutdown, in which the
-#: load balancer detects the change.
-BALANCER_NOTICE_S = 2.9
-#: Longest time for which a shutdown waits for the store to free the lease, which ends by itself.
-HAND_OVER_TIMEOUT_S = 1.2
-#: Share of the grace period after which running calls are abandoned, so that the process exits
-#: before it is killed.
-DRAIN_GRACE_SHARE = 0.93
-#: Interval between checks for running calls during a shutdown.
-DRAIN_CHECK_S = 0.05
-#: Interval between steps of renewing or contending for the lease.
-LEASE_STEP_S = 0.3
-#: The same interval while the store does not respond.
-LEASE_RETRY_S = 1.0
-#: Longest interval between checks of a starting process for a configuration and replicas.
-READY_CHECK_S = 0.1
-#: Number of threads for operations that would block the event loop.
-THREAD_POOL_SIZE = 2
-
-
-class Gateway(Service):
-    """One gateway process.
-
-    :ivar settings_path: settings file to watch for changes; ``None`` to watch none.
-    :ivar components: set once the process has started.
-    """
-
-    settings: GatewaySettings
-    settings_path: Path | None = None
-    watch: SettingsWatch | None = None
-    components: GatewayComponents
-
-    async def start(self) -> None:
-        """Start to listen; readiness follows once a configuration and a replica are known."""
-        settings = self.settings
-        self.tasks = TaskSet()
-        budget = LinkBudget.from_mbps(settings.machine.link_mbps)
-        node = PeerNode(settings.ip, settings.peer_port, settings.data_centre, budget)
-        await node.start()
-        self.components = GatewayComponents(settings, node, self.tasks)
-        self.components.register_handlers()
-        await self.components.frontend.start(settings.calls_address, settings.readiness_address)
-        if settings.forward_port:
-            forward_address = f'{settings.ip}:{settings.forward_port}'
-            await self.components.frontend.start_carrying(forward_address)
-        self.metrics_server = MetricsServer(
-            self.components.metrics, self.components.frontend.make_server
-        )
-        await self.metrics_server.start(settings.ip, settings.figures_port)
-        self._start_tasks()
-        log_change('started', ip=settings.ip, data_centre=settings.data_centre, pid=os.getpid())
-
-    def _start_tasks(self) -> None:
-        components = self.components
-        for follower in components.followers:
-            self.tasks.supervise(follower.run, f'follow-{follower.copy.table}')
-        self.tasks.supervise(components.digests.run, 'digests')
-        self.tasks.supervise(components.states.run, 'states')
-        self.tasks.supervise(components.rows.run, 'rows')
-        self.tasks.supervise(components.streams.run, 'streams')
-        self.tasks.supervise(components.suspension.run, 'suspension')
-        self.tasks.supervise(components.crashes.run, 'crashes')
-        self.tasks.supervise(components.notice_exchange.run, 'notices')
-        self.tasks.supervise(components.crash_detector.run, 'replica-ends')
-        self.tasks.supervise(components.quarantine_sync.run, 'quarantine')
-        self.tasks.supervise(components.registration.keep_row, 'register', components.store)
-        self.tasks.supervise(components.dispatch.run, 'dispatch')
-        self.tasks.supervise(self._run_leadership, 'lead')
-        self.tasks.supervise(components.placement.run, 'placement')
-        self.tasks.supervise(components.pool.sweep, 'sweep', components.directory)
-        self.tasks.supervise(components.pool.probe, 'probe', components.directory)
-        self.tasks.supervise(self._become_ready, 'ready')
-        if self.settings_path is not None:
-            self.watch = SettingsWatch(self.settings_path, self.settings, self._apply_settings)
-            self.tasks.supervise(self.watch.run, 'settings')
-
-    def _apply_settings(self, settings: GatewaySettings) -> None:
-        self.settings = settings
-        self.components.budgets.change_rule(retry_rule(settings))
-        self.components.access.rule = access_rule(settings)
-        self.components.store.change_address(settings.store_address)
-        self.components.members.change_own_weight(settings.weight)
-        self.components.add_seeds(settings)
-
-    def reload(self) -> None:
-        """Reload the settings; called on a signal."""
-        if self.watch is not None:
-            self.watch.check_now()
-
-    async def _become_ready(self) -> None:
-        directory = self.components.directory
-        while self.components.active_config.config is None or not directory.all():
-            await directory.wait_for_change(READY_CHECK_S)
-        self.components.frontend.set_phase(GatewayPhase.SERVING)
-
-    async def _run_leadership(self) -> None:
-        components = self.components
-        while True:
-            is_lost = components.leadership.store_is_unavailable
-            await asyncio.sleep(jittered_s(LEASE_RETRY_S if is_lost else LEASE_STEP_S))
-            self._update_gateway_count()
-            if components.engine_reach.is_cut_off():
-                await self._hand_over_lease()
-                continue
-            if components.leadership.term is None and not self._may_contend():
-                continue
-            await components.leadership.renew_or_acquire()
-
-    def _may_contend(self) -> bool:
-        """Return whether to try to acquire the lease, which is of no use without replicas."""
-        may_contend = self.components.leader.may_contend()
-        return may_contend and not self.components.engine_reach.reaches_none()
-
-    async def _hand_over_lease(self) -> None:
-        """Let another gateway lead, as this one reaches no replica."""
-        components = self.components
-        fence = components.leadership.fence
-        if fence:
-            await components.leadership.hand_over('cut_off')
-            components.states.announce_end(fence)
-
-    def _update_gateway_count(self) -> None:
-        gateways = self.components.digests.gateway_count
-        if gateways != self.components.budgets.gateways:
-            log_change('gateways_counted', gateways=gateways)
-        self.components.budgets.gateways = gateways
-        self.components.pool.gateways = gateways or 1
-
-    async def drain(self) -> int:
-        """Shut down gracefully; return the exit code."""
-        frontend = self.components.frontend
-        drain_started_s = boottime_s()
-        frontend.set_phase(GatewayPhase.NOTICE)
-        await asyncio.gather(self._hand_over_duties(), asyncio.sleep(BALANCER_NOTICE_S))
-        frontend.set_phase(GatewayPhase.DRAINING)
-        self.components.pipeline.refuse_waiting()
-        end_s = drain_started_s + self.settings.grace_s * DRAIN_GRACE_SHARE
-        while frontend.is_answering and boottime_s() < end_s:
-            frontend.close_idle_connections()
-            await asyncio.sleep(DRAIN_CHECK_S)
-        log_change('stopped', cut_off=frontend.requests_in_flight)
-        return EXIT_OK
-
-    async def _hand_over_duties(self) -> None:
-        """Free the lease, and tell the other gateways; the store may take a while to answer."""
-        fence = self.components.leadership.fence
-        try:
-            async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
-                await self.components.leadership.release()
-        except TimeoutError:
-            log_change('lease_not_released', fence=fence, cause='TimeoutError')
-        self.components.registration.announce_leaving()
-
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Close everything."""
-        await self.tasks.close()
-        await self.components.close()
-        await self.metrics_server.close()
-
-
-def _run_gateway(settings: GatewaySettings, path: Path) -> int:
-    event_log.open(settings.instance_id)
-    # Excludes the objects that exist at startup from later full garbage collections.
-    gc.collect()
-    gc.freeze()
-    service = Gateway(settings=settings, settings_path=path)
-    with entrypoint(
-        service,
-        log_config=False,
-        pool_size=THREAD_POOL_SIZE,
-        catch_signals=(),
-        loop_factory=uvloop.new_event_loop,
-    ) as loop:
-        return int(loop.run_until_complete(_until_stopped(service)))
-
-
-async def _until_stopped(service: Gateway) -> int:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, service.reload)
-    await stopping.wait()
-    return await service.drain()
-
-
-def run(
-    settings: Annotated[Path, typer.Option(help='Settings file of the instance, in JSON.')],
-) -> None:
-    """Take calls and bring them to replicas; place models while holding the lease."""
-    try:
-        loaded = load_gateway_settings(settings)
-    except InvalidDocument as error:
-        for problem in error.problems:
-            sys.stderr.write(f'{settings}: {problem.path}: {problem.message}\n')
-        sys.exit(EXIT_BAD_SETTINGS)
-    sys.exit(_run_gateway(loaded, settings))
+from limeshelf.programs import process_signals
 
 
 def main() -> None:
     """Run the console script."""
+    process_signals.ignore_reload()
     # Must be set before the first event loop is created: otherwise uvloop uses io_uring.
     os.environ['UV_USE_IO_URING'] = '0'
-    typer.run(run)
+    from limeshelf.programs import gateway_service
+
+    gateway_service.run_command()
 
 
 if __name__ == '__main__':
--- a/tests/gateway/test_frontend.py
+++ b/tests/gateway/test_frontend.py
@@ -7,7 +7,7 @@
 import signal
 import socket
 
-from limeshelf.programs.gateway import BALANCER_NOTICE_S
+from limeshelf.programs.gateway_service import BALANCER_NOTICE_S
 from tests.support.gateway import HOST, GatewayWorld, configuration, route, run
 from tests.support.process import ProcessWorld
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -14,7 +14,7 @@
 import attrs
 import uvloop
 
-from limeshelf.programs.gateway import Gateway
+from limeshelf.programs.gateway_service import Gateway
 from standins.users_platform.replica import ReplicaStandIn
 from tests.support.gateway import GatewayWorld, configuration
 
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -15,7 +15,7 @@
 import attrs
 import uvloop
 
-from limeshelf.programs.gateway import Gateway
+from limeshelf.programs.gateway_service import Gateway
 from limeshelf.settings.gateway import GatewaySettings, PlacementSettings, RetrySettings
 from standins.users_platform.replica import ReplicaStandIn
 from standins.users_platform.store import StoreStandIn
