Ignore signals from the end of a gateway's drain to its exit

The platform saw processes that ended with -1 in place of 0 after a planned stop when SIGHUP came late in it: what was still to be closed was not, and the end looked like one of the process's own.

Cause: a closed event loop gives its signals their default effects back, and the interpreter does the same with handlers when it ends. Both come after the drain and before the exit. A second SIGTERM or SIGINT met the same gap.

The handlers are now the process's own, and the last step of the drain sets all three signals to be ignored, which neither the loop nor the interpreter undoes.

SIGPIPE is ignored by the interpreter from its start; the standalone programs have the same gap for SIGTERM and SIGINT, and do not reload on SIGHUP (by reading, not mended).

--- a/limeshelf/programs/gateway_service.py
+++ b/limeshelf/programs/gateway_service.py
@@ -9,7 +9,6 @@
 import asyncio
 import gc
 import os
-import signal
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -25,6 +24,7 @@
 from limeshelf.peers.link_budget import LinkBudget
 from limeshelf.peers.node import PeerNode
 from limeshelf.programs.components import GatewayComponents
+from limeshelf.programs.process_signals import handle_signals, ignore_signals
 from limeshelf.programs.rules import access_rule, retry_rule
 from limeshelf.programs.settings_watch import SettingsWatch
 from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
@@ -212,12 +212,12 @@
 
 async def _until_stopped(service: Gateway) -> int:
     stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, service.reload)
-    await stopping.wait()
-    return await service.drain()
+    handle_signals(asyncio.get_running_loop(), stopping.set, service.reload)
+    try:
+        await stopping.wait()
+        return await service.drain()
+    finally:
+        ignore_signals()
 
 
 def run(
--- a/tests/support/start.py
+++ b/tests/support/start.py
@@ -81,6 +81,19 @@
             assert time.monotonic() < end_s, text
             time.sleep(PAUSE_S)
 
+    def wait_for_stop_handler(self) -> None:
+        """Wait until the process handles SIGTERM."""
+        end_s = time.monotonic() + LIMIT_S
+        while not self._handled_signals() >> (signal.SIGTERM - 1) & 1:
+            assert time.monotonic() < end_s
+            time.sleep(PAUSE_S)
+
+    def _handled_signals(self) -> int:
+        assert self.process is not None
+        lines = Path(f'/proc/{self.process.pid}/status').read_text().splitlines()
+        (mask,) = [line.split()[1] for line in lines if line.startswith('SigCgt:')]
+        return int(mask, 16)
+
     def wait_for_end(self) -> int:
         """Return the exit status once the process has ended."""
         assert self.process is not None
