Wait for a settings file that is being written when a gateway starts

A machine was missing for one more start: a gateway that met its settings file half written, empty or not there yet ended with status 2. The platform fills the file at every start and every change, and states nowhere that this is atomic.

Cause: each fault of the file was taken for one of its content. A file cut off at any point is no JSON document, so that a missing file and one that is no JSON are told apart now (IncompleteDocument).

--- a/limeshelf/errors.py
+++ b/limeshelf/errors.py
@@ -200,6 +200,10 @@
     problems: list[Problem] = field(default_factory=list)
 
 
+class IncompleteDocument(InvalidDocument):
+    """A file is missing or is not a whole document, as while it is being written."""
+
+
 @dataclass(eq=False)
 class UnknownName(LimeshelfError):
     """A registry has no entry of that name, or has it already on registration."""
--- a/limeshelf/programs/gateway_service.py
+++ b/limeshelf/programs/gateway_service.py
@@ -26,8 +26,9 @@
 from limeshelf.programs.components import GatewayComponents
 from limeshelf.programs.process_signals import handle_signals, ignore_signals
 from limeshelf.programs.rules import access_rule, retry_rule
+from limeshelf.programs.settings_start import read_settings, report_problems
 from limeshelf.programs.settings_watch import SettingsWatch
-from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
+from limeshelf.settings.gateway import GatewaySettings
 from limeshelf.util.backoff import jittered_s
 from limeshelf.util.clock import boottime_s
 from limeshelf.util.tasks import TaskSet
@@ -225,10 +226,9 @@
 ) -> None:
     """Take calls and bring them to replicas; place models while holding the lease."""
     try:
-        loaded = load_gateway_settings(settings)
+        loaded = read_settings(settings)
     except InvalidDocument as error:
-        for problem in error.problems:
-            sys.stderr.write(f'{settings}: {problem.path}: {problem.message}\n')
+        report_problems(settings, error)
         sys.exit(EXIT_BAD_SETTINGS)
     sys.exit(_run_gateway(loaded, settings))
 
--- a/limeshelf/settings/gateway.py
+++ b/limeshelf/settings/gateway.py
@@ -216,7 +216,8 @@
 def load_gateway_settings(path: Path) -> GatewaySettings:
     """Read and validate a settings file.
 
-    :raises InvalidDocument: with one problem for each fault.
+    :raises IncompleteDocument: the file cannot be read, or is not JSON.
+    :raises InvalidDocument: with one problem for each other fault.
     """
     settings = structure_file(path, GatewaySettings)
     problems = list(_problems(settings))
--- a/limeshelf/settings/structure.py
+++ b/limeshelf/settings/structure.py
@@ -17,7 +17,7 @@
     IterableValidationError,
 )
 
-from limeshelf.errors import InvalidDocument, Problem
+from limeshelf.errors import IncompleteDocument, InvalidDocument, Problem
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -77,14 +77,15 @@
 def structure_file(path: Path, cls: type[T]) -> T:
     """Return an instance of *cls* built from the JSON file at *path*.
 
-    :raises InvalidDocument: with one :class:`Problem` for each fault.
+    :raises IncompleteDocument: the file cannot be read, or is not JSON.
+    :raises InvalidDocument: with one :class:`Problem` for each other fault.
     """
     try:
         document = msgspec.json.decode(path.read_bytes())
     except OSError as error:
-        raise InvalidDocument([Problem('.', f'cannot be read: {error.strerror}')]) from None
+        raise IncompleteDocument([Problem('.', f'cannot be read: {error.strerror}')]) from None
     except msgspec.DecodeError as error:
-        raise InvalidDocument([Problem('.', f'is not JSON: {error}')]) from None
+        raise IncompleteDocument([Problem('.', f'is not JSON: {error}')]) from None
     return structure(document, cls)
 
 
