Watch a settings file from the content that a gateway started with

A gateway went on with old settings, a store's address for one, until the next change: a change made between the reading of the file and the start of the watch was never in force.

Cause: the watch read the file when it was made, and took that content for what was in force. The settings and the content that they were read from are one value now (SettingsFile), which the watch gets. A reload parses the same bytes that it compared, where it read the file twice before.

The unit test makes the same change between a SettingsFile and the watch.

--- a/limeshelf/programs/gateway_service.py
+++ b/limeshelf/programs/gateway_service.py
@@ -28,7 +28,7 @@
 from limeshelf.programs.rules import access_rule, retry_rule
 from limeshelf.programs.settings_start import read_settings, report_problems
 from limeshelf.programs.settings_watch import SettingsWatch
-from limeshelf.settings.gateway import GatewaySettings
+from limeshelf.settings.gateway import GatewaySettings, SettingsFile
 from limeshelf.util.backoff import jittered_s
 from limeshelf.util.clock import boottime_s
 from limeshelf.util.tasks import TaskSet
@@ -59,11 +59,13 @@
     """One gateway process.
 
     :ivar settings_path: settings file to watch for changes; ``None`` to watch none.
+    :ivar settings_file: what *settings* were read from; needed to watch the file.
     :ivar components: set once the process has started.
     """
 
     settings: GatewaySettings
     settings_path: Path | None = None
+    settings_file: SettingsFile | None = None
     watch: SettingsWatch | None = None
     components: GatewayComponents
 
@@ -107,8 +109,10 @@
         self.tasks.supervise(components.pool.sweep, 'sweep', components.directory)
         self.tasks.supervise(components.pool.probe, 'probe', components.directory)
         self.tasks.supervise(self._become_ready, 'ready')
-        if self.settings_path is not None:
-            self.watch = SettingsWatch(self.settings_path, self.settings, self._apply_settings)
+        if self.settings_path is not None and self.settings_file is not None:
+            self.watch = SettingsWatch(
+                self.settings_path, self.settings_file, self._apply_settings
+            )
             self.tasks.supervise(self.watch.run, 'settings')
 
     def _apply_settings(self, settings: GatewaySettings) -> None:
@@ -195,12 +199,12 @@
         await self.metrics_server.close()
 
 
-def _run_gateway(settings: GatewaySettings, path: Path) -> int:
-    event_log.open(settings.instance_id)
+def _run_gateway(file: SettingsFile, path: Path) -> int:
+    event_log.open(file.settings.instance_id)
     # Excludes the objects that exist at startup from later full garbage collections.
     gc.collect()
     gc.freeze()
-    service = Gateway(settings=settings, settings_path=path)
+    service = Gateway(settings=file.settings, settings_path=path, settings_file=file)
     with entrypoint(
         service,
         log_config=False,
@@ -226,11 +230,11 @@
 ) -> None:
     """Take calls and bring them to replicas; place models while holding the lease."""
     try:
-        loaded = read_settings(settings)
+        file = read_settings(settings)
     except InvalidDocument as error:
         report_problems(settings, error)
         sys.exit(EXIT_BAD_SETTINGS)
-    sys.exit(_run_gateway(loaded, settings))
+    sys.exit(_run_gateway(file, settings))
 
 
 def run_command() -> None:
--- a/limeshelf/programs/settings_start.py
+++ b/limeshelf/programs/settings_start.py
@@ -7,14 +7,13 @@
 from typing import TYPE_CHECKING
 
 from limeshelf.errors import IncompleteDocument
-from limeshelf.settings.gateway import load_gateway_settings
+from limeshelf.settings.gateway import SettingsFile
 from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
     from pathlib import Path
 
     from limeshelf.errors import InvalidDocument
-    from limeshelf.settings.gateway import GatewaySettings
 
 #: Time after which a file that is missing or incomplete counts as invalid.
 COMPLETE_WITHIN_S = 3.0
@@ -22,8 +21,8 @@
 READ_AGAIN_S = 0.1
 
 
-def read_settings(path: Path) -> GatewaySettings:
-    """Return the settings of a file that is complete within :data:`COMPLETE_WITHIN_S`.
+def read_settings(path: Path) -> SettingsFile:
+    """Return a settings file that is complete within :data:`COMPLETE_WITHIN_S`.
 
     A complete file with other faults is not read again.
 
@@ -33,7 +32,7 @@
     has_reported = False
     while True:
         try:
-            return load_gateway_settings(path)
+            return SettingsFile.from_path(path)
         except IncompleteDocument as error:
             if boottime_s() >= end_s:
                 raise
--- a/limeshelf/programs/settings_watch.py
+++ b/limeshelf/programs/settings_watch.py
@@ -13,7 +13,7 @@
 
 from limeshelf.errors import InvalidDocument
 from limeshelf.metrics.event_log import log_change
-from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
+from limeshelf.settings.gateway import GatewaySettings, SettingsFile
 from limeshelf.util.backoff import jittered_s
 
 if TYPE_CHECKING:
@@ -29,16 +29,18 @@
 class SettingsWatch:
     """Watches a settings file; if a changed file is invalid, the current settings stay.
 
+    :param current: the file that the current settings are from; a difference from it is a change,
+        also one that was made before the watch was.
     :param on_change: called with the new settings.
     """
 
     def __init__(
-        self, path: Path, settings: GatewaySettings, on_change: Callable[[GatewaySettings], None]
+        self, path: Path, current: SettingsFile, on_change: Callable[[GatewaySettings], None]
     ) -> None:
         self._path = path
-        self._settings = settings
+        self._settings = current.settings
         self._on_change = on_change
-        self._content = self._read()
+        self._content = current.content
         self._check_requested = asyncio.Event()
 
     def check_now(self) -> None:
@@ -65,7 +67,7 @@
             return
         self._content = content
         try:
-            settings = load_gateway_settings(self._path)
+            settings = SettingsFile.from_content(content).settings
         except InvalidDocument as error:
             problems = [f'{problem.path}: {problem.message}' for problem in error.problems]
             log_change('reload_refused', problems=problems)
--- a/limeshelf/settings/gateway.py
+++ b/limeshelf/settings/gateway.py
@@ -15,7 +15,7 @@
 import attrs
 
 from limeshelf.errors import InvalidDocument, Problem
-from limeshelf.settings.structure import structure_file
+from limeshelf.settings.structure import read_content, structure_content
 from limeshelf.util.clock import MS_PER_S
 
 if TYPE_CHECKING:
@@ -213,17 +213,38 @@
         return last if last != self.peer_port else 0
 
 
-def load_gateway_settings(path: Path) -> GatewaySettings:
-    """Read and validate a settings file.
+@attrs.frozen
+class SettingsFile:
+    """A valid settings file as it was at one moment.
 
-    :raises IncompleteDocument: the file cannot be read, or is not JSON.
-    :raises InvalidDocument: with one problem for each other fault.
+    :param content: bytes of the file, to compare with those of a later moment.
     """
-    settings = structure_file(path, GatewaySettings)
-    problems = list(_problems(settings))
-    if problems:
-        raise InvalidDocument(problems)
-    return settings
+
+    settings: GatewaySettings
+    content: bytes
+
+    @classmethod
+    def from_path(cls, path: Path) -> SettingsFile:
+        """Read and validate the file at *path*.
+
+        :raises IncompleteDocument: the file cannot be read, or is not JSON.
+        :raises InvalidDocument: with one problem for each other fault.
+        """
+        return cls.from_content(read_content(path))
+
+    @classmethod
+    def from_content(cls, content: bytes) -> SettingsFile:
+        """Validate the content of a file; raises as :meth:`from_path`."""
+        settings = structure_content(content, GatewaySettings)
+        problems = list(_problems(settings))
+        if problems:
+            raise InvalidDocument(problems)
+        return cls(settings, content)
+
+
+def load_gateway_settings(path: Path) -> GatewaySettings:
+    """Return the settings of a valid file; raises as :meth:`SettingsFile.from_path`."""
+    return SettingsFile.from_path(path).settings
 
 
 def _problems(settings: GatewaySettings) -> list[Problem]:
--- a/limeshelf/settings/structure.py
+++ b/limeshelf/settings/structure.py
@@ -80,10 +80,24 @@
     :raises IncompleteDocument: the file cannot be read, or is not JSON.
     :raises InvalidDocument: with one :class:`Problem` for each other fault.
     """
+    return structure_content(read_content(path), cls)
+
+
+def read_content(path: Path) -> bytes:
+    """Return the content of a file.
+
+    :raises IncompleteDocument: it cannot be read.
+    """
     try:
-        document = msgspec.json.decode(path.read_bytes())
+        return path.read_bytes()
     except OSError as error:
         raise IncompleteDocument([Problem('.', f'cannot be read: {error.strerror}')]) from None
+
+
+def structure_content(content: bytes, cls: type[T]) -> T:
+    """Return an instance of *cls* built from JSON text; raises as :func:`structure_file`."""
+    try:
+        document = msgspec.json.decode(content)
     except msgspec.DecodeError as error:
         raise IncompleteDocument([Problem('.', f'is not JSON: {error}')]) from None
     return structure(document, cls)
--- a/tests/programs/test_settings_start.py
+++ b/tests/programs/test_settings_start.py
@@ -12,6 +12,9 @@
 from tests.support.start import StartingGateway
 
 STARTED = '"event":"started"'
+RELOADED = '"event":"reload"'
+#: Written by ``-X importtime`` when the first address is resolved, after the settings were read.
+LISTENING = 'stringprep'
 
 
 @pytest.mark.parametrize('share', [None, 0.0, 0.5])
@@ -46,3 +49,14 @@
         began_s = time.monotonic()
         assert gateway.wait_for_end() == 2
         assert time.monotonic() - began_s < COMPLETE_WITHIN_S / 2
+
+
+def test_change_during_a_start_is_in_force_without_a_signal(tmp_path: Path) -> None:
+    # Guards against a change that is lost between reading the settings and watching the file.
+    with StartingGateway(tmp_path, '-X', 'importtime') as gateway:
+        gateway.write_settings(weight=1.0)
+        gateway.start()
+        gateway.wait_for(LISTENING)
+        gateway.write_settings(weight=2.0)
+        gateway.wait_for(RELOADED)
+        assert gateway.status is None
--- a/tests/programs/test_settings_watch.py
+++ b/tests/programs/test_settings_watch.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from limeshelf.programs.settings_watch import SettingsWatch
-from limeshelf.settings.gateway import GatewaySettings, load_gateway_settings
+from limeshelf.settings.gateway import GatewaySettings, SettingsFile
 
 DOCUMENT: dict[str, Any] = {
     'instance_id': 'g-1',
@@ -29,7 +29,7 @@
     path = folder / 'settings.json'
     path.write_text(json.dumps(DOCUMENT))
     applied: list[GatewaySettings] = []
-    return path, SettingsWatch(path, load_gateway_settings(path), applied.append), applied
+    return path, SettingsWatch(path, SettingsFile.from_path(path), applied.append), applied
 
 
 def test_changed_file_is_applied(tmp_path: Path) -> None:
@@ -43,6 +43,16 @@
     assert len(applied) == 1
 
 
+def test_change_between_the_start_and_the_watch_is_applied(tmp_path: Path) -> None:
+    # Guards against a watch that takes the file's content of its own start for the current one.
+    path, _, _ = make_watch(tmp_path)
+    started_with = SettingsFile.from_path(path)
+    path.write_text(json.dumps({**DOCUMENT, 'store_address': '10.0.0.9:1'}))
+    applied: list[GatewaySettings] = []
+    SettingsWatch(path, started_with, applied.append).check()
+    assert [settings.store_address for settings in applied] == ['10.0.0.9:1']
+
+
 def test_invalid_file_changes_nothing(tmp_path: Path) -> None:
     path, settings_watch, applied = make_watch(tmp_path)
     for invalid in ('{', json.dumps({**DOCUMENT, 'grace_s': 'long'})):
