Keep former holders of the lease from leading again within the limit

Cause: the row says only who holds the lease and until when. Whoever finds it free takes it, also the holder before. So A, whose lease ran out for lost answers, led again as soon as B had given it back; B's short lease bounds nothing.

A process records its orders, and leads again only LeaseMs after its last one, unless the row still names it, so that nobody followed. Where replicas compare no fences, it counts its own start as an order, as any order of its machine came before. The row keeps its form, so an older release beside this one changes nothing for it. All other gateways, which have not ordered of late, follow at once: only former holders pay, and a process that is younger than 3 s where no other is older. Where replicas compare fences a restart is not counted, as these refuse what is overtaken.

--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -21,6 +21,12 @@
 A term ends when a renewal finds another holder in the row, when a replica or a peer shows a higher
 fence, when the holder reaches no replica that other gateways reach, or when the process stops.
 
+Two machines must not order in turn within the platform's limit (*order_gap_s*). So a machine that
+ordered, and that another one has followed, leads again only that long after its own last order. A
+process knows when it ordered, but not when its machine did before the process started. Where
+replicas do not compare fences, it counts its start as an order. Only a row that names the machine
+itself shows that no other has followed it.
+
 The standalone system has a lease of its own (:mod:`limeshelf.standalone.lease.keeper`). Its table
 has no clock, so contenders watch the row for longer than the lease lasts; some of its upstreams
 check no fence, so the holder checks before each order that its lease is still valid.
@@ -37,6 +43,7 @@
 from limeshelf.feeds.position import Position
 from limeshelf.feeds.rows import ConditionFailed
 from limeshelf.feeds.store_clock import StoreClock
+from limeshelf.lease.order_record import OrderRecord
 from limeshelf.lease.row import LEASE_KEY, LEASE_TABLE, LeaseValue, next_fence
 from limeshelf.lease.row_reader import LeaseReader
 from limeshelf.metrics.event_log import log_change
@@ -87,6 +94,9 @@
     :param replicas_check_fences: whether replicas refuse an order with a lower fence than
         one they have received.
     :param clock: gives the time when the store was last restored from a copy.
+    :param order_gap_s: time after a machine's last order within which it must not order again if
+        another one has followed it; 0 for none.
+    :ivar orders: the orders of this process; whoever sends one records it there.
     """
 
     def __init__(
@@ -96,8 +106,12 @@
         lease_s: float,
         replicas_check_fences: bool = True,
         clock: StoreClock | None = None,
+        order_gap_s: float = 0.0,
     ) -> None:
         self.term: Term | None = None
+        self.orders = OrderRecord()
+        self._order_gap_s = order_gap_s
+        self._started_s = boottime_s()
         self._replicas_check_fences = replicas_check_fences
         self._released = False
         self._store = store
@@ -179,9 +193,21 @@
             # The fence of the overwritten row is unknown. Each term needs a write to the store, so
             # without eras no fence is above the row's version; next_fence() covers eras.
             self._highest_fence = max(self._highest_fence, view.position.version)
-        if self._reader.may_be_acquired(view):
+        if self._reader.may_be_acquired(view) and self._may_follow(view):
             await self._acquire(view)
 
+    def _may_follow(self, view: LeaseView) -> bool:
+        """Return whether this machine's last order is too old to count as a turn.
+
+        Without a row no other machine has led, unless the store lost the row.
+        """
+        if view.names(self._holder) and view.was_acquired_in_this_era:
+            return True
+        last_s = self.orders.last_s()
+        if view.row is not None and not self._replicas_check_fences:
+            last_s = max(last_s, self._started_s)
+        return boottime_s() - last_s > self._order_gap_s
+
     async def _read(self) -> LeaseView:
         view = await self._reader.read()
         if view.value is not None:
@@ -249,7 +275,8 @@
             self._end_if_current(term, 'row_taken')
             return
         is_valid = view.requested_s < term.renewed_s + self._lease_s
-        if self.term is term and (is_valid or self._reader.may_be_acquired(view)):
+        is_free = self._reader.may_be_acquired(view) and self._may_follow(view)
+        if self.term is term and (is_valid or is_free):
             await self._acquire(view)
 
     def _end_if_current(self, term: Term, cause: str) -> None:
--- a/limeshelf/lease/row_reader.py
+++ b/limeshelf/lease/row_reader.py
@@ -57,6 +57,10 @@
         """Return whether there is a row that cannot be decoded; another writer wrote it."""
         return self.row is not None and self.value is None
 
+    def names(self, holder: str) -> bool:
+        """Return whether *holder* was the last to acquire the lease, by the row."""
+        return self.value is not None and self.value.holder == holder
+
     @property
     def was_acquired_in_this_era(self) -> bool:
         """Return whether the term of the row began in the era in which it was read."""
--- a/limeshelf/orders/sender.py
+++ b/limeshelf/orders/sender.py
@@ -150,10 +150,13 @@
         if left_s <= 0:
             raise ReplicaUnresponsive(replica.replica_id)
         try:
-            async with boot_timeout(left_s) if math.isfinite(left_s) else asyncio.timeout(None):
-                return await self._transport.order(
-                    replica.record.address, replica.replica_id, order
-                )
+            with self._leadership.orders.sending():
+                async with (
+                    boot_timeout(left_s) if math.isfinite(left_s) else asyncio.timeout(None)
+                ):
+                    return await self._transport.order(
+                        replica.record.address, replica.replica_id, order
+                    )
         except TimeoutError:
             raise ReplicaUnresponsive(replica.replica_id) from None
 
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -112,6 +112,7 @@
             settings.placement.effective_lease_s,
             settings.placement.replicas_check_fences,
             self.store_clock,
+            settings.placement.order_gap_s,
         )
         self.leader = LeaderView(self.members, self.leadership)
         self.dispatchers = Dispatchers(self.members)
--- a/limeshelf/settings/gateway.py
+++ b/limeshelf/settings/gateway.py
@@ -71,6 +71,11 @@
     replicas_check_fences: bool = True
     lease_limit_ms: float = 0.0
 
+    @property
+    def order_gap_s(self) -> float:
+        """Return the time within which two machines may not order in turn; 0 for no bound."""
+        return self.lease_limit_ms / MS_PER_S
+
     @property
     def effective_lease_s(self) -> float:
         """Return the duration of the lease, which the platform's limit may shorten."""
--- a/tests/lease/test_order_time.py
+++ b/tests/lease/test_order_time.py
@@ -33,6 +33,8 @@
     from collections.abc import Callable
 
 LEASE_S = 2.4
+#: Time within which two holders must not order in turn.
+ORDER_GAP_S = 3.0
 #: Store clock minus boot clock.
 STORE_CLOCK_OFFSET_S = 5000.0
 
@@ -94,8 +96,14 @@
         self.entered = virtual_clock()
         self.clock = self.entered.__enter__()
         self.store = LeaseStore(self.clock)
+        self.holders = [self.start_holder(n) for n in range(3)]
+        #: Time of each holder's last order, and the holders after whom another one ordered.
+        self.last_s: dict[int, float] = {}
+        self.followed: set[int] = set()
+
+    def start_holder(self, number: int) -> Leadership:
         store: Any = self.store
-        self.holders = [Leadership(store, f'g-{n}', LEASE_S, False) for n in range(3)]
+        return Leadership(store, f'g-{number}', LEASE_S, False, None, ORDER_GAP_S)
 
     def teardown(self) -> None:
         if hasattr(self, 'entered'):
@@ -105,6 +113,7 @@
     def step(self, holder: int, call_s: float) -> None:
         self.store.call_s = call_s
         asyncio.run(self.holders[holder].renew_or_acquire())
+        self.order(holder)
 
     @rule(seconds=st.sampled_from([0.1, 0.5, 0.9, 2.0, 2.5]))
     def wait(self, seconds: float) -> None:
@@ -132,8 +141,30 @@
     @rule(holder=st.integers(0, 2))
     def restart(self, holder: int) -> None:
         asyncio.run(self.holders[holder].release())
-        store: Any = self.store
-        self.holders[holder] = Leadership(store, f'g-{holder}', LEASE_S, False)
+        self.holders[holder] = self.start_holder(holder)
+
+    @rule(holders=st.permutations(range(3)), between_s=st.sampled_from([0.0, 0.4, 1.1]))
+    def lead_in_turn(self, holders: list[int], between_s: float) -> None:
+        for holder in (*holders, holders[0]):
+            self.step(holder, 0.0)
+            asyncio.run(self.holders[holder].hand_over('test'))
+            self.clock.advance(between_s)
+
+    @rule(holder=st.integers(0, 2))
+    def kill_and_start(self, holder: int) -> None:
+        self.holders[holder] = self.start_holder(holder)
+
+    def order(self, number: int) -> None:
+        """Let a holder order if it may; no holder may do so in turn with others."""
+        holder = self.holders[number]
+        if holder.order_time_left_s() <= 0:
+            return
+        with holder.orders.sending():
+            now_s = self.clock.now_s
+        if number in self.followed:
+            assert now_s - self.last_s[number] >= ORDER_GAP_S
+        self.last_s[number] = now_s
+        self.followed = (self.followed | self.last_s.keys()) - {number}
 
     @invariant()
     def at_most_one_may_order(self) -> None:
--- a/tests/orders/test_sender.py
+++ b/tests/orders/test_sender.py
@@ -11,6 +11,7 @@
 
 from limeshelf.calls.routes import EngineSpec, ModelSpec, ServiceSpec
 from limeshelf.lease.leadership import Term
+from limeshelf.lease.order_record import OrderRecord
 from limeshelf.metrics.prometheus import GatewayMetrics
 from limeshelf.orders.order import OrderKind, OrderOutcome
 from limeshelf.orders.pending import CLAIM_REPORT_LAG_S
@@ -52,6 +53,7 @@
 
     term: Term | None = None
     left_s: float = math.inf
+    orders: OrderRecord = attrs.field(factory=OrderRecord)
 
     def end_term(self, cause: str) -> None:
         self.term = None
--- a/tests/placement/test_service.py
+++ b/tests/placement/test_service.py
@@ -14,6 +14,7 @@
 from limeshelf.crashes.suspects import Suspects
 from limeshelf.demand.keys import KeyDemand, ModelKey
 from limeshelf.lease.leadership import Term
+from limeshelf.lease.order_record import OrderRecord
 from limeshelf.metrics.prometheus import GatewayMetrics
 from limeshelf.orders.order import OrderKind, OrderOutcome, ReplicaOrder, ReplicaOrderAnswer
 from limeshelf.orders.pending import CLAIM_REPORT_LAG_S
@@ -40,6 +41,7 @@
     """A leadership whose term only changes when it is ended."""
 
     fence: int
+    orders: OrderRecord = attrs.field(factory=OrderRecord)
 
     @property
     def term(self) -> Term | None:
