Free the lease only when no order of its holder is on its way

Replicas that compare no fences carried out orders under a lower fence after a higher one, and orders of two holders in turn, in planned stops alone, without a lost answer.

Cause: release() and hand_over() ended the term and freed the row at once, while an order was sent and not answered; the successor's order overtook it.

--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -206,7 +206,7 @@
         last_s = self.orders.last_s()
         if view.row is not None and not self._replicas_check_fences:
             last_s = max(last_s, self._started_s)
-        return boottime_s() - last_s > self._order_gap_s
+        return boottime_s() - last_s >= self._order_gap_s
 
     async def _read(self) -> LeaseView:
         view = await self._reader.read()
@@ -303,12 +303,20 @@
     async def hand_over(self, cause: str) -> None:
         """End the term, if there is one, and free the lease for others.
 
+        Where replicas do not compare fences, an order must not arrive after one of the successor:
+        the lease is freed once all orders are answered, and expires if one was not.
+
         :param cause: for the log.
         """
         term = self.term
         if term is None:
             return
         self.end_term(cause)
+        if not self._replicas_check_fences:
+            await self.orders.wait_until_answered()
+            if self.orders.unanswered_within(self._lease_s):
+                log_change('lease_not_released', fence=term.fence, cause='order_unanswered')
+                return
         value = LeaseValue(self._holder, term.fence, 0)
         try:
             await self._store.write(LEASE_TABLE, LEASE_KEY, value.encode(), term.row_position)
