Log when a gateway defers to take a free lease

While it waits no gateway may place models, and no line said why: term_ended and the next term_begun look the same as in a slow election. One line a wait.

--- a/limeshelf/lease/leadership.py
+++ b/limeshelf/lease/leadership.py
@@ -119,6 +119,7 @@
         self._lease_s = lease_s
         self._highest_fence = 0
         self._store_unavailable = False
+        self._is_waiting = False
         self._reader = LeaseReader(store, holder, lease_s, clock or StoreClock())
 
     @property
@@ -197,16 +198,25 @@
             await self._acquire(view)
 
     def _may_follow(self, view: LeaseView) -> bool:
-        """Return whether this machine's last order is too old to count as a turn.
+        """Return whether this machine's last order is too old to count as a turn."""
+        wait_s = self._time_to_follow_s(view)
+        if (wait_s > 0) != self._is_waiting:
+            self._is_waiting = wait_s > 0
+            if self._is_waiting:
+                log_change('lease_deferred', wait_s=round(wait_s, 2))
+        return wait_s <= 0
+
+    def _time_to_follow_s(self, view: LeaseView) -> float:
+        """Return the seconds until this machine may lead, if the lease is free; 0 or less: now.
 
         Without a row no other machine has led, unless the store lost the row.
         """
         if view.names(self._holder) and view.was_acquired_in_this_era:
-            return True
+            return 0.0
         last_s = self.orders.last_s()
         if view.row is not None and not self._replicas_check_fences:
             last_s = max(last_s, self._started_s)
-        return boottime_s() - last_s >= self._order_gap_s
+        return last_s + self._order_gap_s - boottime_s()
 
     async def _read(self) -> LeaseView:
         view = await self._reader.read()
