Log trials and clearings of parts, crashes that are not kept, and attempts whose callers left

Nothing told a trial from an ordinary call, what cleared a part, that a seventh crash changed nothing, and that an attempt ended without a result. The stand-in replica can crash some time after a call arrived, or after it has begun to answer.

--- a/limeshelf/crashes/crashing_parts.py
+++ b/limeshelf/crashes/crashing_parts.py
@@ -23,6 +23,8 @@
 
 from limeshelf.crashes.quarantine import Quarantined
 from limeshelf.crashes.suspects import count_crashes
+from limeshelf.metrics.event_log import log_change
+from limeshelf.util.clock import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -77,7 +79,14 @@
     def record_sent(self, parts: Sequence[Fingerprint]) -> None:
         """Record that a call is sent; others with a part that is on trial are then refused."""
         for part in parts:
-            if self._count_against(part):
+            crashes = self._count_against(part)
+            if crashes:
+                log_change(
+                    'part_tried',
+                    content=part,
+                    crashes=crashes,
+                    age_ms=int(self.suspects.age_s(part) * MS_PER_S),
+                )
                 self.suspects.reset_age(part)
 
     def _count_against(self, part: Fingerprint) -> int:
--- a/limeshelf/crashes/suspects.py
+++ b/limeshelf/crashes/suspects.py
@@ -227,6 +227,7 @@
         suspect.is_observed_locally |= is_observed_locally
         before = suspect.state
         suspect.state = _limit_crashes(before.merged(received))
+        _log_dropped_crashes(received, suspect.state, source)
         if suspect.state == before:
             return
         if suspect.state.crash_count > before.crash_count:
@@ -263,6 +264,18 @@
         )
 
 
+def _log_dropped_crashes(received: SuspectState, kept: SuspectState, source: UpdateSource) -> None:
+    """Log crashes detected here that are not kept because the suspect has too many."""
+    dropped = received.crashes - kept.crashes
+    if dropped and source is UpdateSource.OWN:
+        log_change(
+            'crash_not_kept',
+            content=kept.fingerprint,
+            ends=sorted(crash.replica_id for crash in dropped),
+            kept=len(kept.crashes),
+        )
+
+
 def _limit_crashes(state: SuspectState) -> SuspectState:
     """Drop crashes above the maximum, cleared ones first.
 
--- a/limeshelf/gateway/attempts.py
+++ b/limeshelf/gateway/attempts.py
@@ -14,7 +14,8 @@
 
 from limeshelf.admission.retry_rules import head_limit_s
 from limeshelf.calls.wire import SendContext
-from limeshelf.gateway.call_log import log_attempt
+from limeshelf.gateway.answer import CallerDisconnected
+from limeshelf.gateway.call_log import log_abandoned, log_attempt
 from limeshelf.gateway.exchange import Exchange
 from limeshelf.gateway.result_rules import (
     STATUS_SERVER_ERROR,
@@ -64,7 +65,11 @@
     ) -> None:
         """Send a call to the selected replica, and record the result in *state*."""
         sent_s = boottime_s()
-        result = await self._send(state, selected, organisation)
+        try:
+            result = await self._send(state, selected, organisation)
+        except (asyncio.CancelledError, CallerDisconnected):
+            log_abandoned(state, selected.replica)
+            raise
         state.record_result(result)
         if isinstance(result, WholeAnswer) and result.head.status < STATUS_SERVER_ERROR:
             self.demand.record_served(state.call, state.service)
--- a/limeshelf/gateway/call_log.py
+++ b/limeshelf/gateway/call_log.py
@@ -72,6 +72,17 @@
     )
 
 
+def log_abandoned(state: CallState, replica: Replica) -> None:
+    """Log that an attempt ended before its result was known, because the caller left."""
+    log_request(
+        'abandoned',
+        request=state.call.call_id,
+        replica=replica.replica_id,
+        answer_started=state.answer.started,
+        content=state.fingerprint,
+    )
+
+
 def log_forwarded(state: CallState, gateway: str, result: AttemptResult) -> None:
     """Log how another gateway carried a call.
 
--- a/limeshelf/gateway/quarantine.py
+++ b/limeshelf/gateway/quarantine.py
@@ -15,7 +15,8 @@
 from limeshelf.gateway.endings import STATUS_UNAVAILABLE, Refuse
 from limeshelf.gateway.result_rules import CallFinding, classify_for_call
 from limeshelf.gateway.state import BegunAnswer
-from limeshelf.util.clock import boottime_s
+from limeshelf.metrics.event_log import log_change
+from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
     from limeshelf.calls.fingerprint import Fingerprint
@@ -90,6 +91,12 @@
 
     def _clear_parts(self, begun: BegunAnswer) -> None:
         for part, crashes in begun.crashes.items():
+            log_change(
+                'part_cleared',
+                content=part,
+                crashes=len(crashes),
+                answered_ms=int((boottime_s() - begun.begun_s) * MS_PER_S),
+            )
             self.quarantine.suspects.clear(part, crashes)
 
     def record_result(
--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -117,6 +117,10 @@
     at_s: float = attrs.field(factory=lambda: asyncio.get_running_loop().time())
 
 
+#: Interval between the events of an answer that ends with a crash.
+CRASHING_EVENT_INTERVAL_S = 0.02
+
+
 def _reset(transport: asyncio.Transport) -> None:
     """Close a connection with a TCP reset, as a crash does."""
     raw = transport.get_extra_info('socket')
@@ -146,6 +150,8 @@
     :ivar restarts: number of restarts.
     :ivar restart_times_s: times of the restarts on the clock of the event loop.
     :ivar crash_text: the replica crashes when it runs a call whose body contains this.
+    :ivar crash_delay_s: time from running that call to the crash, in seconds.
+    :ivar crash_after_answer_s: if set, the replica streams events for this long before the crash.
     :ivar crash_model: the replica crashes when it begins to load this model.
     :ivar on_crash: called after either of these crashes.
     :ivar notices: notices that it sends with its answers.
@@ -180,6 +186,8 @@
         self.restarts = 0
         self.restart_times_s: list[float] = []
         self.crash_text: bytes | None = None
+        self.crash_delay_s = 0.0
+        self.crash_after_answer_s: float | None = None
         self.crash_model = ''
         self._crash_tasks: set[asyncio.Task[None]] = set()
         self.on_crash: Callable[[ReplicaStandIn], None] = lambda replica: None
@@ -416,9 +424,7 @@
             return self._refusal(503, call_id)
         self.runs.append(call_id)
         if self.crash_text is not None and self.crash_text in body:
-            await self.crash()
-            self.on_crash(self)
-            return web.Response()
+            return await self._run_into_crash(request, call_id)
         self.running += 1
         try:
             await asyncio.sleep(self.work_s)
@@ -429,6 +435,32 @@
         finally:
             self.running -= 1
 
+    async def _run_into_crash(self, request: web.BaseRequest, call_id: str) -> web.StreamResponse:
+        # Shielded: it crashes also if the connection of the call is closed before.
+        return await asyncio.shield(self._crash_later(request, call_id))
+
+    async def _crash_later(self, request: web.BaseRequest, call_id: str) -> web.StreamResponse:
+        await asyncio.sleep(self.crash_delay_s)
+        response = web.StreamResponse()
+        if self.crash_after_answer_s is not None:
+            response = await self._begin_answer(request, call_id, self.crash_after_answer_s)
+        await self.crash()
+        self.on_crash(self)
+        return response
+
+    async def _begin_answer(
+        self, request: web.BaseRequest, call_id: str, for_s: float
+    ) -> web.StreamResponse:
+        """Stream events at a steady pace for a time, without ending the answer."""
+        headers = {**_answer_headers(call_id, Fault.NONE), **self._notice_headers(call_id, 200)}
+        response = web.StreamResponse(headers={**headers, 'Content-Type': 'text/event-stream'})
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in range(1, int(for_s / CRASHING_EVENT_INTERVAL_S) + 2):
+            await response.write(f'id: {number}\ndata: token {number}\n\n'.encode())
+            await asyncio.sleep(CRASHING_EVENT_INTERVAL_S)
+        return response
+
     async def _run(
         self, request: web.BaseRequest, call_id: str, fault: Fault, streams: bool
     ) -> web.StreamResponse:
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -34,6 +34,8 @@
 
     :param engines: number of replicas that hold model ``m1``.
     :param crash_text: a replica that starts running a call whose body contains this crashes.
+    :param crash_delay_s: time from running that call to the crash, in seconds.
+    :param crash_after_answer_s: for how long it is answered before the crash; ``None`` for not.
     :param crash_model: a replica that starts loading this model crashes.
     :param centres: data centre of each gateway, by its number.
     :param back_after_s: time from a replica's crash to its restart under a new id, in seconds.
@@ -48,12 +50,16 @@
         crash_model: str = '',
         back_after_s: float = 0.6,
         centres: tuple[str, ...] = DATA_CENTRES,
+        crash_delay_s: float = 0.0,
+        crash_after_answer_s: float | None = None,
     ) -> None:
         super().__init__()
         self.store.era = 1
         self.engines = [ReplicaStandIn(f'e-{number}', ['m1']) for number in range(engines)]
         self.ends: list[float] = []
         self._crash_text = crash_text
+        self._crash_delay_s = crash_delay_s
+        self._crash_after_answer_s = crash_after_answer_s
         self._crash_model = crash_model
         self.centres = centres
         self._back_after_s = back_after_s
@@ -140,6 +146,8 @@
 
     async def _start_replica(self, replica: ReplicaStandIn) -> None:
         replica.crash_text = self._crash_text
+        replica.crash_delay_s = self._crash_delay_s
+        replica.crash_after_answer_s = self._crash_after_answer_s
         replica.crash_model = self._crash_model
         replica.on_crash = self._schedule_restart
         await replica.start()
