Try a part that crashes replicas one call at a time, and much later after each failure

Callers saw: calls with a part that crashes each replica which begins to answer it reached replicas for as long as they came, one round of trials a minute; sound calls lost what ran there.

Cause: what a trial shows was not kept. A part was refused for 60 to 90 s after its latest crash, however many trials had crashed their replicas; each gateway tried by itself; and the seventh crash of a suspect changed nothing, so nobody heard of it and no age was reset. One number stood both for 'may be guilty' and for 'was tried alone and crashed again'.

Trials are now kept with the suspect (a set that only grows, in the same messages and rows; earlier releases ignore it). Gateways take turns of 0.5 s to try; the news of a trial stops the others. A suspect with many crashes keeps those of trials. A trial without a result holds the next one for 15 s.

--- a/limeshelf/crashes/crashing_parts.py
+++ b/limeshelf/crashes/crashing_parts.py
@@ -11,18 +11,20 @@
 * Crashes that a rarer part explains, which is a suspect of enough crashes itself, do not count
   against a part that occurs in more calls.
 
+Calls with a part that counts are refused, but for trials (:mod:`limeshelf.crashes.trials`).
+
 Owns how often the suspected parts occurred in the calls of this gateway.
 """
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING
 
 import attrs
 
 from limeshelf.crashes.quarantine import Quarantined
-from limeshelf.crashes.suspects import count_crashes
+from limeshelf.crashes.suspects import Trial, count_crashes
+from limeshelf.crashes.trials import TURN_S, TrialTurns, trial_wait_s
 from limeshelf.metrics.event_log import log_change
 from limeshelf.util.clock import MS_PER_S
 
@@ -31,6 +33,7 @@
 
     from limeshelf.calls.fingerprint import Fingerprint
     from limeshelf.crashes.suspects import ReplicaCrash, Suspects, SuspectState
+    from limeshelf.replicas.replica import Replica
 
 #: Crashes from which calls with a part are refused, if as many are isolated as stated below.
 QUARANTINE_CRASHES = 3
@@ -38,11 +41,6 @@
 #: Crashes from which they are refused in any case: replicas may crash at the same time because
 #: several calls have the part.
 COINCIDENT_QUARANTINE_CRASHES = 4
-#: How long they are refused after the latest crash. Then each gateway tries one call with the
-#: part, since replicas may have been mended.
-QUARANTINE_S = 60.0
-#: Limits of the factor on this time, different for each gateway, so that one tries first.
-SPREAD = (1.0, 1.5)
 #: Largest number of parts whose occurrences are counted.
 MAX_COUNTED_PARTS = 1000
 
@@ -52,8 +50,8 @@
     """Decides which calls are refused because of a part of their prompts."""
 
     suspects: Suspects
+    turns: TrialTurns = attrs.field(factory=TrialTurns)
     _occurrences: dict[Fingerprint, int] = attrs.field(factory=dict)
-    _quarantine_s: float = attrs.field(factory=lambda: QUARANTINE_S * random.uniform(*SPREAD))
 
     def record_call(self, parts: Sequence[Fingerprint]) -> None:
         """Count a call that has arrived here.
@@ -69,14 +67,22 @@
     def check(self, parts: Sequence[Fingerprint]) -> Quarantined | None:
         """Return the refusal of a call by the parts of its prompt; ``None`` if it may be sent."""
         for part in parts:
+            state = self.suspects.state_of(part)
             crashes = self._count_against(part)
-            if crashes:
-                left_s = self._quarantine_s - self.suspects.age_s(part)
+            if state is not None and crashes:
+                left_s = self._left_s(state)
                 if left_s > 0:
                     return Quarantined(crashes, left_s)
         return None
 
-    def record_sent(self, parts: Sequence[Fingerprint]) -> None:
+    def _left_s(self, state: SuspectState) -> float:
+        """Return for how long calls with a quarantined part are refused here; 0 for a trial."""
+        due_s = self.suspects.age_s(state.fingerprint) - trial_wait_s(state)
+        if due_s < 0:
+            return -due_s
+        return 0.0 if self.turns.is_own(state.fingerprint, due_s) else TURN_S
+
+    def record_sent(self, parts: Sequence[Fingerprint], replica: Replica) -> None:
         """Record that a call is sent; others with a part that is on trial are then refused."""
         for part in parts:
             crashes = self._count_against(part)
@@ -85,9 +91,12 @@
                     'part_tried',
                     content=part,
                     crashes=crashes,
+                    replica=replica.replica_id,
                     age_ms=int(self.suspects.age_s(part) * MS_PER_S),
                 )
-                self.suspects.reset_age(part)
+                self.suspects.record_trial(
+                    part, Trial(replica.replica_id, replica.known_start.born_ms or 0)
+                )
 
     def _count_against(self, part: Fingerprint) -> int:
         """Return how many crashes a part is quarantined for; 0 if it is not."""
--- a/limeshelf/crashes/rows.py
+++ b/limeshelf/crashes/rows.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import attrs
 import msgspec
 
 from limeshelf.calls.fingerprint import Fingerprint
-from limeshelf.crashes.suspects import CallCrash, ReplicaCrash, SuspectState
+from limeshelf.crashes.suspects import CallCrash, ReplicaCrash, SuspectState, Trial
 from limeshelf.util.decoding import DECODE_ERRORS, Count
 
 #: The keys of its rows are the fingerprints of calls.
@@ -25,10 +26,22 @@
     coincident: bool = False
 
 
-class SuspectValue(msgspec.Struct):
-    """Value of the row of a call."""
+class TrialValue(msgspec.Struct):
+    """One trial in a row; see :class:`~limeshelf.crashes.suspects.Trial`."""
+
+    replica_id: str
+    born_ms: Count = 0
+    passed: bool = False
+
+
+class SuspectValue(msgspec.Struct, omit_defaults=True):
+    """Value of the row of a suspect.
+
+    :ivar trials: not known to earlier releases, which ignore and drop them.
+    """
 
     ends: list[CrashValue]
+    trials: list[TrialValue] = []
 
 
 _values = msgspec.json.Decoder(SuspectValue)
@@ -42,7 +55,11 @@
         )
         for known in state.call_crashes()
     ]
-    return msgspec.json.encode(SuspectValue(crashes))
+    trials = [
+        TrialValue(trial.replica_id, trial.born_ms, trial in state.passed_trials)
+        for trial in sorted(state.trials, key=lambda trial: (trial.replica_id, trial.born_ms))
+    ]
+    return msgspec.json.encode(SuspectValue(crashes, trials))
 
 
 def decode_value(key: str, value: bytes) -> SuspectState | None:
@@ -55,4 +72,9 @@
         CallCrash(ReplicaCrash(row.replica_id, row.born_ms), row.cleared, row.coincident)
         for row in decoded.ends
     )
-    return SuspectState.from_crashes(Fingerprint(key), crashes)
+    trials = {Trial(row.replica_id, row.born_ms): row.passed for row in decoded.trials}
+    return attrs.evolve(
+        SuspectState.from_crashes(Fingerprint(key), crashes),
+        trials=frozenset(trials),
+        passed_trials=frozenset(trial for trial, is_passed in trials.items() if is_passed),
+    )
--- a/limeshelf/crashes/suspects.py
+++ b/limeshelf/crashes/suspects.py
@@ -2,10 +2,10 @@
 
 A crash interrupts all calls at the replica, and one of them may be its cause, so each of them
 becomes a suspect, and so do parts of prompts (:mod:`limeshelf.crashes.crashing_parts`) and loads.
-A call that later completes at another replica is cleared. The state of a
-suspect is three sets that only grow: crashes, coincident crashes and cleared crashes. They can be
-merged in any order, late or repeatedly, with the same result, while a counter would count a crash
-twice that two gateways detected.
+A call that later completes at another replica is cleared.
+The state of a suspect is sets that only grow: crashes, coincident crashes, cleared crashes and
+trials. They can be merged in any order, late or repeatedly, with the same result, while a counter
+would count a crash twice that two gateways detected.
 
 Owns the suspects that this gateway knows. :mod:`limeshelf.membership.crash_exchange` exchanges
 them with other gateways.
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import attrs
 
@@ -28,6 +28,8 @@
 
     Listener = Callable[['SuspectState', 'UpdateSource'], None]
 
+ItemT = TypeVar('ItemT')
+
 #: Maximum number of suspects. Above it, those with the fewest crashes are evicted first, and among
 #: these the oldest. Enough for about ten crashes of replicas with 50 calls each; takes 0.4 MB of
 #: memory with one crash each, and 0.83 MB with six (tests/crashes/test_suspects.py).
@@ -36,6 +38,8 @@
 KEPT_FRACTION = 0.9
 #: Maximum number of crashes kept per suspect. It is refused after three that are not cleared.
 MAX_CRASHES_PER_SUSPECT = 6
+#: Maximum number of trials kept per suspect. There are three in the first day.
+MAX_TRIALS_PER_SUSPECT = 12
 
 
 @attrs.frozen
@@ -60,6 +64,23 @@
     return sum(max(1, len(known - {0})) for known in start_times.values())
 
 
+@attrs.frozen
+class Trial:
+    """A call with a suspected part that was sent while others were refused.
+
+    :param replica_id: replica that it was sent to.
+    :param born_ms: start time of the replica as known then; 0 if unknown.
+    """
+
+    replica_id: str
+    born_ms: int = 0
+
+    def may_have_caused(self, crash: ReplicaCrash) -> bool:
+        """Return whether a crash is that of the replica that the trial was sent to."""
+        is_same_start = self.born_ms == crash.born_ms or not self.born_ms or not crash.born_ms
+        return self.replica_id == crash.replica_id and is_same_start
+
+
 @attrs.frozen
 class CallCrash:
     """One crash during a call, with its state for that call; see :class:`SuspectState`."""
@@ -77,12 +98,16 @@
     :param cleared: crashes that it is no longer suspected of.
     :param coincident: crashes at the same time as those of other replicas, which a single
         partition or power failure may explain.
+    :param trials: trials that were sent.
+    :param passed_trials: those of them that crashed no replica.
     """
 
     fingerprint: Fingerprint
     crashes: frozenset[ReplicaCrash]
     cleared: frozenset[ReplicaCrash] = frozenset()
     coincident: frozenset[ReplicaCrash] = frozenset()
+    trials: frozenset[Trial] = frozenset()
+    passed_trials: frozenset[Trial] = frozenset()
 
     @classmethod
     def from_crashes(
@@ -114,16 +139,41 @@
         """Return how many of these are not coincident."""
         return count_crashes(self.crashes - self.cleared - self.coincident)
 
+    @property
+    def failed_trials(self) -> int:
+        """Return how many trials crashed their replicas, which crashed alone."""
+        isolated = self.crashes - self.cleared - self.coincident
+        return count_crashes(crash for crash in isolated if self.is_of_trial(crash))
+
+    @property
+    def has_open_trial(self) -> bool:
+        """Return whether the result of a trial is not known."""
+        return any(
+            not any(map(trial.may_have_caused, self.crashes))
+            for trial in self.trials - self.passed_trials
+        )
+
+    def is_of_trial(self, crash: ReplicaCrash) -> bool:
+        """Return whether a trial may have caused a crash."""
+        return any(trial.may_have_caused(crash) for trial in self.trials - self.passed_trials)
+
     def merged(self, other: SuspectState) -> SuspectState:
         """Return the union of both states."""
         return attrs.evolve(
             self,
-            crashes=self.crashes | other.crashes,
-            cleared=self.cleared | other.cleared,
-            coincident=self.coincident | other.coincident,
+            crashes=_union(self.crashes, other.crashes),
+            cleared=_union(self.cleared, other.cleared),
+            coincident=_union(self.coincident, other.coincident),
+            trials=_union(self.trials, other.trials),
+            passed_trials=_union(self.passed_trials, other.passed_trials),
         )
 
 
+def _union(one: frozenset[ItemT], other: frozenset[ItemT]) -> frozenset[ItemT]:
+    """Return the union, without a set of its own where one of them is empty, as most are."""
+    return one | other if one and other else one or other
+
+
 class UpdateSource(enum.StrEnum):
     """Where an update of a suspect was received from."""
 
@@ -192,14 +242,26 @@
         """Clear a call that ran to completion, with or without success, and crashed no replica."""
         state = self.state_of(fingerprint)
         if state is not None:
-            self.merge(attrs.evolve(state, cleared=state.crashes), UpdateSource.OWN)
+            cleared = attrs.evolve(state, cleared=state.crashes, passed_trials=state.trials)
+            self.merge(cleared, UpdateSource.OWN)
+
+    def record_trial(self, fingerprint: Fingerprint, trial: Trial) -> None:
+        """Record that a call is sent as a trial of a suspect; its age is reset at all gateways."""
+        state = SuspectState(fingerprint, frozenset(), trials=frozenset({trial}))
+        self.merge(state, UpdateSource.OWN)
+        # Also where the same start of a replica is tried again, which changes no state.
+        self.reset_age(fingerprint)
 
     def clear(self, fingerprint: Fingerprint, crashes: frozenset[ReplicaCrash]) -> None:
         """Clear a suspect of some crashes, because it has run since without crashing a replica."""
         state = self.state_of(fingerprint)
         if state is not None:
             self.merge(
-                attrs.evolve(state, cleared=state.cleared | crashes & state.crashes),
+                attrs.evolve(
+                    state,
+                    cleared=state.cleared | crashes & state.crashes,
+                    passed_trials=state.trials,
+                ),
                 UpdateSource.OWN,
             )
 
@@ -226,11 +288,12 @@
             suspect = _Suspect(SuspectState(received.fingerprint, frozenset()), boottime_s())
         suspect.is_observed_locally |= is_observed_locally
         before = suspect.state
-        suspect.state = _limit_crashes(before.merged(received))
+        suspect.state = _limit_trials(_limit_crashes(before.merged(received)))
         _log_dropped_crashes(received, suspect.state, source)
         if suspect.state == before:
             return
-        if suspect.state.crash_count > before.crash_count:
+        is_tried = bool(suspect.state.trials - before.trials)
+        if suspect.state.crash_count > before.crash_count or is_tried:
             suspect.changed_s = boottime_s()
         self._by_fingerprint[received.fingerprint] = suspect
         self._evict_least_suspected()
@@ -277,11 +340,37 @@
 
 
 def _limit_crashes(state: SuspectState) -> SuspectState:
-    """Drop crashes above the maximum, cleared ones first.
+    """Drop crashes above the maximum, cleared ones first, and those of trials last.
 
     The choice is the same on all gateways.
     """
     if len(state.crashes) <= MAX_CRASHES_PER_SUSPECT:
         return state
-    ranked = sorted(state.call_crashes(), key=lambda known: known.is_cleared)
-    return SuspectState.from_crashes(state.fingerprint, ranked[:MAX_CRASHES_PER_SUSPECT])
+    ranked = sorted(
+        state.call_crashes(),
+        key=lambda known: (known.is_cleared, not state.is_of_trial(known.crash)),
+    )
+    kept = frozenset(known.crash for known in ranked[:MAX_CRASHES_PER_SUSPECT])
+    return attrs.evolve(
+        state,
+        crashes=kept,
+        cleared=state.cleared & kept,
+        coincident=state.coincident & kept,
+    )
+
+
+def _limit_trials(state: SuspectState) -> SuspectState:
+    """Drop trials above the maximum, passed ones first, and failed ones last."""
+    if len(state.trials) <= MAX_TRIALS_PER_SUSPECT:
+        return state
+    ranked = sorted(
+        state.trials,
+        key=lambda trial: (
+            trial in state.passed_trials,
+            not any(map(trial.may_have_caused, state.crashes)),
+            trial.replica_id,
+            trial.born_ms,
+        ),
+    )
+    kept = frozenset(ranked[:MAX_TRIALS_PER_SUSPECT])
+    return attrs.evolve(state, trials=kept, passed_trials=state.passed_trials & kept)
--- a/limeshelf/gateway/attempts.py
+++ b/limeshelf/gateway/attempts.py
@@ -83,7 +83,7 @@
         replica = selected.replica
         tokens = call.model_need.memory_tokens if call.model_need else 0
         state.begin_attempt()
-        self.quarantine.record_send(state)
+        self.quarantine.record_send(state, replica)
         context = SendContext(
             left_s=state.left_s,
             replica_id=replica.replica_id,
--- a/limeshelf/gateway/quarantine.py
+++ b/limeshelf/gateway/quarantine.py
@@ -65,10 +65,10 @@
         ) or self.parts.check(state.parts)
         return _refusal_of(quarantined) if quarantined is not None else None
 
-    def record_send(self, state: CallState) -> None:
-        """Record that a call is sent."""
+    def record_send(self, state: CallState, replica: Replica) -> None:
+        """Record that a call is sent to a replica."""
         self.quarantine.record_sent(state.fingerprint)
-        self.parts.record_sent(state.parts)
+        self.parts.record_sent(state.parts, replica)
 
     def record_first_event(self, state: CallState) -> None:
         """Record that the first event of an answer has arrived.
--- a/limeshelf/membership/crash_exchange.py
+++ b/limeshelf/membership/crash_exchange.py
@@ -12,9 +12,15 @@
 import attrs
 
 from limeshelf.calls.fingerprint import Fingerprint
-from limeshelf.crashes.suspects import CallCrash, ReplicaCrash, SuspectState, UpdateSource
+from limeshelf.crashes.suspects import (
+    CallCrash,
+    ReplicaCrash,
+    SuspectState,
+    Trial,
+    UpdateSource,
+)
 from limeshelf.membership.broadcast_queue import BroadcastQueue
-from limeshelf.membership.messages import CrashedReplica, CrashSuspects
+from limeshelf.membership.messages import CrashedReplica, CrashSuspects, TriedReplica
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -72,12 +78,20 @@
 
 
 def _message_from_states(states: list[SuspectState]) -> CrashSuspects:
-    groups: dict[CallCrash, list[bytes]] = {}
+    crashes: dict[CallCrash, list[bytes]] = {}
+    trials: dict[tuple[Trial, bool], list[bytes]] = {}
     for state in states:
+        suspect = bytes.fromhex(state.fingerprint)
         for call_crash in state.call_crashes():
-            groups.setdefault(call_crash, []).append(bytes.fromhex(state.fingerprint))
+            crashes.setdefault(call_crash, []).append(suspect)
+        for trial in state.trials:
+            trials.setdefault((trial, trial in state.passed_trials), []).append(suspect)
     return CrashSuspects(
-        [_crashed_replica(call_crash, calls) for call_crash, calls in groups.items()]
+        [_crashed_replica(call_crash, calls) for call_crash, calls in crashes.items()],
+        [
+            TriedReplica(trial.replica_id, trial.born_ms, has_passed, parts)
+            for (trial, has_passed), parts in trials.items()
+        ],
     )
 
 
@@ -89,7 +103,19 @@
 
 
 def _states_from_message(message: CrashSuspects) -> Iterator[SuspectState]:
-    """Yield a state for each call and crash in the message."""
+    """Yield a state for each suspect and crash, and for each suspect and trial in the message.
+
+    Trials come first: the crash of a trial has to be recognised as such when it arrives.
+    """
+    for tried in message.trials:
+        trials = frozenset({Trial(tried.replica_id, tried.born_ms)})
+        for part in tried.parts:
+            yield SuspectState(
+                Fingerprint(part.hex()),
+                frozenset(),
+                trials=trials,
+                passed_trials=trials if tried.passed else frozenset(),
+            )
     for group in message.ends:
         crash = ReplicaCrash(group.replica_id, group.born_ms)
         call_crash = CallCrash(crash, group.cleared, group.coincident)
--- a/limeshelf/membership/messages.py
+++ b/limeshelf/membership/messages.py
@@ -180,12 +180,30 @@
     calls: list[bytes]
 
 
+class TriedReplica(msgspec.Struct, array_like=True):
+    """A replica that a call with suspected parts was sent to as a trial.
+
+    :ivar born_ms: start time of the replica, in milliseconds since 1970; 0 if unknown.
+    :ivar passed: whether the trial crashed no replica.
+    :ivar parts: fingerprints of the parts.
+    """
+
+    replica_id: str
+    born_ms: int
+    passed: bool
+    parts: list[bytes]
+
+
 @add_message('crash-suspects')
 @attrs.frozen
 class CrashSuspects:
-    """Calls suspected of crashing replicas; only what was new to the sender."""
+    """Calls suspected of crashing replicas; only what was new to the sender.
+
+    :param trials: trials of suspects; earlier releases neither send nor read them.
+    """
 
     ends: list[CrashedReplica]
+    trials: list[TriedReplica] = attrs.field(factory=list)
 
 
 class ReplicaNoticeEntry(msgspec.Struct, array_like=True):
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -17,6 +17,7 @@
 from limeshelf.crashes.quarantine import Quarantine
 from limeshelf.crashes.quarantine_sync import QuarantineSync
 from limeshelf.crashes.suspects import Suspects
+from limeshelf.crashes.trials import TrialTurns
 from limeshelf.demand.meter import DemandMeter
 from limeshelf.demand.unserved import UnservedKind
 from limeshelf.dispatch.client import DispatchClient
@@ -268,8 +269,12 @@
         self.access = AccessGuard(
             self.active_config, self.freshness, self.config_age_s, access_rule(settings)
         )
+        turns = TrialTurns(
+            self.members.own.address,
+            lambda: [member.address for member in self.members.others()],
+        )
         guard = QuarantineGuard(
-            Quarantine(self.suspects), self.crash_detector, CrashingParts(self.suspects)
+            Quarantine(self.suspects), self.crash_detector, CrashingParts(self.suspects, turns)
         )
         binder = StreamBinder(self.streams, self.active_config)
         attempts = AttemptRunner(
--- a/tests/crashes/test_crashing_parts.py
+++ b/tests/crashes/test_crashing_parts.py
@@ -6,9 +6,11 @@
 
 from limeshelf.calls.call import Call, ModelNeed, PromptPart
 from limeshelf.calls.fingerprint import Fingerprint, part_fingerprints
-from limeshelf.crashes.crashing_parts import QUARANTINE_S, SPREAD, CrashingParts
+from limeshelf.crashes.crashing_parts import CrashingParts
 from limeshelf.crashes.suspects import ReplicaCrash, Suspects
+from limeshelf.crashes.trials import TRIAL_WAITS_S
 from limeshelf.util.clock import virtual_clock
+from tests.support.replicas import plain_replica
 
 FIRST, BAD, OTHER = Fingerprint('01'), Fingerprint('02'), Fingerprint('03')
 
@@ -20,6 +22,7 @@
         self.suspects = Suspects()
         self.parts = CrashingParts(self.suspects)
         self.crashes = 0
+        self.sent = 0
 
     def crash(self, *parts: Fingerprint, coincident: bool = False) -> None:
         """Crash another replica under a call with some parts."""
@@ -39,6 +42,13 @@
             if state is not None:
                 self.suspects.clear(part, state.crashes)
 
+    def send(self, *parts: Fingerprint) -> ReplicaCrash:
+        """Send a call to another replica; return the crash that it may cause."""
+        self.sent += 1
+        replica = plain_replica(f't{self.sent}')
+        self.parts.record_sent(parts, replica)
+        return ReplicaCrash(replica.replica_id)
+
     def refused(self, *parts: Fingerprint) -> bool:
         return self.parts.check(parts) is not None
 
@@ -105,12 +115,40 @@
         world = _World()
         for _ in range(3):
             world.crash(BAD)
-        clock.advance(QUARANTINE_S * SPREAD[1])
+        clock.advance(TRIAL_WAITS_S[0])
         assert not world.refused(BAD)
-        world.parts.record_sent([BAD])
+        replica = world.send(BAD)
         assert world.refused(BAD)
         if mended:
             world.begin(BAD)
         else:
-            world.crash(BAD)
+            world.suspects.record_crash(BAD, replica)
         assert world.refused(BAD) is not mended
+
+
+def test_part_whose_trial_crashed_its_replica_is_tried_much_later() -> None:
+    with virtual_clock() as clock:
+        world = _World()
+        for _ in range(3):
+            world.crash(BAD)
+        for wait_s in TRIAL_WAITS_S:
+            clock.advance(wait_s - 0.1)
+            assert world.refused(BAD)
+            clock.advance(0.1)
+            assert not world.refused(BAD)
+            world.suspects.record_crash(BAD, world.send(BAD))
+
+
+def test_crash_long_after_a_passed_trial_does_not_count_as_its_failure() -> None:
+    with virtual_clock() as clock:
+        world = _World()
+        for _ in range(3):
+            world.crash(BAD)
+        clock.advance(TRIAL_WAITS_S[0])
+        replica = world.send(BAD)
+        world.begin(BAD)
+        world.suspects.record_crash(BAD, replica)
+        for _ in range(2):
+            world.crash(BAD)
+        clock.advance(TRIAL_WAITS_S[0])
+        assert not world.refused(BAD)
--- a/tests/crashes/test_rows.py
+++ b/tests/crashes/test_rows.py
@@ -8,12 +8,16 @@
 
 from limeshelf.calls.fingerprint import Fingerprint
 from limeshelf.crashes.rows import decode_value, encode_value
-from limeshelf.crashes.suspects import CallCrash, ReplicaCrash, SuspectState
+from limeshelf.crashes.suspects import CallCrash, ReplicaCrash, SuspectState, Trial
 
 
 def test_encoded_row_is_decoded() -> None:
     crashes = frozenset({ReplicaCrash('r1', 7), ReplicaCrash('r2')})
-    state = SuspectState(Fingerprint('aa'), crashes, frozenset({ReplicaCrash('r2')}), crashes)
+    trials = frozenset({Trial('r1', 7), Trial('r3')})
+    passed = frozenset({Trial('r3')})
+    state = SuspectState(
+        Fingerprint('aa'), crashes, frozenset({ReplicaCrash('r2')}), crashes, trials, passed
+    )
     assert decode_value('aa', encode_value(state)) == state
 
 
--- a/tests/crashes/test_suspects.py
+++ b/tests/crashes/test_suspects.py
@@ -17,6 +17,7 @@
     ReplicaCrash,
     Suspects,
     SuspectState,
+    Trial,
     UpdateSource,
     count_crashes,
 )
@@ -36,7 +37,8 @@
     """Draw a state of a suspect as another gateway may send it."""
     known = draw(st.frozensets(crashes, max_size=5))
     some = st.frozensets(st.sampled_from(sorted(known, key=repr))) if known else st.just(known)
-    return SuspectState(CALL, known, draw(some), draw(some))
+    trials = draw(st.frozensets(st.builds(Trial, st.sampled_from(['r1', 'r4'])), max_size=2))
+    return SuspectState(CALL, known, draw(some), draw(some), trials, trials & {Trial('r4')})
 
 
 def merged(received: list[SuspectState]) -> SuspectState | None:
--- a/tests/membership/test_crash_exchange.py
+++ b/tests/membership/test_crash_exchange.py
@@ -11,7 +11,13 @@
 import pytest
 
 from limeshelf.calls.fingerprint import Fingerprint
-from limeshelf.crashes.suspects import ReplicaCrash, Suspects, SuspectState, UpdateSource
+from limeshelf.crashes.suspects import (
+    ReplicaCrash,
+    Suspects,
+    SuspectState,
+    Trial,
+    UpdateSource,
+)
 from limeshelf.membership import crash_exchange
 from limeshelf.membership.broadcast_queue import MAX_BATCH_WINDOWS
 from limeshelf.membership.crash_exchange import CrashExchange
@@ -138,6 +144,20 @@
     assert [exchange.suspects.state_of(CALL).crash_count for exchange in exchanges] == [0] * 6
 
 
+def test_trial_sent_by_one_gateway_and_its_failure_are_known_to_all() -> None:
+    _, exchanges = fleet(6, 2)
+
+    def scenario() -> None:
+        suspects = exchanges[5].suspects
+        suspects.record_crash(CALL, ReplicaCrash('r'))
+        suspects.record_trial(CALL, Trial(CRASH.replica_id))
+        suspects.record_crash(CALL, CRASH)
+
+    run_fleet(exchanges, scenario)
+    states = [exchange.suspects.state_of(CALL) for exchange in exchanges]
+    assert [state.failed_trials for state in states] == [1] * 6
+
+
 def test_suspects_from_rows_of_the_store_are_not_broadcast() -> None:
     network, exchanges = fleet(4, 2)
 
