Clear parts of prompts by complete answers, not by their first quarter of a second

Callers saw: a part that crashes replicas some time into their answers was never refused; its calls crashed one replica after the other.

Cause: an answer that went on for 0.25 s cleared its parts of all crashes known, and the crash that followed was not even recorded. The users' rule says that a replica which begins to write an answer crashes, not when in the answer; a gateway that stands still between the first event and the reset took the pause for proof.

Now a complete answer is the proof, or one that has gone on for 3 s (answers may last longer than a part that all share can wait). A timer that is late waits again, since the reset may not have been read yet. What a proof clears is all that is known at that moment, not when the answer began, so parts of sound calls are cleared as often as answers end.

--- a/limeshelf/crashes/crashing_parts.py
+++ b/limeshelf/crashes/crashing_parts.py
@@ -2,12 +2,12 @@
 
 No two calls with such a part need be alike, so each call is a suspect of one crash only. The parts
 of calls are suspects too (:mod:`limeshelf.crashes.suspects`): those of calls that were running at
-a crashed replica and had not begun to be answered for a while. The last part of a prompt belongs
+a crashed replica and had not been answered for long. The last part of a prompt belongs
 to one call or session, and is none.
 
 A part that many calls share is a suspect of every crash, with the part that causes them:
 
-* A call that begins to be answered clears its parts of the crashes known when it began.
+* A call whose answer is complete, or goes on for long, clears its parts of the crashes known.
 * Crashes that a rarer part explains, which is a suspect of enough crashes itself, do not count
   against a part that occurs in more calls.
 
--- a/limeshelf/crashes/suspects.py
+++ b/limeshelf/crashes/suspects.py
@@ -252,19 +252,6 @@
         # Also where the same start of a replica is tried again, which changes no state.
         self.reset_age(fingerprint)
 
-    def clear(self, fingerprint: Fingerprint, crashes: frozenset[ReplicaCrash]) -> None:
-        """Clear a suspect of some crashes, because it has run since without crashing a replica."""
-        state = self.state_of(fingerprint)
-        if state is not None:
-            self.merge(
-                attrs.evolve(
-                    state,
-                    cleared=state.cleared | crashes & state.crashes,
-                    passed_trials=state.trials,
-                ),
-                UpdateSource.OWN,
-            )
-
     def withdraw_crash(self, crash: ReplicaCrash) -> None:
         """Clear a crash for all calls, because the replica has responded."""
         for state in self.states():
--- a/limeshelf/gateway/quarantine.py
+++ b/limeshelf/gateway/quarantine.py
@@ -16,7 +16,7 @@
 from limeshelf.gateway.result_rules import CallFinding, classify_for_call
 from limeshelf.gateway.state import BegunAnswer
 from limeshelf.metrics.event_log import log_change
-from limeshelf.util.clock import MS_PER_S, boottime_s
+from limeshelf.util.clock import boottime_s
 
 if TYPE_CHECKING:
     from limeshelf.calls.fingerprint import Fingerprint
@@ -29,7 +29,9 @@
 
 
 #: An answer that has gone on for this long after its first event did not crash its replica.
-BEGUN_PROOF_S = 0.25
+BEGUN_PROOF_S = 3.0
+#: Largest delay of the timer for it at which the events of connections have been read in time.
+MAX_PROOF_DELAY_S = 0.25
 
 
 @attrs.frozen
@@ -73,31 +75,35 @@
     def record_first_event(self, state: CallState) -> None:
         """Record that the first event of an answer has arrived.
 
-        A part of a prompt that crashes replicas does so when they begin to answer, so the parts of
-        this prompt are cleared of the crashes known now, once the replica has gone on for a while.
+        A part of a prompt that crashes replicas does so at some point of the answer, so the parts
+        of this prompt are cleared once the answer is complete, or has gone on for long.
         """
+        state.begun = BegunAnswer(boottime_s())
+        if state.parts:
+            self._wait_for_proof(state.begun, state.parts)
+
+    def _wait_for_proof(self, begun: BegunAnswer, parts: tuple[Fingerprint, ...]) -> None:
+        begun.timer = asyncio.get_running_loop().call_later(
+            BEGUN_PROOF_S, self._record_proof, begun, parts, boottime_s() + BEGUN_PROOF_S
+        )
+
+    def _record_proof(
+        self, begun: BegunAnswer, parts: tuple[Fingerprint, ...], due_s: float
+    ) -> None:
+        if boottime_s() - due_s > MAX_PROOF_DELAY_S:
+            # This process stood still: the end of the connection may not have been read yet.
+            self._wait_for_proof(begun, parts)
+            return
+        begun.is_proof = True
+        self._clear_parts(parts)
+
+    def _clear_parts(self, parts: tuple[Fingerprint, ...]) -> None:
         suspects = self.quarantine.suspects
-        known = {part: suspects.state_of(part) for part in state.parts}
-        crashes = {
-            part: found.crashes
-            for part, found in known.items()
-            if found is not None and found.crashes - found.cleared
-        }
-        state.begun = BegunAnswer(boottime_s(), crashes)
-        if crashes:
-            state.begun.timer = asyncio.get_running_loop().call_later(
-                BEGUN_PROOF_S, self._clear_parts, state.begun
-            )
-
-    def _clear_parts(self, begun: BegunAnswer) -> None:
-        for part, crashes in begun.crashes.items():
-            log_change(
-                'part_cleared',
-                content=part,
-                crashes=len(crashes),
-                answered_ms=int((boottime_s() - begun.begun_s) * MS_PER_S),
-            )
-            self.quarantine.suspects.clear(part, crashes)
+        for part in parts:
+            state = suspects.state_of(part)
+            if state is not None and state.crash_count:
+                log_change('part_cleared', content=part, crashes=state.crash_count)
+                suspects.record_completion(part)
 
     def record_result(
         self, state: CallState, replica: Replica, result: ReplicaResult, sent_s: float
@@ -107,6 +113,8 @@
         :param sent_s: when the attempt started, on the boot clock.
         """
         finding = classify_for_call(result)
+        if state.begun is not None:
+            state.begun.cancel_timer()
         if finding is CallFinding.DISCONNECTED:
             parts = _suspicious_parts(state)
             self.detector.record_interrupted_call(state.fingerprint, replica, parts)
@@ -114,23 +122,16 @@
             self.detector.record_response(replica, sent_s)
         if finding is CallFinding.FINISHED:
             if state.begun is not None:
-                self._clear_parts(state.begun)
+                self._clear_parts(state.parts)
             self.quarantine.suspects.record_completion(state.fingerprint)
 
 
 def _suspicious_parts(state: CallState) -> tuple[Fingerprint, ...]:
     """Return the parts that may have crashed the replica of a call that was interrupted.
 
-    None if the answer had gone on for a while: it was not the cause.
+    None if the answer had gone on for long: it was not the cause.
     """
-    begun = state.begun
-    if begun is None:
-        return state.parts
-    if boottime_s() - begun.begun_s >= BEGUN_PROOF_S:
-        return ()
-    if begun.timer is not None:
-        begun.timer.cancel()
-    return state.parts
+    return () if state.begun is not None and state.begun.is_proof else state.parts
 
 
 def _refusal_of(quarantined: Quarantined) -> Refuse:
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -27,7 +27,6 @@
 
     from limeshelf.calls.call import Call
     from limeshelf.calls.routes import Route, ServiceSpec
-    from limeshelf.crashes.suspects import ReplicaCrash
     from limeshelf.gateway.answer import Answer
     from limeshelf.gateway.results import AttemptResult
     from limeshelf.organisations.organisation import Organisation
@@ -39,14 +38,19 @@
     """The answer of an attempt that has begun.
 
     :ivar begun_s: when its first event arrived, on the boot clock.
-    :ivar crashes: crashes that the parts of its prompt were suspected of at that time.
-    :ivar timer: clears the parts once the replica has gone on for a while.
+    :ivar is_proof: whether it shows that the call did not crash the replica.
+    :ivar timer: sets that once the replica has gone on for a while.
     """
 
     begun_s: float
-    crashes: dict[Fingerprint, frozenset[ReplicaCrash]]
+    is_proof: bool = False
     timer: asyncio.TimerHandle | None = None
 
+    def cancel_timer(self) -> None:
+        """Do not wait any longer for whether the replica goes on."""
+        if self.timer is not None:
+            self.timer.cancel()
+
 
 @attrs.define
 class CallState:
--- a/tests/crashes/test_crashing_parts.py
+++ b/tests/crashes/test_crashing_parts.py
@@ -38,9 +38,7 @@
         """Begin to answer a call with some parts."""
         self.parts.record_call(parts)
         for part in parts:
-            state = self.suspects.state_of(part)
-            if state is not None:
-                self.suspects.clear(part, state.crashes)
+            self.suspects.record_completion(part)
 
     def send(self, *parts: Fingerprint) -> ReplicaCrash:
         """Send a call to another replica; return the crash that it may cause."""
--- a/tests/gateway/test_crashing_part.py
+++ b/tests/gateway/test_crashing_part.py
@@ -9,12 +9,16 @@
 
 import asyncio
 import random
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import pytest
 
 from tests.support.fleet import FleetWorld, run_fleet
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
 BAD_PART = 'bad0'
 CRASH_TEXT = b'deadly'
 CALLS_PER_S = 14
@@ -75,10 +79,7 @@
     return sum(call.status == 200 for call in sound) / len(sound)
 
 
-@pytest.mark.parametrize('seed', [4, 11])
-def test_part_of_prompts_that_crashes_replicas_is_refused_and_sound_calls_are_served(
-    seed: int,
-) -> None:
+def _scenario(seed: int) -> Callable[[FleetWorld], Coroutine[Any, Any, None]]:
     async def scenario(world: FleetWorld) -> None:
         rng = random.Random(seed)
         before = await _send_for(world, rng, 3.0, 0.0)
@@ -89,4 +90,18 @@
         assert late <= MAX_LATE_CRASHES
         assert served >= LEAST_SHARE * _share_served(before)
 
-    run_fleet(scenario, engines=6, crash_text=CRASH_TEXT)
+    return scenario
+
+
+@pytest.mark.parametrize('seed', [4, 11])
+def test_part_of_prompts_that_crashes_replicas_is_refused_and_sound_calls_are_served(
+    seed: int,
+) -> None:
+    run_fleet(_scenario(seed), engines=6, crash_text=CRASH_TEXT)
+
+
+@pytest.mark.parametrize('after_s', [0.3, 0.6])
+def test_part_that_crashes_replicas_in_the_middle_of_answers_is_not_cleared_by_their_first_events(
+    after_s: float,
+) -> None:
+    run_fleet(_scenario(4), engines=6, crash_text=CRASH_TEXT, crash_after_answer_s=after_s)
