Count a crash against calls that this gateway gave up

Callers saw: a part whose callers left before the crash was never refused.

Cause: who stopped listening learned nothing. An attempt that was cancelled (its caller left), or whose time was over, recorded no interrupted call, and its connection shows nothing any more.

The detector now holds such a call, and the parts of its prompt, against the replica for 5 s: a crash that shows by another call, by news of another gateway, by a later start or by a refused connection counts against it. A response in between shows that the replica runs, not that it has ended the call. The stand-in replica crashes once, also where two such calls run there.

Sought too: time-outs, answers that are given up, calls carried for another gateway (the carrier's connection closes, which cancels its attempt).

--- a/limeshelf/crashes/crash_detector.py
+++ b/limeshelf/crashes/crash_detector.py
@@ -8,6 +8,10 @@
 connections looks like a crash of several replicas at once, so such crashes are marked as
 coincident.
 
+A call that this gateway gave up, because its caller left or its time was over, may still run at
+its replica, and its connection shows nothing any more. For a while, a crash that another call,
+another gateway or a refused connection shows counts against such a call too.
+
 Owns the recently interrupted calls, and whether each start of a replica is known to have crashed.
 The directory provides starts and addresses.
 """
@@ -20,7 +24,7 @@
 
 import attrs
 
-from limeshelf.crashes.suspects import ReplicaCrash
+from limeshelf.crashes.suspects import ReplicaCrash, UpdateSource
 from limeshelf.metrics.event_log import log_change
 from limeshelf.replicas.connections import CONNECT_TIMEOUT_S
 from limeshelf.util.clock import boottime_s
@@ -29,7 +33,7 @@
     from collections.abc import Iterable
 
     from limeshelf.calls.fingerprint import Fingerprint
-    from limeshelf.crashes.suspects import Suspects
+    from limeshelf.crashes.suspects import Suspects, SuspectState
     from limeshelf.replicas.directory import ReplicaDirectory
     from limeshelf.replicas.replica import Replica
     from limeshelf.replicas.starts import ReplicaStart
@@ -38,6 +42,9 @@
 #: A start of a replica is watched for this long after its last interrupted call. The row of a
 #: later start arrives about 3 s after the crash.
 WATCH_DURATION_S = 8.0
+#: A call that was given up may crash its replica for this long. Replicas are to end such a call
+#: at once, but may begin it before they read that its connection was closed.
+ABANDONED_WATCH_S = 5.0
 #: Interval between checks for later starts.
 RESTART_CHECK_INTERVAL_S = 0.25
 #: Crashes that are detected within this time of each other are coincident. With nine gateways, a
@@ -66,6 +73,8 @@
 
     :ivar interrupted: these calls and loads.
     :ivar interrupted_parts: parts of the prompts of these calls that may have caused a crash.
+    :ivar abandoned_s: calls that were given up, and parts of their prompts, with the time at which
+        they were, on the boot clock.
     :ivar first_interrupted_s: time of the first interruption, on the boot clock.
     :ivar interrupted_s: time of the latest interruption, on the boot clock.
     :ivar has_lost_connection: whether a connection broke. A lost load does not show that, since
@@ -81,12 +90,30 @@
     interrupted_s: float = 0.0
     interrupted: set[Fingerprint] = attrs.field(factory=set)
     interrupted_parts: set[Fingerprint] = attrs.field(factory=set)
+    abandoned_s: dict[Fingerprint, float] = attrs.field(factory=dict)
     has_lost_connection: bool = False
     has_crashed: bool = False
     crash_detected_s: float = 0.0
     is_coincident: bool = False
     check: asyncio.Task[None] | None = None
 
+    @property
+    def last_event_s(self) -> float:
+        """Return when a call was last interrupted or given up, on the boot clock."""
+        return max(self.interrupted_s, *self.abandoned_s.values(), 0.0)
+
+    def drop_old_abandoned(self) -> None:
+        """Forget the calls that were given up long ago."""
+        oldest_s = boottime_s() - ABANDONED_WATCH_S
+        self.abandoned_s = {
+            suspect: at_s for suspect, at_s in self.abandoned_s.items() if at_s >= oldest_s
+        }
+
+    def suspects(self) -> list[Fingerprint]:
+        """Return the calls, loads and parts that may have caused a crash now."""
+        self.drop_old_abandoned()
+        return sorted({*self.interrupted, *self.interrupted_parts, *self.abandoned_s})
+
     def may_coincide_with(self, other: _WatchedStart) -> bool:
         """Return whether both starts may have crashed at the same time.
 
@@ -114,6 +141,7 @@
         self._suspects = suspects
         self._tasks = tasks
         self._watched: dict[ReplicaStart, _WatchedStart] = {}
+        suspects.add_listener(self._on_suspect)
 
     def record_interrupted_call(
         self, fingerprint: Fingerprint, replica: Replica, parts: Iterable[Fingerprint] = ()
@@ -130,6 +158,40 @@
             watched.interrupted_parts.update(parts)
             self._record_interrupted(fingerprint, replica)
 
+    def record_abandoned_call(
+        self, fingerprint: Fingerprint, replica: Replica, parts: Iterable[Fingerprint] = ()
+    ) -> None:
+        """Record that this gateway gave a call up, which may still run at its replica.
+
+        :param parts: parts of its prompt that may crash the replica.
+        """
+        if _has_announced_leaving(replica):
+            return
+        watched = self._watched_start_of(replica)
+        given_up = [fingerprint, *parts]
+        watched.abandoned_s.update(dict.fromkeys(given_up, boottime_s()))
+        if watched.has_crashed:
+            self._record_crash(watched, given_up)
+
+    def record_refused_connection(self, replica: Replica) -> None:
+        """Record that no connection to a replica could be opened."""
+        watched = self._watched.get(replica.start)
+        if watched is None or watched.has_crashed or watched.check is not None:
+            return
+        watched.drop_old_abandoned()
+        if watched.abandoned_s:
+            watched.check = self._tasks.spawn(self._check(watched), 'replica-end')
+
+    def _on_suspect(self, state: SuspectState, source: UpdateSource) -> None:
+        """Count a crash that another gateway detected against the calls given up there."""
+        if source is UpdateSource.OWN:
+            return
+        crashes = state.crashes - state.cleared
+        for watched in list(self._watched.values()):
+            is_known = watched.has_crashed or not watched.abandoned_s
+            if not is_known and _crash_of(watched.replica) in crashes:
+                self._confirm_crash(watched, source)
+
     def record_lost_load(self, fingerprint: Fingerprint, replica: Replica) -> None:
         """Record that a replica does not respond during a load, or lacks the item afterwards."""
         if not _has_announced_leaving(replica):
@@ -144,13 +206,17 @@
         watched.interrupted_s = now_s
         watched.interrupted.add(fingerprint)
         if watched.has_crashed:
-            for suspect in sorted(watched.interrupted_parts | {fingerprint}):
-                self._suspects.record_crash(suspect, _crash_of(replica))
-            if watched.is_coincident:
-                self._suspects.mark_coincident(_crash_of(replica))
+            self._record_crash(watched, sorted(watched.interrupted_parts | {fingerprint}))
         elif watched.check is None:
             watched.check = self._tasks.spawn(self._check(watched), 'replica-end')
 
+    def _record_crash(self, watched: _WatchedStart, suspects: Iterable[Fingerprint]) -> None:
+        crash = _crash_of(watched.replica)
+        for suspect in suspects:
+            self._suspects.record_crash(suspect, crash)
+        if watched.is_coincident:
+            self._suspects.mark_coincident(crash)
+
     def record_response(self, replica: Replica, sent_s: float) -> None:
         """Record a response of a replica; withdraw a crash that the response disproves.
 
@@ -164,6 +230,10 @@
             # May be a later start, which cannot be distinguished without a start time.
             return
         del self._watched[replica.start]
+        watched.drop_old_abandoned()
+        if watched.abandoned_s:
+            # The response shows that the replica runs, not that it has ended these calls.
+            self._watched_start_of(replica).abandoned_s = watched.abandoned_s
         if watched.has_crashed:
             self._suspects.withdraw_crash(_crash_of(replica))
 
@@ -209,9 +279,9 @@
             born_ms=crash.born_ms,
             learned_by=learned_by,
             calls=len(watched.interrupted),
+            abandoned=len(watched.abandoned_s),
         )
-        for fingerprint in sorted(watched.interrupted | watched.interrupted_parts):
-            self._suspects.record_crash(fingerprint, crash)
+        self._record_crash(watched, watched.suspects())
         self._mark_coincident(watched)
 
     def _mark_coincident(self, watched: _WatchedStart) -> None:
@@ -236,7 +306,7 @@
         for start, watched in list(self._watched.items()):
             if not watched.has_crashed and self._is_replaced(watched.replica):
                 self._confirm_crash(watched, 'replaced')
-            if watched.interrupted_s < oldest_s and watched.check is None:
+            if watched.last_event_s < oldest_s and watched.check is None:
                 del self._watched[start]
 
     def _is_replaced(self, replica: Replica) -> bool:
--- a/limeshelf/gateway/attempts.py
+++ b/limeshelf/gateway/attempts.py
@@ -69,6 +69,7 @@
             result = await self._send(state, selected, organisation)
         except (asyncio.CancelledError, CallerDisconnected):
             log_abandoned(state, selected.replica)
+            self.quarantine.record_abandoned(state, selected.replica)
             raise
         state.record_result(result)
         if isinstance(result, WholeAnswer) and result.head.status < STATUS_SERVER_ERROR:
--- a/limeshelf/gateway/quarantine.py
+++ b/limeshelf/gateway/quarantine.py
@@ -105,6 +105,12 @@
                 log_change('part_cleared', content=part, crashes=state.crash_count)
                 suspects.record_completion(part)
 
+    def record_abandoned(self, state: CallState, replica: Replica) -> None:
+        """Record that an attempt was given up; the replica may still run the call."""
+        if state.begun is not None:
+            state.begun.cancel_timer()
+        self.detector.record_abandoned_call(state.fingerprint, replica, _suspicious_parts(state))
+
     def record_result(
         self, state: CallState, replica: Replica, result: ReplicaResult, sent_s: float
     ) -> None:
@@ -118,6 +124,10 @@
         if finding is CallFinding.DISCONNECTED:
             parts = _suspicious_parts(state)
             self.detector.record_interrupted_call(state.fingerprint, replica, parts)
+        elif finding is CallFinding.ABANDONED:
+            self.record_abandoned(state, replica)
+        elif finding is CallFinding.NOT_CONNECTED:
+            self.detector.record_refused_connection(replica)
         elif finding is not CallFinding.NONE:
             self.detector.record_response(replica, sent_s)
         if finding is CallFinding.FINISHED:
--- a/limeshelf/gateway/result_rules.py
+++ b/limeshelf/gateway/result_rules.py
@@ -106,7 +106,11 @@
     REFUSED = enum.auto()
     #: The connection ended before the answer was complete: the replica may have crashed.
     DISCONNECTED = enum.auto()
-    #: Not sent, no answer in time, an invalid answer, or an answer of another replica.
+    #: This gateway gave it up; the replica may still run it.
+    ABANDONED = enum.auto()
+    #: No connection to the replica could be opened.
+    NOT_CONNECTED = enum.auto()
+    #: Not sent, or an answer of another replica.
     NONE = enum.auto()
 
 
@@ -120,8 +124,12 @@
         return CallFinding.FINISHED
     if isinstance(result, NeverRan) and result.reached and not result.misdirected:
         return CallFinding.REFUSED
+    if isinstance(result, NeverRan) and not result.reached:
+        return CallFinding.NOT_CONNECTED
     if isinstance(result, Broken) and result.cause in _DISCONNECT_CAUSES:
         return CallFinding.DISCONNECTED
+    if isinstance(result, Broken) and result.cause is not FailureCause.FOREIGN_ANSWER:
+        return CallFinding.ABANDONED
     return CallFinding.NONE
 
 
--- a/standins/users_platform/replica.py
+++ b/standins/users_platform/replica.py
@@ -200,6 +200,7 @@
         self.rejected_s: list[float] = []
         self.sent_notices: list[SentNotices] = []
         self._first_beat = 0
+        self._has_crashed = False
         self._busy = False
         self._runner: web.ServerRunner | None = None
 
@@ -444,8 +445,10 @@
         response = web.StreamResponse()
         if self.crash_after_answer_s is not None:
             response = await self._begin_answer(request, call_id, self.crash_after_answer_s)
-        await self.crash()
-        self.on_crash(self)
+        if not self._has_crashed:
+            self._has_crashed = True
+            await self.crash()
+            self.on_crash(self)
         return response
 
     async def _begin_answer(
--- a/tests/crashes/test_crash_detector.py
+++ b/tests/crashes/test_crash_detector.py
@@ -13,7 +13,7 @@
 from limeshelf.crashes import crash_detector as detector_module
 from limeshelf.crashes.crash_detector import CrashDetector
 from limeshelf.crashes.quarantine import Quarantine
-from limeshelf.crashes.suspects import Suspects
+from limeshelf.crashes.suspects import ReplicaCrash, Suspects, SuspectState, UpdateSource
 from limeshelf.replicas.directory import ReplicaDirectory
 from limeshelf.replicas.record import ReplicaRecord
 from limeshelf.util.clock import boottime_s
@@ -256,3 +256,64 @@
         assert (state.crash_count, state.isolated_crash_count) == (2, 2)
 
     run_scenario(scenario)
+
+
+async def _interrupt_and_wait(world: World, replica: Replica) -> None:
+    await world.close_listener()
+    world.detector.record_interrupted_call(OTHER, replica)
+    await world.detector.wait_until_checked(OTHER)
+
+
+@pytest.mark.parametrize('responds', [False, True])
+def test_call_that_was_given_up_is_suspected_of_a_crash_that_interrupts_another(
+    responds: bool,
+) -> None:
+    """A response in between shows that the replica runs, not that it has ended the call."""
+
+    async def scenario(world: World) -> None:
+        replica = world.add(born_ms=BORN_MS)
+        world.detector.record_abandoned_call(CALL, replica)
+        if responds:
+            world.detector.record_response(replica, sent_s=boottime_s())
+        await _interrupt_and_wait(world, replica)
+        assert world.suspected_crashes() == 1
+
+    run_scenario(scenario)
+
+
+def test_call_that_was_given_up_is_suspected_of_a_crash_that_another_gateway_detected() -> None:
+    async def scenario(world: World) -> None:
+        replica = world.add(born_ms=BORN_MS)
+        world.detector.record_abandoned_call(CALL, replica)
+        crash = ReplicaCrash(replica.replica_id, BORN_MS)
+        world.suspects.merge(SuspectState(OTHER, frozenset({crash})), UpdateSource.PEER)
+        assert world.suspected_crashes() == 1
+
+    run_scenario(scenario)
+
+
+def test_call_that_was_given_up_is_suspected_of_a_crash_that_a_refused_connection_shows() -> None:
+    async def scenario(world: World) -> None:
+        replica = world.add()
+        world.detector.record_abandoned_call(CALL, replica)
+        await world.close_listener()
+        world.detector.record_refused_connection(replica)
+        await asyncio.sleep(0.1)
+        assert world.suspected_crashes() == 1
+
+    run_scenario(scenario)
+
+
+def test_call_that_was_given_up_long_before_a_crash_is_not_suspected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(detector_module, 'ABANDONED_WATCH_S', 0.05)
+
+    async def scenario(world: World) -> None:
+        replica = world.add()
+        world.detector.record_abandoned_call(CALL, replica)
+        await asyncio.sleep(0.1)
+        await _interrupt_and_wait(world, replica)
+        assert world.suspected_crashes() == 0
+
+    run_scenario(scenario)
--- a/tests/gateway/test_crashing_part.py
+++ b/tests/gateway/test_crashing_part.py
@@ -32,6 +32,10 @@
 LEAST_SHARE = 0.5
 
 
+#: Callers that leave do so after this time, in seconds.
+LEAVES_AFTER_S = (0.01, 0.06)
+
+
 @attrs.define
 class _Sent:
     at_s: float
@@ -45,18 +49,25 @@
 
 
 async def _send_for(
-    world: FleetWorld, rng: random.Random, for_s: float, share: float
+    world: FleetWorld,
+    rng: random.Random,
+    for_s: float,
+    share: float,
+    *,
+    callers_leave: bool = False,
+    calls_per_s: float = CALLS_PER_S,
 ) -> list[_Sent]:
     """Send calls of which no two are alike to random gateways.
 
     :param share: of the calls that have the part that crashes replicas.
+    :param callers_leave: whether their callers leave before the crash.
     """
     loop = asyncio.get_running_loop()
 
     async def send(number: int, crashing: bool) -> _Sent:
         at_s = loop.time()
         body = b'%s %d' % (CRASH_TEXT if crashing else b'sound', number)
-        status = await world.call_at(
+        call = world.call_at(
             rng.randrange(len(world.centres)),
             '/stream/x',
             body,
@@ -64,13 +75,17 @@
             Limeshelf_Token_Count='100,20',
             Limeshelf_Prompt_Prefix=_parts(number, rng, crashing=crashing),
         )
-        return _Sent(at_s, crashing, status)
+        try:
+            leaves_after_s = rng.uniform(*LEAVES_AFTER_S) if crashing and callers_leave else None
+            return _Sent(at_s, crashing, await asyncio.wait_for(call, leaves_after_s))
+        except TimeoutError:
+            return _Sent(at_s, crashing, 0)
 
     calls = []
-    for _ in range(int(for_s * CALLS_PER_S)):
+    for _ in range(int(for_s * calls_per_s)):
         number = rng.getrandbits(32)
         calls.append(asyncio.create_task(send(number, rng.random() < share)))
-        await asyncio.sleep(1 / CALLS_PER_S)
+        await asyncio.sleep(1 / calls_per_s)
     return list(await asyncio.gather(*calls))
 
 
@@ -79,11 +94,15 @@
     return sum(call.status == 200 for call in sound) / len(sound)
 
 
-def _scenario(seed: int) -> Callable[[FleetWorld], Coroutine[Any, Any, None]]:
+def _scenario(
+    seed: int, *, callers_leave: bool = False, calls_per_s: float = CALLS_PER_S
+) -> Callable[[FleetWorld], Coroutine[Any, Any, None]]:
     async def scenario(world: FleetWorld) -> None:
         rng = random.Random(seed)
-        before = await _send_for(world, rng, 3.0, 0.0)
-        calls = await _send_for(world, rng, 14.0, CRASHING_SHARE)
+        before = await _send_for(world, rng, 3.0, 0.0, calls_per_s=calls_per_s)
+        calls = await _send_for(
+            world, rng, 14.0, CRASHING_SHARE, callers_leave=callers_leave, calls_per_s=calls_per_s
+        )
         known_s = world.ends[KNOWN_AFTER_CRASHES - 1 :][:1] or world.ends[-1:]
         late = sum(at_s > known_s[0] + CONTACT_S for at_s in world.ends)
         served = _share_served(calls, known_s[0] + 2 * CONTACT_S)
@@ -105,3 +124,15 @@
     after_s: float,
 ) -> None:
     run_fleet(_scenario(4), engines=6, crash_text=CRASH_TEXT, crash_after_answer_s=after_s)
+
+
+@pytest.mark.parametrize('seed', [4, 11])
+def test_part_that_crashes_replicas_after_its_callers_left_is_refused(seed: int) -> None:
+    # Few enough calls that each of them is alone at its replica.
+    run_fleet(
+        _scenario(seed, callers_leave=True, calls_per_s=6),
+        engines=8,
+        crash_text=CRASH_TEXT,
+        crash_delay_s=0.1,
+        centres=('z1', 'z1', 'z1', 'z2', 'z2', 'z2', 'z3', 'z3', 'z3'),
+    )
