--- a/limeshelf/crashes/crashing_parts.py
+++ b/limeshelf/crashes/crashing_parts.py
@@ -23,10 +23,8 @@
 import attrs
 
 from limeshelf.crashes.quarantine import Quarantined
-from limeshelf.crashes.suspects import Trial, count_crashes
-from limeshelf.crashes.trials import TURN_S, TrialTurns, trial_wait_s
-from limeshelf.metrics.event_log import log_change
-from limeshelf.util.clock import MS_PER_S
+from limeshelf.crashes.suspects import count_crashes
+from limeshelf.crashes.trials import TrialTurns
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -70,33 +68,16 @@
             state = self.suspects.state_of(part)
             crashes = self._count_against(part)
             if state is not None and crashes:
-                left_s = self._left_s(state)
+                left_s = self.turns.left_s(state, self.suspects.age_s(part))
                 if left_s > 0:
                     return Quarantined(crashes, left_s)
         return None
 
-    def _left_s(self, state: SuspectState) -> float:
-        """Return for how long calls with a quarantined part are refused here; 0 for a trial."""
-        due_s = self.suspects.age_s(state.fingerprint) - trial_wait_s(state)
-        if due_s < 0:
-            return -due_s
-        return 0.0 if self.turns.is_own(state.fingerprint, due_s) else TURN_S
-
     def record_sent(self, parts: Sequence[Fingerprint], replica: Replica) -> None:
         """Record that a call is sent; others with a part that is on trial are then refused."""
         for part in parts:
-            crashes = self._count_against(part)
-            if crashes:
-                log_change(
-                    'part_tried',
-                    content=part,
-                    crashes=crashes,
-                    replica=replica.replica_id,
-                    age_ms=int(self.suspects.age_s(part) * MS_PER_S),
-                )
-                self.suspects.record_trial(
-                    part, Trial(replica.replica_id, replica.known_start.born_ms or 0)
-                )
+            if self._count_against(part):
+                self.suspects.record_trial(part, replica)
 
     def _count_against(self, part: Fingerprint) -> int:
         """Return how many crashes a part is quarantined for; 0 if it is not."""
--- a/limeshelf/crashes/quarantine.py
+++ b/limeshelf/crashes/quarantine.py
@@ -10,8 +10,10 @@
   partition that resets connections looks the same. While they counted, two of about 13,500 calls
   were refused in six simulations of repeated crashes and partitions without a call that crashes
   replicas.
-* Three crashes of either kind: the call is refused permanently. The same call is still refused a
-  day later, unless its suspect was evicted to limit memory.
+* Three crashes, two of them isolated: the call is refused permanently. The same call is still
+  refused a day later, unless its suspect was evicted to limit memory.
+* Three crashes of which fewer are isolated: a single cause may explain them, so the call is
+  refused but for trials (:mod:`limeshelf.crashes.trials`).
 
 A call that was interrupted twice within one request of its caller is not sent a third time, also
 after coincident crashes: it could crash one replica after the other within 0.1 s. A call
@@ -24,9 +26,12 @@
 
 import attrs
 
+from limeshelf.crashes.trials import TrialTurns
+
 if TYPE_CHECKING:
     from limeshelf.calls.fingerprint import Fingerprint
     from limeshelf.crashes.suspects import Suspects, SuspectState
+    from limeshelf.replicas.replica import Replica
 
 #: Isolated crashes from which a call is refused for a time. With three, each such call would
 #: crash one more replica, and interrupt all calls there (11 to 48 in the simulation above).
@@ -48,6 +53,14 @@
     )
 
 
+def _may_be_tried(state: SuspectState) -> bool:
+    """Return whether a call is refused for crashes that a single other cause may explain."""
+    return (
+        state.crash_count >= PERMANENT_QUARANTINE_CRASHES
+        and state.isolated_crash_count < TEMPORARY_QUARANTINE_CRASHES
+    )
+
+
 @attrs.frozen
 class Quarantined:
     """Refusal of a quarantined call.
@@ -65,6 +78,7 @@
     """Decides which calls are refused because of crashes."""
 
     suspects: Suspects
+    turns: TrialTurns = attrs.field(factory=TrialTurns)
 
     def check(
         self, fingerprint: Fingerprint, unconfirmed_crashes: int = 0, *, broken_twice: bool = False
@@ -78,9 +92,12 @@
         """
         state = self.suspects.state_of(fingerprint)
         crashes = unconfirmed_crashes + (state.crash_count if state is not None else 0)
+        isolated = unconfirmed_crashes + (state.isolated_crash_count if state is not None else 0)
+        if state is not None and not unconfirmed_crashes and _may_be_tried(state):
+            left_s = self.turns.left_s(state, self.suspects.age_s(fingerprint))
+            return Quarantined(crashes, left_s) if left_s else None
         if crashes >= PERMANENT_QUARANTINE_CRASHES:
             return Quarantined(crashes, PERMANENT_RETRY_AFTER_S)
-        isolated = unconfirmed_crashes + (state.isolated_crash_count if state is not None else 0)
         if (crashes if broken_twice else isolated) < TEMPORARY_QUARANTINE_CRASHES:
             return None
         age_s = self.suspects.age_s(fingerprint) if state is not None else 0.0
@@ -88,8 +105,12 @@
             return Quarantined(crashes, TEMPORARY_QUARANTINE_S - age_s)
         return None
 
-    def record_sent(self, fingerprint: Fingerprint) -> None:
+    def record_sent(self, fingerprint: Fingerprint, replica: Replica) -> None:
         """Record that a call is sent; a call in temporary quarantine is then refused again."""
         state = self.suspects.state_of(fingerprint)
-        if state is not None and state.isolated_crash_count >= TEMPORARY_QUARANTINE_CRASHES:
+        if state is None:
+            return
+        if _may_be_tried(state):
+            self.suspects.record_trial(fingerprint, replica)
+        elif state.isolated_crash_count >= TEMPORARY_QUARANTINE_CRASHES:
             self.suspects.reset_age(fingerprint)
--- a/limeshelf/crashes/suspects.py
+++ b/limeshelf/crashes/suspects.py
@@ -19,12 +19,13 @@
 import attrs
 
 from limeshelf.metrics.event_log import log_change
-from limeshelf.util.clock import boottime_s
+from limeshelf.util.clock import MS_PER_S, boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from limeshelf.calls.fingerprint import Fingerprint
+    from limeshelf.replicas.replica import Replica
 
     Listener = Callable[['SuspectState', 'UpdateSource'], None]
 
@@ -66,7 +67,7 @@
 
 @attrs.frozen
 class Trial:
-    """A call with a suspected part that was sent while others were refused.
+    """A call of a suspect that was sent while others were refused.
 
     :param replica_id: replica that it was sent to.
     :param born_ms: start time of the replica as known then; 0 if unknown.
@@ -245,8 +246,18 @@
             cleared = attrs.evolve(state, cleared=state.crashes, passed_trials=state.trials)
             self.merge(cleared, UpdateSource.OWN)
 
-    def record_trial(self, fingerprint: Fingerprint, trial: Trial) -> None:
+    def record_trial(self, fingerprint: Fingerprint, replica: Replica) -> None:
         """Record that a call is sent as a trial of a suspect; its age is reset at all gateways."""
+        known = self._by_fingerprint[fingerprint].state
+        log_change(
+            'suspect_tried',
+            content=fingerprint,
+            crashes=known.crash_count,
+            failed_trials=known.failed_trials,
+            replica=replica.replica_id,
+            age_ms=int(self.age_s(fingerprint) * MS_PER_S),
+        )
+        trial = Trial(replica.replica_id, replica.known_start.born_ms or 0)
         state = SuspectState(fingerprint, frozenset(), trials=frozenset({trial}))
         self.merge(state, UpdateSource.OWN)
         # Also where the same start of a replica is tried again, which changes no state.
--- a/limeshelf/gateway/quarantine.py
+++ b/limeshelf/gateway/quarantine.py
@@ -69,7 +69,7 @@
 
     def record_send(self, state: CallState, replica: Replica) -> None:
         """Record that a call is sent to a replica."""
-        self.quarantine.record_sent(state.fingerprint)
+        self.quarantine.record_sent(state.fingerprint, replica)
         self.parts.record_sent(state.parts, replica)
 
     def record_first_event(self, state: CallState) -> None:
--- a/limeshelf/programs/components.py
+++ b/limeshelf/programs/components.py
@@ -274,7 +274,9 @@
             lambda: [member.address for member in self.members.others()],
         )
         guard = QuarantineGuard(
-            Quarantine(self.suspects), self.crash_detector, CrashingParts(self.suspects, turns)
+            Quarantine(self.suspects, turns),
+            self.crash_detector,
+            CrashingParts(self.suspects, turns),
         )
         binder = StreamBinder(self.streams, self.active_config)
         attempts = AttemptRunner(
--- a/tests/gateway/test_crashing_call.py
+++ b/tests/gateway/test_crashing_call.py
@@ -13,12 +13,13 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
 
 from limeshelf.membership.crash_exchange import CrashExchange
-from standins.users_platform.replica import Fault
-from tests.support.fleet import DATA_CENTRES, FleetWorld, run_fleet
+from standins.users_platform.replica import Fault, ReplicaStandIn
+from tests.support.fleet import CALLS_PER_S, DATA_CENTRES, FleetWorld, run_fleet, send_steady_load
 
 CRASHING_BODY = b'deadly'
 #: Time between two attempts of the caller, in seconds.
@@ -154,3 +155,28 @@
         assert statuses.count(200) > 0.8 * len(statuses)
 
     run_fleet(scenario, crash_text=CRASHING_BODY)
+
+
+class _ThreeReplicas(FleetWorld):
+    """A fleet whose plain service has three replicas."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self.plain.append(ReplicaStandIn('p-3'))
+
+
+def test_call_that_ran_at_all_replicas_when_they_crashed_at_once_is_served_again() -> None:
+    async def scenario(world: FleetWorld) -> None:
+        for replica in world.plain:
+            replica.work_s = 0.2
+        load = asyncio.create_task(send_steady_load(world, '/safe/x', 12.0))
+        await asyncio.sleep(1.0)
+        crashed = list(world.plain)
+        for replica in crashed:
+            await replica.crash()
+        for replica in crashed:
+            world.schedule_restart(replica)
+        statuses = await load
+        assert statuses[-2 * CALLS_PER_S :] == [200] * 2 * CALLS_PER_S
+
+    run_fleet(scenario, world_class=_ThreeReplicas)
