Use a living replica again when a late row of a dead start at its address has gone

Callers saw: after late heartbeats of dead starts a service was refused by all gateways, though its replicas were idle and wrote heartbeats; one replica was lost for each late write.

Cause: the last row to arrive at an address marked all others there as leaving, for good. A late write of a dead start arrives last; the mark was the same as that of an announcement, and nothing took it back.

Another row at the address is now a mark of its own, and when a replica is gone (its row has ended, or another one answered in its place) the latest one left at its address is used again. The dead start's row ends after three heartbeats; the living one's stays.

Evidence: tests/replicas/test_directory.py failed before (no replica where r2 lives) and passes.

--- a/limeshelf/crashes/crash_detector.py
+++ b/limeshelf/crashes/crash_detector.py
@@ -322,7 +322,6 @@
 
 
 def _has_announced_leaving(replica: Replica) -> bool:
-    # Not replica.leaving, which is also set once another replica uses its address.
     return replica.backpressure.leaving
 
 
--- a/limeshelf/replicas/directory.py
+++ b/limeshelf/replicas/directory.py
@@ -170,10 +170,23 @@
         )
 
     def _supersede(self, record: ReplicaRecord) -> None:
-        """Mark other replicas with the same address as leaving: the last row to arrive counts."""
-        for other in self._replicas.values():
-            if other.record.address == record.address and not other.gone:
-                other.leaving = True
+        """Mark other replicas with the same address: the last row to arrive counts."""
+        for other in self._at_address(record.address):
+            other.superseded = True
+
+    def _restore_superseded(self, address: str) -> None:
+        """Use the latest of the replicas left at an address, whose rows have outlasted the others.
+
+        The last row to arrive may be a late write of a replica that had ended before.
+        """
+        left = self._at_address(address)
+        if left and all(replica.superseded for replica in left):
+            latest = max(left, key=lambda replica: replica.known_start.known_since_s)
+            latest.superseded = False
+            log_change('replica_restored', replica=latest.replica_id)
+
+    def _at_address(self, address: str) -> list[Replica]:
+        return [replica for replica in self.all() if replica.record.address == address]
 
     def _remove(self, replica_id: str, cause: str) -> None:
         replica = self._replicas.get(replica_id)
@@ -189,6 +202,7 @@
         if not replica.gone:
             replica.gone = True
             log_change('replica_gone', replica=replica.replica_id, cause=cause)
+            self._restore_superseded(replica.record.address)
 
     def mark_leaving(self, replica: Replica, cause: str, left_s: float | None = None) -> None:
         """Mark a replica as leaving, because it has announced that.
--- a/limeshelf/replicas/replica.py
+++ b/limeshelf/replicas/replica.py
@@ -36,7 +36,8 @@
     :ivar report: its newest report, received directly or from a peer; ``None`` before the first.
     :ivar reported_s: when that report arrived, on the boot clock.
     :ivar holdings: ready adapters by model.
-    :ivar leaving: it announced that it is leaving, or another replica uses its address.
+    :ivar leaving: it announced that it is leaving.
+    :ivar superseded: the row of another replica with its address arrived later.
     :ivar gone: its row was deleted, it has restarted, or another replica responded at its
         address; a later row creates a new object.
     :ivar start: key for state that other modules keep of this start.
@@ -65,6 +66,7 @@
     reported_s: float = 0.0
     backpressure: Backpressure = attrs.field(factory=Backpressure)
     leaving: bool = False
+    superseded: bool = False
     retiring: set[str] = attrs.field(factory=set)
     start: ReplicaStart = attrs.Factory(
         lambda self: ReplicaStart(self.record.replica_id), takes_self=True
@@ -80,12 +82,12 @@
 
     @property
     def takes_calls(self) -> bool:
-        """Return whether it may get new calls: it is neither gone nor leaving.
+        """Return whether it may get new calls: it is not gone, leaving or superseded.
 
         Its backpressure is checked too: a call sent before its row was deleted and written again
         may have received the announcement that it is leaving.
         """
-        return not (self.gone or self.leaving or self.backpressure.leaving)
+        return not (self.gone or self.leaving or self.superseded or self.backpressure.leaving)
 
     def holds(self, model: str, adapter: str = '') -> bool:
         """Return whether a model, or an adapter of it, is ready and not about to be unloaded."""
--- a/tests/replicas/test_directory.py
+++ b/tests/replicas/test_directory.py
@@ -92,6 +92,24 @@
     assert available(directory) == ['r2']
 
 
+@pytest.mark.parametrize('shown_by', ['row', 'answer'])
+def test_living_replica_is_used_again_after_a_late_row_of_a_dead_start_at_its_address(
+    directory: ReplicaDirectory, shown_by: str
+) -> None:
+    directory.apply_row(row('r1'))
+    directory.apply_row(row('r2'))
+    directory.apply_row(Row('r1', b'', make_position(3), gone=True))
+    directory.apply_row(row('r1', beat=2))
+    assert available(directory) == ['r1']
+    if shown_by == 'row':
+        directory.apply_row(Row('r1', b'', make_position(5), gone=True))
+    else:
+        dead = directory.get('r1')
+        assert dead is not None
+        directory.mark_gone(dead, 'misdirected')
+    assert available(directory) == ['r2']
+
+
 def test_row_of_a_replica_marked_as_gone_adds_it_again(
     directory: ReplicaDirectory,
 ) -> None:
