--- a/limeshelf/crashes/crashing_parts.py
+++ b/limeshelf/crashes/crashing_parts.py
@@ -75,9 +75,16 @@
 
     def record_sent(self, parts: Sequence[Fingerprint], replica: Replica) -> None:
         """Record that a call is sent; others with a part that is on trial are then refused."""
-        for part in parts:
-            if self._count_against(part):
+        refused = [part for part in parts if self._count_against(part)]
+        if not refused:
+            return
+        # A crash under this call would show only that one of them is to blame.
+        rarest = min(refused, key=lambda part: self._occurrences.get(part, 0))
+        for part in refused:
+            if part == rarest:
                 self.suspects.record_trial(part, replica)
+            else:
+                self.suspects.reset_age(part)
 
     def _count_against(self, part: Fingerprint) -> int:
         """Return how many crashes a part is quarantined for; 0 if it is not."""
--- a/tests/crashes/test_crashing_parts.py
+++ b/tests/crashes/test_crashing_parts.py
@@ -150,3 +150,17 @@
             world.crash(BAD)
         clock.advance(TRIAL_WAITS_S[0])
         assert not world.refused(BAD)
+
+
+def test_failed_trial_counts_against_the_rarest_of_the_refused_parts_alone() -> None:
+    with virtual_clock() as clock:
+        world = _World()
+        for number in range(4):
+            world.crash(FIRST, BAD)
+            world.crash(FIRST, Fingerprint(f'1{number}'))
+        clock.advance(TRIAL_WAITS_S[0])
+        replica = world.send(FIRST, BAD)
+        for part in (FIRST, BAD):
+            world.suspects.record_crash(part, replica)
+        failed = [world.suspects.state_of(part) for part in (FIRST, BAD)]
+        assert [state.failed_trials for state in failed if state is not None] == [0, 1]
