Probe replicas for calls of suspects that were given up, and try rarely where no result is learned

A call that was given up and whose part or content has two crashes has its replica probed for as long as it is held against it; each further trial without a result makes the next eight times as late.

--- a/limeshelf/crashes/crash_detector.py
+++ b/limeshelf/crashes/crash_detector.py
@@ -45,6 +45,11 @@
 #: A call that was given up may crash its replica for this long. Replicas are to end such a call
 #: at once, but may begin it before they read that its connection was closed.
 ABANDONED_WATCH_S = 5.0
+#: Crashes of a call, or of a part of its prompt, from which its replica is probed while it is held
+#: against it: nothing else may show the crash.
+PROBED_SUSPECT_CRASHES = 2
+#: Interval between these probes.
+PROBE_INTERVAL_S = 0.5
 #: Interval between checks for later starts.
 RESTART_CHECK_INTERVAL_S = 0.25
 #: Crashes that are detected within this time of each other are coincident. With nine gateways, a
@@ -83,6 +88,7 @@
     :ivar crash_detected_s: when it was detected, on the boot clock.
     :ivar is_coincident: whether a crash of another replica was detected at about the same time.
     :ivar check: task that tries to connect; ``None`` when it has ended.
+    :ivar is_probed: whether a task probes the replica for calls that were given up.
     """
 
     replica: Replica
@@ -96,6 +102,7 @@
     crash_detected_s: float = 0.0
     is_coincident: bool = False
     check: asyncio.Task[None] | None = None
+    is_probed: bool = False
 
     @property
     def last_event_s(self) -> float:
@@ -109,6 +116,14 @@
             suspect: at_s for suspect, at_s in self.abandoned_s.items() if at_s >= oldest_s
         }
 
+    def forget_interruptions(self) -> None:
+        """Forget all but the calls that were given up, because the replica has responded."""
+        self.interrupted.clear()
+        self.interrupted_parts.clear()
+        self.interrupted_s = 0.0
+        self.first_interrupted_s = boottime_s()
+        self.has_lost_connection = self.has_crashed = self.is_coincident = False
+
     def suspects(self) -> list[Fingerprint]:
         """Return the calls, loads and parts that may have caused a crash now."""
         self.drop_old_abandoned()
@@ -172,6 +187,24 @@
         watched.abandoned_s.update(dict.fromkeys(given_up, boottime_s()))
         if watched.has_crashed:
             self._record_crash(watched, given_up)
+        elif not watched.is_probed and any(map(self._is_probed_for, given_up)):
+            watched.is_probed = True
+            self._tasks.spawn(self._probe(watched), 'probe-abandoned')
+
+    def _is_probed_for(self, suspect: Fingerprint) -> bool:
+        state = self._suspects.state_of(suspect)
+        return state is not None and state.crash_count >= PROBED_SUSPECT_CRASHES
+
+    async def _probe(self, watched: _WatchedStart) -> None:
+        """Connect to a replica until it refuses, or until no call is held against it any more."""
+        while not watched.has_crashed:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            watched.drop_old_abandoned()
+            if not watched.abandoned_s:
+                break
+            if await _connect(watched.replica.record.address) is _ConnectResult.REFUSED:
+                self._confirm_crash(watched, 'probe')
+        watched.is_probed = False
 
     def record_refused_connection(self, replica: Replica) -> None:
         """Record that no connection to a replica could be opened."""
@@ -229,12 +262,14 @@
         if watched.has_crashed and replica.known_start.born_ms is None:
             # May be a later start, which cannot be distinguished without a start time.
             return
-        del self._watched[replica.start]
+        has_crashed = watched.has_crashed
         watched.drop_old_abandoned()
         if watched.abandoned_s:
             # The response shows that the replica runs, not that it has ended these calls.
-            self._watched_start_of(replica).abandoned_s = watched.abandoned_s
-        if watched.has_crashed:
+            watched.forget_interruptions()
+        else:
+            del self._watched[replica.start]
+        if has_crashed:
             self._suspects.withdraw_crash(_crash_of(replica))
 
     def unconfirmed_crashes(self, fingerprint: Fingerprint) -> int:
--- a/limeshelf/crashes/suspects.py
+++ b/limeshelf/crashes/suspects.py
@@ -147,9 +147,9 @@
         return count_crashes(crash for crash in isolated if self.is_of_trial(crash))
 
     @property
-    def has_open_trial(self) -> bool:
-        """Return whether the result of a trial is not known."""
-        return any(
+    def open_trials(self) -> int:
+        """Return of how many trials the result is not known."""
+        return sum(
             not any(map(trial.may_have_caused, self.crashes))
             for trial in self.trials - self.passed_trials
         )
--- a/limeshelf/crashes/trials.py
+++ b/limeshelf/crashes/trials.py
@@ -27,6 +27,8 @@
 #: Time to wait at least while the result of a trial is not known. Its caller may leave, and it may
 #: wait at its replica for most of the time that its route allows.
 RESULT_WAIT_S = 15.0
+#: Factor on that time for each further trial without a result: they may have failed unseen.
+RESULT_WAIT_GROWTH = 8.0
 #: Length of a gateway's turn. The news of a trial reach all others within a turn.
 TURN_S = 0.5
 
@@ -34,7 +36,10 @@
 def trial_wait_s(state: SuspectState) -> float:
     """Return for how long a suspect is refused after the latest news of it."""
     wait_s = TRIAL_WAITS_S[min(state.failed_trials, len(TRIAL_WAITS_S) - 1)]
-    return max(wait_s, RESULT_WAIT_S) if state.has_open_trial else wait_s
+    if not state.open_trials:
+        return wait_s
+    result_wait_s = RESULT_WAIT_S * RESULT_WAIT_GROWTH ** (state.open_trials - 1)
+    return max(wait_s, min(result_wait_s, TRIAL_WAITS_S[-1]))
 
 
 @attrs.frozen
--- a/tests/crashes/test_crash_detector.py
+++ b/tests/crashes/test_crash_detector.py
@@ -304,6 +304,25 @@
     run_scenario(scenario)
 
 
+def test_crash_that_only_a_call_given_up_could_have_shown_is_found_by_probes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(detector_module, 'PROBE_INTERVAL_S', 0.02)
+
+    async def scenario(world: World) -> None:
+        for number in range(2):
+            world.suspects.record_crash(CALL, ReplicaCrash(f'r{number + 2}'))
+        replica = world.add()
+        world.detector.record_abandoned_call(CALL, replica)
+        await asyncio.sleep(0.05)
+        assert world.suspected_crashes() == 2
+        await world.close_listener()
+        await asyncio.sleep(0.1)
+        assert world.suspected_crashes() == 3
+
+    run_scenario(scenario)
+
+
 def test_call_that_was_given_up_long_before_a_crash_is_not_suspected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/crashes/test_trials.py
+++ b/tests/crashes/test_trials.py
@@ -108,3 +108,18 @@
     late = sum(at_s > fifth_s[0] + CONTACT_S for at_s in fleet.crashed_s)
     assert fleet.refused
     assert late <= MAX_LATE_CRASHES
+
+
+def test_trials_whose_results_nobody_learns_become_rare() -> None:
+    with virtual_clock() as clock:
+        suspects = Suspects()
+        for number in range(3):
+            suspects.record_crash(PART, ReplicaCrash(f'r{number}'))
+        parts = CrashingParts(suspects)
+        trials = 0
+        for _ in range(int(HOUR_S)):
+            clock.advance(1.0)
+            if parts.check([PART]) is None:
+                parts.record_sent([PART], plain_replica(f't{trials}'))
+                trials += 1
+    assert trials <= KNOWN_AFTER_CRASHES - 3 + MAX_LATE_CRASHES
