--- a/limeshelf/gateway/quarantine.py
+++ b/limeshelf/gateway/quarantine.py
@@ -78,7 +78,7 @@
         A part of a prompt that crashes replicas does so at some point of the answer, so the parts
         of this prompt are cleared once the answer is complete, or has gone on for long.
         """
-        state.begun = BegunAnswer(boottime_s())
+        state.begun = BegunAnswer()
         if state.parts:
             self._wait_for_proof(state.begun, state.parts)
 
--- a/limeshelf/gateway/state.py
+++ b/limeshelf/gateway/state.py
@@ -37,12 +37,10 @@
 class BegunAnswer:
     """The answer of an attempt that has begun.
 
-    :ivar begun_s: when its first event arrived, on the boot clock.
     :ivar is_proof: whether it shows that the call did not crash the replica.
     :ivar timer: sets that once the replica has gone on for a while.
     """
 
-    begun_s: float
     is_proof: bool = False
     timer: asyncio.TimerHandle | None = None
 
