--- a/tests/forms/test_messages.py
+++ b/tests/forms/test_messages.py
@@ -57,6 +57,12 @@
     'c3ab646174615f63656e747265a27a31a46b696e64af7265706c6963612d6e6f7469636573a67365'
     '6e646572ad31302e302e302e313a37303031'
 )
+#: Suspects of the release that did not tell of trials.
+SUSPECTS_WITHOUT_TRIALS = (
+    '84a4626f647981a4656e64739195a3722d31cf0000019f81f4dcc0c3c392c4086161626263636464'
+    'c4086565666667676868ab646174615f63656e747265a27a31a46b696e64ae63726173682d737573'
+    '7065637473a673656e646572ad31302e302e302e313a37303031'
+)
 #: A verdict of the release whose grants brought no turns.
 OLD_VERDICT = (
     '84a4626f647984a46b696e64a76772616e746564aa7265706c6963615f6964a3722d31a97469636b'
@@ -238,6 +244,12 @@
     assert {entry.rejections_known_ms_ago for entry in message.notices} == {None}
 
 
+def test_suspects_of_a_gateway_that_does_not_tell_of_trials() -> None:
+    message = decode(bytes.fromhex(SUSPECTS_WITHOUT_TRIALS)).message
+    assert len(message.ends) == 1
+    assert message.trials == []
+
+
 def test_updates_of_a_gateway_that_does_not_say_from_where_on_it_knows_all_deletions() -> None:
     message = decode(bytes.fromhex(UPDATES_WITHOUT_SEEN_FROM)).message
     (update,) = message.words
