--- a/tests/membership/test_crash_exchange.py
+++ b/tests/membership/test_crash_exchange.py
@@ -15,7 +15,6 @@
     ReplicaCrash,
     Suspects,
     SuspectState,
-    Trial,
     UpdateSource,
 )
 from limeshelf.membership import crash_exchange
@@ -26,6 +25,7 @@
 from limeshelf.peers.codec import Envelope, decode, encode
 from limeshelf.util.clock import virtual_clock
 from tests.support.clock import run_virtual
+from tests.support.replicas import plain_replica
 
 CALL = Fingerprint('00112233445566aa')
 CONTROL_BYTES_PER_S = 4096
@@ -150,7 +150,7 @@
     def scenario() -> None:
         suspects = exchanges[5].suspects
         suspects.record_crash(CALL, ReplicaCrash('r'))
-        suspects.record_trial(CALL, Trial(CRASH.replica_id))
+        suspects.record_trial(CALL, plain_replica(CRASH.replica_id))
         suspects.record_crash(CALL, CRASH)
 
     run_fleet(exchanges, scenario)
