--- a/limeshelf/crashes/suspects.py
+++ b/limeshelf/crashes/suspects.py
@@ -39,7 +39,7 @@
 KEPT_FRACTION = 0.9
 #: Maximum number of crashes kept per suspect. It is refused after three that are not cleared.
 MAX_CRASHES_PER_SUSPECT = 6
-#: Maximum number of trials kept per suspect. There are three in the first day.
+#: Maximum number of trials kept per suspect. The waits between them grow, so a day has few.
 MAX_TRIALS_PER_SUSPECT = 12
 
 
